Read settings from one table, and number the log events

Settings come from one table of name, type, default, check and help, over file and flags (koanf, pflag); every unknown name and bad value is reported at once with its line. Run-time rows are the ones that a sheet may set.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,12 +13,14 @@
 	Error Level = "error"
 )
 
-// Event is one row of the catalogue. Numbers never change meaning.
+// Event is one row of the catalogue. Numbers never change meaning. Ask says
+// what the event asks of whoever is on call; it is empty where nothing is.
 type Event struct {
 	Number int
 	Name   string
 	Level  Level
 	Help   string
+	Ask    string
 }
 
 // Log emits events with keys and values. It never blocks for long and bounds
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/spf13/pflag"
+
+	"stepwick/internal/kernel"
+)
+
+func flagsOf(args ...string) *pflag.FlagSet {
+	flags := pflag.NewFlagSet("core", pflag.ContinueOnError)
+	Register(flags)
+	if err := flags.Parse(args); err != nil {
+		panic(err)
+	}
+	return flags
+}
+
+const good = `
+name: core-1
+region: lagos
+zone: a
+listen:
+  caller: 127.0.0.1:8080
+  internal: 127.0.0.1:8081
+seeds:
+  - 127.0.0.2:8081
+  - 127.0.0.3:8081
+fleet.secret: a-secret-of-the-fleet
+operator.keys: ["ada:` + hash + `"]
+data: data
+grant: {ttl: 1s, renew: 250ms}
+disk.segment: 8MiB
+`
+
+const hash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+func TestTable(t *testing.T) {
+	Convey("Every default passes its own check, and names are unique", t, func() {
+		seen := map[string]bool{}
+		for _, row := range Table {
+			So(seen[row.Name], ShouldBeFalse)
+			seen[row.Name] = true
+			_, err := row.Parse(row.Default)
+			So(err, ShouldBeNil)
+			So(row.Help, ShouldEndWith, ".")
+			So(row.Check == nil, ShouldEqual, row.Rule == "")
+		}
+	})
+}
+
+func TestRead(t *testing.T) {
+	Convey("File over default, flag over file, nested and dotted names alike", t, func() {
+		values, problems := Read("s.yaml", []byte(good), flagsOf("--grant.renew=300ms", "--seeds", "127.0.0.4:1", "--seeds", "127.0.0.5:1"), RoleCore)
+		So(problems, ShouldBeEmpty)
+		So(values.String("listen.internal"), ShouldEqual, "127.0.0.1:8081")
+		So(values.Duration("grant.ttl"), ShouldEqual, time.Second)
+		So(values.Duration("grant.renew"), ShouldEqual, 300*time.Millisecond)
+		So(values.Strings("seeds"), ShouldResemble, []string{"127.0.0.4:1", "127.0.0.5:1"})
+		So(values.Int("disk.segment"), ShouldEqual, 8<<20)
+		So(values.Text("disk.segment"), ShouldEqual, "8MiB")
+		So(values.Float("retry.budget"), ShouldEqual, 0.1)
+		So(values.Bool("core.front"), ShouldBeTrue)
+		So(values.Text("fleet.secret"), ShouldEqual, "****")
+		So(values.Text("operator.keys"), ShouldEqual, "****")
+		So(values.Source("grant.ttl")+values.Source("grant.renew")+values.Source("log.level"), ShouldEqual, "fileflagdefault")
+		So(func() { values.Int("name") }, ShouldPanic)
+	})
+
+	Convey("All faults come at once, with line and reason", t, func() {
+		const bad = `name: core 1
+grant.tll: 1s
+listen:
+  caller: here
+  colour: red
+grant:
+  ttl: 3s
+  ttl: 2s
+seeds: {a: b}
+quota_window: 8
+retry.budget: .nan
+operator.keys: [ada:abc]
+core.voters: 4
+`
+		_, problems := Read("s.yaml", []byte(bad), flagsOf("--body.max=1GiB", "--bind=nowhere"), RoleCore)
+		var lines []string
+		for _, problem := range problems {
+			lines = append(lines, problem.String())
+		}
+		So(strings.Join(lines, "\n"), ShouldEqual, strings.TrimSpace(`
+s.yaml:1: name: ' ' is not a letter, digit, '-', '_' or '.'
+s.yaml:2: grant.tll: unknown setting; did you mean grant.ttl?
+s.yaml:4: listen.caller: "here" is not an address IP:PORT
+s.yaml:5: listen.colour: unknown setting
+s.yaml:7: grant.ttl: 3s is not within 100ms to 2s
+s.yaml:8: grant.ttl: set twice; first at line 7
+s.yaml:9: seeds: takes a list
+s.yaml:10: quota_window: "8" is not a duration such as 500ms or 2s
+s.yaml:11: retry.budget: ".nan" is not a finite number
+s.yaml:12: operator.keys: entry 1 is not NAME:SHA256HEX
+s.yaml:13: core.voters: 4 is none of [1 3 5 7]
+--bind: "nowhere" is not an IP address
+--body.max: 1GiB is not within 1KiB to 64MiB`))
+	})
+
+	Convey("A role says what it can't do without, and settings that don't fit each other are named", t, func() {
+		_, problems := Read("s.yaml", []byte("grant.renew: 1s\ngrant.ttl: 1s\nlisten.caller: 0.0.0.0:80\n"), flagsOf("--deadline.max=1s"), RoleFront)
+		var names []string
+		for _, problem := range problems {
+			names = append(names, problem.Name)
+		}
+		So(names, ShouldResemble, []string{"grant.renew", "deadline.default", "name", "region", "zone",
+			"listen.internal", "seeds", "fleet.secret", "advertise.caller"})
+		So(problems[0].Line, ShouldEqual, 1)
+	})
+
+	Convey("A file that is no mapping, or none at all, is a BadSetting fault", t, func() {
+		_, problems := Read("s.yaml", []byte("- a\n"), nil, "")
+		So(problems, ShouldHaveLength, 1)
+		_, problems = Read("s.yaml", []byte("a: [\n"), nil, "")
+		So(problems, ShouldHaveLength, 1)
+		_, err := Load(filepath.Join(t.TempDir(), "none.yaml"), nil)
+		So(kernel.AsFault(err).Code, ShouldEqual, kernel.BadSetting)
+	})
+
+	Convey("A secret may stand in a file of its own", t, func() {
+		file := filepath.Join(t.TempDir(), "secret")
+		So(os.WriteFile(file, []byte("0123456789abcdef\n"), 0o600), ShouldBeNil)
+		values, problems := Read("s.yaml", []byte("fleet.secret: '@"+file+"'"), nil, "")
+		So(problems, ShouldBeEmpty)
+		So(values.String("fleet.secret"), ShouldEqual, "0123456789abcdef")
+		So(os.WriteFile(file, []byte("short\n"), 0o600), ShouldBeNil)
+		_, problems = Read("s.yaml", []byte("fleet.secret: '@"+file+"'"), nil, "")
+		So(problems, ShouldHaveLength, 1)
+	})
+}
+
+func TestRuntime(t *testing.T) {
+	Convey("A sheet may set run-time settings only, within their checks", t, func() {
+		So(CheckRuntime("route.strategy", "least_loaded"), ShouldBeNil)
+		for name, value := range map[string]string{"route.strategy": "best", "grant.ttl": "1s", "route.pendin": "1", "route.pending": "-1"} {
+			err := CheckRuntime(name, value)
+			So(kernel.AsFault(err).Code, ShouldEqual, kernel.BadSetting)
+			So(err.Error(), ShouldContainSubstring, name)
+		}
+		values, _ := Read("", nil, nil, "")
+		changed := values.With(map[string]string{"retry.budget": "0.5", "grant.ttl": "1s"})
+		So(changed.Float("retry.budget"), ShouldEqual, 0.5)
+		So(changed.Source("retry.budget"), ShouldEqual, "sheet")
+		So(changed.Duration("grant.ttl"), ShouldEqual, 2*time.Second)
+		So(values.Float("retry.budget"), ShouldEqual, 0.1)
+		So(RuntimeNames(), ShouldContain, "deadline.default")
+	})
+}
+
+func TestParse(t *testing.T) {
+	Convey("Sizes have units and don't overflow", t, func() {
+		for text, want := range map[string]int{"0": 0, "65536": 65536, "64KiB": 64 << 10, "4 MiB": 4 << 20, "1GiB": 1 << 30} {
+			value, err := Size.parse(text)
+			So(err, ShouldBeNil)
+			So(value, ShouldEqual, want)
+		}
+		for _, text := range []string{"", "KiB", "1MB", "1.5MiB", "9999999999999GiB"} {
+			_, err := Size.parse(text)
+			So(err, ShouldNotBeNil)
+		}
+		So(FormatSize(1536), ShouldEqual, "1536")
+	})
+}
--- /dev/null
+++ b/internal/settings/table.go
@@ -0,0 +1,412 @@
+// Package settings holds the one table of settings. The settings file, the
+// flags, the run-time settings of the sheet and docs/SETTINGS.md all come
+// from it.
+package settings
+
+import (
+	"encoding/hex"
+	"math"
+	"net"
+	"net/netip"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+)
+
+// Type names how a setting's text is read.
+type Type string
+
+// Types of settings. A size is a number of bytes with an optional unit (KiB,
+// MiB, GiB); a duration has a unit (500ms, 2s); a list is separated by commas
+// or written as a sequence in the file.
+const (
+	String   Type = "string"
+	Int      Type = "int"
+	Float    Type = "float"
+	Duration Type = "duration"
+	Bool     Type = "bool"
+	Size     Type = "size"
+	List     Type = "list"
+)
+
+// Row is one setting.
+type Row struct {
+	Name    string
+	Type    Type
+	Default string
+	// Rule says in words what Check holds the value to.
+	Rule string
+	// Check gets the typed value: string, int, float64, kernel.Duration, bool
+	// or []string; a size is an int. It may be nil.
+	Check func(value any) error
+	Help  string
+	// Runtime settings may be set in the sheet and then change while the
+	// fleet runs.
+	Runtime bool
+	// Secret values are never printed.
+	Secret bool
+}
+
+// Table is the table of settings, in the order of the docs.
+var Table = []Row{
+	{Name: "name", Type: String, Rule: "letters, digits, '-', '_' and '.', at most 64", Check: checkName,
+		Help: "The process's name, unique in the fleet and kept over restarts."},
+	{Name: "region", Type: String, Rule: "letters, digits, '-', '_' and '.', at most 64", Check: checkName,
+		Help: "The region that the process stands in."},
+	{Name: "zone", Type: String, Rule: "letters, digits, '-', '_' and '.', at most 64", Check: checkName,
+		Help: "The zone within the region; region and zone together are the locality."},
+
+	{Name: "listen.caller", Type: String, Rule: "IP:PORT", Check: checkAddress,
+		Help: "Where callers, operators and the platform reach this process."},
+	{Name: "listen.internal", Type: String, Rule: "IP:PORT", Check: checkAddress,
+		Help: "Where the fleet's other processes reach this process."},
+	{Name: "advertise.caller", Type: String, Rule: "IP:PORT, not a wildcard", Check: checkAdvertised,
+		Help: "The caller address told to others; listen.caller when empty."},
+	{Name: "advertise.internal", Type: String, Rule: "IP:PORT, not a wildcard", Check: checkAdvertised,
+		Help: "The internal address told to others; listen.internal when empty."},
+	{Name: "bind", Type: String, Rule: "IP", Check: checkIP,
+		Help: "The source address of the connections that this process opens; the system's choice when empty."},
+	{Name: "seeds", Type: List, Rule: "IP:PORT each", Check: checkAddresses,
+		Help: "Internal addresses of other processes, of any role; three are usual."},
+	{Name: "fleet.secret", Type: String, Secret: true, Rule: "at least 16 characters", Check: atLeastLong(16),
+		Help: "The secret that every process of the fleet shows to the others; @FILE reads it from a file."},
+	{Name: "operator.keys", Type: List, Secret: true, Rule: "NAME:SHA256HEX each", Check: checkOperatorKeys,
+		Help: "The operators and the SHA-256 of each one's key, in hexadecimal."},
+
+	{Name: "core.voters", Type: Int, Default: "3", Rule: "1, 3, 5 or 7", Check: oneOfInts(1, 3, 5, 7),
+		Help: "How many cores form the fleet; all of them must be blank and present at the first formation."},
+	{Name: "core.front", Type: Bool, Default: "true",
+		Help: "Whether a core also serves traffic as a front."},
+	{Name: "data", Type: String,
+		Help: "The folder that a core keeps its log and snapshots in."},
+	{Name: "first_sheet", Type: String,
+		Help: "A sheet (JSON file) that this core offers at the first formation."},
+	{Name: "disk.quota", Type: Size, Default: "0", Rule: "0 or more", Check: atLeast(0),
+		Help: "A bound on the bytes in the data folder, for proving what a full disk does; 0 for none."},
+	{Name: "disk.sync_delay", Type: Duration, Default: "0s", Rule: "0s to 60s", Check: within(0, 60*kernel.Second),
+		Help: "An added delay of every sync, for proving what a slow disk does."},
+	{Name: "disk.segment", Type: Size, Default: "4MiB", Rule: "64KiB to 1GiB", Check: sized(64<<10, 1<<30),
+		Help: "The size at which the log begins a new segment."},
+	{Name: "snapshot.records", Type: Int, Default: "1024", Rule: "1 to 1000000", Check: counted(1, 1000000),
+		Help: "The number of log records after which a snapshot is written."},
+
+	{Name: "grant.ttl", Type: Duration, Default: "2s", Rule: "100ms to 2s", Check: within(100*kernel.Millisecond, 2*kernel.Second),
+		Help: "How long a grant holds after the renewal that gave it was sent; the same on every process."},
+	{Name: "grant.renew", Type: Duration, Default: "500ms", Rule: "10ms to 1s, under half of grant.ttl", Check: within(10*kernel.Millisecond, kernel.Second),
+		Help: "How often a front renews its grant at every core."},
+	{Name: "ping.interval", Type: Duration, Default: "500ms", Rule: "10ms to 1s, under half of grant.ttl", Check: within(10*kernel.Millisecond, kernel.Second),
+		Help: "How often fronts ask each other for their epochs."},
+	{Name: "feed.wait", Type: Duration, Default: "1s", Rule: "10ms to 30s", Check: within(10*kernel.Millisecond, 30*kernel.Second),
+		Help: "How long a core holds a feed request open when nothing is new."},
+
+	{Name: "platform.url", Type: String, Rule: "http://IP:PORT/...", Check: checkURL,
+		Help: "The platform's list of servers; without it a front knows only servers that others report."},
+	{Name: "platform.interval", Type: Duration, Default: "500ms", Rule: "50ms to 10s", Check: within(50*kernel.Millisecond, 10*kernel.Second),
+		Help: "How often a watcher reads the platform's list."},
+	{Name: "watch.interval", Type: Duration, Default: "500ms", Rule: "50ms to 10s", Check: within(50*kernel.Millisecond, 10*kernel.Second),
+		Help: "How often a watcher asks a server for its status."},
+	{Name: "plan.period", Type: Duration, Default: "5s", Rule: "500ms to 1h", Check: within(500*kernel.Millisecond, kernel.Hour),
+		Help: "How long a period plan stands unless a failure, drain or evacuation forces a new one."},
+
+	{Name: "quota_window", Type: Duration, Default: "8s", Rule: "8s to 1h", Check: within(8*kernel.Second, kernel.Hour),
+		Help: "The window of the tally; the same on every process."},
+	{Name: "quota_slices", Type: Int, Default: "8", Rule: "1 to 64", Check: counted(1, 64),
+		Help: "The slices that a window's spend is kept in, to bound any span of one window; the same on every process."},
+	{Name: "plain_tokens", Type: Float, Default: "50", Rule: "above 0, at most 1000000", Check: between(math.SmallestNonzeroFloat64, 1e6),
+		Help: "The tokens that a one-shot call counts for, where its service names none."},
+	{Name: "tally.interval", Type: Duration, Default: "200ms", Rule: "10ms to 2s", Check: within(10*kernel.Millisecond, 2*kernel.Second),
+		Help: "How often a front sends its spend to the holders of the counts."},
+
+	{Name: "route.strategy", Type: String, Default: "affinity", Rule: "affinity, round_robin or least_loaded", Runtime: true,
+		Check: oneOf("affinity", "round_robin", "least_loaded"),
+		Help:  "How a front picks a server within the plan's region; the last two are baselines for comparison."},
+	{Name: "route.pending", Type: Int, Default: "256", Rule: "0 to 100000", Check: counted(0, 100000), Runtime: true,
+		Help: "How many requests may be pending at a front, ordered by deadline."},
+	{Name: "route.ramp_start", Type: Int, Default: "2", Rule: "1 to 1000", Check: counted(1, 1000), Runtime: true,
+		Help: "The requests in flight that a cold server gets before it has answered any."},
+	{Name: "retry.budget", Type: Float, Default: "0.1", Rule: "0 to 1", Check: between(0, 1), Runtime: true,
+		Help: "Attempts at another server, as a share of the requests."},
+	{Name: "deadline.default", Type: Duration, Default: "30s", Rule: "10ms to 1h, at most deadline.max", Check: within(10*kernel.Millisecond, kernel.Hour), Runtime: true,
+		Help: "The deadline of a request that names none."},
+	{Name: "deadline.max", Type: Duration, Default: "120s", Rule: "10ms to 1h", Check: within(10*kernel.Millisecond, kernel.Hour), Runtime: true,
+		Help: "The longest deadline that a request may name."},
+
+	{Name: "body.max", Type: Size, Default: "1MiB", Rule: "1KiB to 64MiB", Check: sized(1<<10, 64<<20),
+		Help: "The largest body of a caller's request."},
+	{Name: "sheet.max", Type: Size, Default: "16MiB", Rule: "1KiB to 256MiB", Check: sized(1<<10, 256<<20),
+		Help: "The largest body of an operator's order."},
+	{Name: "header.max", Type: Size, Default: "16KiB", Rule: "1KiB to 1MiB", Check: sized(1<<10, 1<<20),
+		Help: "The largest header of a request."},
+	{Name: "body.timeout", Type: Duration, Default: "5s", Rule: "100ms to 60s", Check: within(100*kernel.Millisecond, 60*kernel.Second),
+		Help: "How long a header or body may take to arrive."},
+	{Name: "drain.grace", Type: Duration, Default: "10s", Rule: "0s to 5m", Check: within(0, 5*kernel.Minute),
+		Help: "How long a stopping process lets its requests finish."},
+
+	{Name: "log.level", Type: String, Default: "info", Rule: "debug, info, warn or error", Check: oneOf("debug", "info", "warn", "error"),
+		Help: "The lowest level of event that is logged."},
+	{Name: "clock.step", Type: Duration, Default: "0s", Rule: "-24h to 24h", Check: within(-24*kernel.Hour, 24*kernel.Hour),
+		Help: "An added step of this process's wall clock, for proving what a wrong clock does."},
+}
+
+var rows = func() map[string]*Row {
+	byName := make(map[string]*Row, len(Table))
+	for i := range Table {
+		byName[Table[i].Name] = &Table[i]
+	}
+	return byName
+}()
+
+// Lookup returns the row of a setting.
+func Lookup(name string) (Row, bool) {
+	row, ok := rows[name]
+	if !ok {
+		return Row{}, false
+	}
+	return *row, true
+}
+
+// Parse reads a value's text by the row's type and holds it to the row's
+// check. An empty text is the zero value and passes where the default is
+// empty too.
+func (r Row) Parse(text string) (any, error) {
+	value, err := r.Type.parse(strings.TrimSpace(text))
+	if err != nil {
+		return nil, err
+	}
+	if strings.TrimSpace(text) == "" && r.Default == "" {
+		return value, nil
+	}
+	if r.Check != nil {
+		if err := r.Check(value); err != nil {
+			return nil, err
+		}
+	}
+	return value, nil
+}
+
+func (t Type) parse(text string) (any, error) {
+	switch t {
+	case Int:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return nil, errors.Errorf("%q is not a whole number", text)
+		}
+		return n, nil
+	case Float:
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+			return nil, errors.Errorf("%q is not a finite number", text)
+		}
+		return f, nil
+	case Duration:
+		d, err := kernel.ParseDuration(text)
+		if err != nil {
+			return nil, errors.Errorf("%q is not a duration such as 500ms or 2s", text)
+		}
+		return d, nil
+	case Bool:
+		switch text {
+		case "true":
+			return true, nil
+		case "false":
+			return false, nil
+		}
+		return nil, errors.Errorf("%q is neither true nor false", text)
+	case Size:
+		return parseSize(text)
+	case List:
+		list := []string{}
+		for _, item := range strings.Split(text, ",") {
+			if item = strings.TrimSpace(item); item != "" {
+				list = append(list, item)
+			}
+		}
+		return list, nil
+	default:
+		return text, nil
+	}
+}
+
+func parseSize(text string) (any, error) {
+	number, shift := text, 0
+	for unit, bits := range map[string]int{"KiB": 10, "MiB": 20, "GiB": 30} {
+		if cut, ok := strings.CutSuffix(text, unit); ok {
+			number, shift = strings.TrimSpace(cut), bits
+		}
+	}
+	n, err := strconv.ParseInt(number, 10, 64)
+	if err != nil || n > math.MaxInt64>>shift || n < math.MinInt64>>shift {
+		return nil, errors.Errorf("%q is not a number of bytes such as 65536, 64KiB or 4MiB", text)
+	}
+	return int(n << shift), nil
+}
+
+func checkName(value any) error {
+	name := value.(string)
+	if name == "" || len(name) > 64 {
+		return errors.New("must have 1 to 64 characters")
+	}
+	for _, r := range name {
+		if r > unicode.MaxASCII || !(unicode.IsLetter(r) || unicode.IsDigit(r) || strings.ContainsRune("-_.", r)) {
+			return errors.Errorf("%q is not a letter, digit, '-', '_' or '.'", r)
+		}
+	}
+	return nil
+}
+
+func checkAddress(value any) error {
+	if _, err := netip.ParseAddrPort(value.(string)); err != nil {
+		return errors.Errorf("%q is not an address IP:PORT", value)
+	}
+	return nil
+}
+
+func checkAdvertised(value any) error {
+	if err := checkAddress(value); err != nil {
+		return err
+	}
+	if netip.MustParseAddrPort(value.(string)).Addr().IsUnspecified() {
+		return errors.Errorf("%q is a wildcard: others can't dial it", value)
+	}
+	return nil
+}
+
+func checkAddresses(value any) error {
+	for _, address := range value.([]string) {
+		if err := checkAdvertised(address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkIP(value any) error {
+	if net.ParseIP(value.(string)) == nil {
+		return errors.Errorf("%q is not an IP address", value)
+	}
+	return nil
+}
+
+func checkURL(value any) error {
+	u, err := url.Parse(value.(string))
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return errors.Errorf("%q is not a URL such as http://10.0.0.9:8500/servers", value)
+	}
+	return nil
+}
+
+func checkOperatorKeys(value any) error {
+	seen := map[string]bool{}
+	for i, entry := range value.([]string) {
+		name, hash, ok := strings.Cut(entry, ":")
+		sum, err := hex.DecodeString(hash)
+		if !ok || err != nil || len(sum) != 32 {
+			return errors.Errorf("entry %d is not NAME:SHA256HEX", i+1)
+		}
+		if err := checkName(name); err != nil {
+			return errors.Wrapf(err, "entry %d", i+1)
+		}
+		if seen[hash] {
+			return errors.Errorf("entry %d has the key of another operator", i+1)
+		}
+		seen[hash] = true
+	}
+	return nil
+}
+
+func atLeastLong(n int) func(any) error {
+	return func(value any) error {
+		if text := value.(string); len(text) < n && !strings.HasPrefix(text, "@") {
+			return errors.Errorf("must have at least %d characters", n)
+		}
+		return nil
+	}
+}
+
+func atLeast(low int) func(any) error {
+	return func(value any) error {
+		if value.(int) < low {
+			return errors.Errorf("%d is under %d", value, low)
+		}
+		return nil
+	}
+}
+
+func counted(low, high int) func(any) error {
+	return func(value any) error {
+		if n := value.(int); n < low || n > high {
+			return errors.Errorf("%d is not within %d to %d", n, low, high)
+		}
+		return nil
+	}
+}
+
+func sized(low, high int) func(any) error {
+	return func(value any) error {
+		if n := value.(int); n < low || n > high {
+			return errors.Errorf("%s is not within %s to %s", FormatSize(n), FormatSize(low), FormatSize(high))
+		}
+		return nil
+	}
+}
+
+func between(low, high float64) func(any) error {
+	return func(value any) error {
+		if f := value.(float64); !(f >= low && f <= high) {
+			if low == math.SmallestNonzeroFloat64 {
+				return errors.Errorf("%g is not above 0 and at most %g", f, high)
+			}
+			return errors.Errorf("%g is not within %g to %g", f, low, high)
+		}
+		return nil
+	}
+}
+
+func within(low, high kernel.Duration) func(any) error {
+	return func(value any) error {
+		if d := value.(kernel.Duration); d < low || d > high {
+			return errors.Errorf("%s is not within %s to %s", d, low, high)
+		}
+		return nil
+	}
+}
+
+func oneOf(words ...string) func(any) error {
+	return func(value any) error {
+		for _, word := range words {
+			if value == word {
+				return nil
+			}
+		}
+		return errors.Errorf("%q is none of %s", value, strings.Join(words, ", "))
+	}
+}
+
+func oneOfInts(numbers ...int) func(any) error {
+	return func(value any) error {
+		i := sort.SearchInts(numbers, value.(int))
+		if i == len(numbers) || numbers[i] != value {
+			return errors.Errorf("%d is none of %v", value, numbers)
+		}
+		return nil
+	}
+}
+
+// FormatSize writes a number of bytes with the largest unit that divides it.
+func FormatSize(n int) string {
+	for _, unit := range []struct {
+		bits int
+		name string
+	}{{30, "GiB"}, {20, "MiB"}, {10, "KiB"}} {
+		if n != 0 && n%(1<<unit.bits) == 0 {
+			return strconv.Itoa(n>>unit.bits) + unit.name
+		}
+	}
+	return strconv.Itoa(n)
+}
