Decide who may rule by grants, the roster and confirmed epochs

Cause: a front must stop ruling by an older epoch when it is cut off, yet go on when control dies. A member is named with its incarnation in a core's view, so that a confirmation of a former life doesn't count for a restarted one. The grant rules have no tests yet.

--- /dev/null
+++ b/internal/core/grant/ledger.go
@@ -0,0 +1,218 @@
+package grant
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+type entry struct {
+	member      sheet.Member
+	incarnation uint64
+	epoch       uint64
+	until       kernel.Time
+	heard       kernel.Time
+}
+
+type refusal struct {
+	since, last kernel.Time
+}
+
+// Ledger is a core's side of grants. It lives in memory alone: a core that
+// restarted is settled once it has been up for a TTL, when whatever its former
+// life granted has lapsed. It has one owner.
+type Ledger struct {
+	core    string
+	ttl     kernel.Duration
+	begun   kernel.Time
+	members map[string]*entry
+	gone    map[string]refusal
+}
+
+// Quiet is a member to be pinged: what it was last known as. Incarnation is
+// zero for one that has not renewed since the core started.
+type Quiet struct {
+	Name        string
+	Incarnation uint64
+}
+
+// NewLedger returns an empty ledger of a core that starts now.
+func NewLedger(core string, ttl kernel.Duration, now kernel.Time) *Ledger {
+	return &Ledger{core: core, ttl: ttl, begun: now, members: map[string]*entry{}, gone: map[string]refusal{}}
+}
+
+// Renew grants a member that has confirmed what the core learned; to any
+// other it answers EpochBehind with its learned epoch. It must only be asked
+// when the core has caught up with a majority since its own start.
+func (l *Ledger) Renew(req *wire.RenewRequest, learned uint64, now kernel.Time) *wire.RenewResponse {
+	resp := &wire.RenewResponse{Core: l.core, Learned: learned, TtlMs: uint32(l.ttl.Milliseconds()), TimeUs: now.UnixMicro()}
+	self := req.GetSelf()
+	name := self.GetName()
+	e, ok := l.members[name]
+	if ok && self.GetIncarnation() < e.incarnation {
+		resp.Decline = uint32(kernel.EpochBehind)
+		return resp
+	}
+	if !ok || self.GetIncarnation() > e.incarnation {
+		e = &entry{incarnation: self.GetIncarnation()}
+		l.members[name] = e
+	}
+	e.member = sheet.Member{Name: name, Region: self.GetRegion(), Zone: self.GetZone(), Core: self.GetCore(), Front: self.GetFront()}
+	e.heard = now
+	delete(l.gone, name)
+	e.epoch = max(e.epoch, req.Epoch)
+	if req.Epoch == 0 || req.Epoch < learned {
+		resp.Decline = uint32(kernel.EpochBehind)
+		return resp
+	}
+	e.until = now.Add(l.ttl)
+	resp.Granted = true
+	return resp
+}
+
+// Release ends the grant of a member that stops of itself.
+func (l *Ledger) Release(name string, incarnation uint64) {
+	if e, ok := l.members[name]; ok && e.incarnation == incarnation {
+		delete(l.members, name)
+	}
+}
+
+// Heard takes a member's answer to the core's own ping.
+func (l *Ledger) Heard(name string, incarnation uint64, now kernel.Time) {
+	delete(l.gone, name)
+	if e, ok := l.members[name]; ok && e.incarnation == incarnation {
+		e.heard = now
+	}
+}
+
+// Gone takes a refusal of a connection: no process lives there, so what it
+// held is released at once. Incarnation is the one that was known when the
+// connection was tried; a member that renewed as another since stays.
+func (l *Ledger) Gone(name string, incarnation uint64, now kernel.Time) {
+	if e, ok := l.members[name]; ok {
+		if e.incarnation != incarnation {
+			return
+		}
+		delete(l.members, name)
+	}
+	r, ok := l.gone[name]
+	if !ok || now.Sub(r.last) >= l.ttl {
+		r.since = now
+	}
+	r.last = now
+	l.gone[name] = r
+}
+
+// Quiet returns the members, of the roster or holding a grant, that the core
+// has not heard for a span: these it pings. Sorted by name.
+func (l *Ledger) Quiet(roster map[string]sheet.Member, span kernel.Duration, now kernel.Time) []Quiet {
+	var quiet []Quiet
+	for name, e := range l.members {
+		if now.Sub(e.heard) >= span {
+			quiet = append(quiet, Quiet{Name: name, Incarnation: e.incarnation})
+		}
+	}
+	for name := range roster {
+		if _, ok := l.members[name]; !ok {
+			quiet = append(quiet, Quiet{Name: name})
+		}
+	}
+	sort.Slice(quiet, func(i, j int) bool { return quiet[i].Name < quiet[j].Name })
+	return quiet
+}
+
+// Expire forgets members whose grant lapsed and that have been quiet for a
+// TTL and more.
+func (l *Ledger) Expire(now kernel.Time) {
+	for name, e := range l.members {
+		if !now.Before(e.until) && now.Sub(e.heard) >= 2*l.ttl {
+			delete(l.members, name)
+		}
+	}
+	for name, r := range l.gone {
+		if now.Sub(r.last) >= 2*l.ttl {
+			delete(l.gone, name)
+		}
+	}
+}
+
+// Live tells whether a member's grant stands here.
+func (l *Ledger) Live(name string, now kernel.Time) bool {
+	e, ok := l.members[name]
+	return ok && now.Before(e.until)
+}
+
+// Settled tells whether the core has been up for longer than a TTL.
+func (l *Ledger) Settled(now kernel.Time) bool { return now.Sub(l.begun) > l.ttl }
+
+// View answers what the core knows of the question whether an epoch is in
+// force. Members are named with their incarnation, as MemberID writes them.
+func (l *Ledger) View(epoch, learned uint64, now kernel.Time) *wire.GrantViewResponse {
+	view := &wire.GrantViewResponse{Core: l.core, Learned: learned, Settled: l.Settled(now)}
+	for name, e := range l.members {
+		switch {
+		case !now.Before(e.until):
+		case e.epoch >= epoch:
+			view.Confirmed = append(view.Confirmed, MemberID(name, e.incarnation))
+		default:
+			view.Waiting = append(view.Waiting, MemberID(name, e.incarnation))
+		}
+	}
+	for name, r := range l.gone {
+		if now.Sub(r.last) < l.ttl {
+			view.Gone = append(view.Gone, name)
+		}
+	}
+	sort.Strings(view.Confirmed)
+	sort.Strings(view.Waiting)
+	sort.Strings(view.Gone)
+	return view
+}
+
+// Newcomers returns the processes that renew here but are not on the roster.
+// Sorted by name.
+func (l *Ledger) Newcomers(roster map[string]sheet.Member, now kernel.Time) []sheet.Member {
+	var members []sheet.Member
+	for name, e := range l.members {
+		if _, known := roster[name]; !known && name != "" && now.Sub(e.heard) < l.ttl {
+			members = append(members, e.member)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return members
+}
+
+// Departed returns the members of the roster that have refused connections
+// without a break for a span. Sorted.
+func (l *Ledger) Departed(roster map[string]sheet.Member, span kernel.Duration, now kernel.Time) []string {
+	var names []string
+	for name, r := range l.gone {
+		if _, ok := roster[name]; ok && now.Sub(r.last) < l.ttl && r.last.Sub(r.since) >= span {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// MemberID names one life of a member.
+func MemberID(name string, incarnation uint64) string {
+	return name + "#" + strconv.FormatUint(incarnation, 10)
+}
+
+// ParseMemberID is the reverse of MemberID; a name alone has incarnation zero.
+func ParseMemberID(id string) (name string, incarnation uint64) {
+	cut := strings.LastIndexByte(id, '#')
+	if cut < 0 {
+		return id, 0
+	}
+	incarnation, err := strconv.ParseUint(id[cut+1:], 10, 64)
+	if err != nil {
+		return id, 0
+	}
+	return id[:cut], incarnation
+}
