Fold the log of agreed commands into sheets, evacuations, roster and duties

Cause: every other package needs the state that ballots agree on. Orders and history are one bounded list: only accepted orders are remembered. An evacuation without an order id is not known again by its digest, since a zone may be emptied, taken back and emptied again by the same words; repeating it is harmless. Ruled out: holding declined orders too, as a base that has moved stays moved.

--- /dev/null
+++ b/internal/core/sheet/cells.go
@@ -0,0 +1,205 @@
+package sheet
+
+import (
+	"bytes"
+	"encoding/csv"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"stepwick/internal/kernel"
+)
+
+// Cell is one cell of a sheet as text. Path is as in Change; the hashes of a
+// tenant's keys are one cell, parted by spaces.
+type Cell struct{ Path, Value string }
+
+// Cells returns the cells that are set, in the order services, weights,
+// tenants, settings, and by name in each.
+func (s *Sheet) Cells() []Cell {
+	if s == nil {
+		return nil
+	}
+	cells := make([]Cell, 0, 2*len(s.Services)+8*len(s.Weights)+4*len(s.Tenants)+len(s.Settings))
+	add := func(path, value string) { cells = append(cells, Cell{path, value}) }
+	for _, name := range sortedNames(s.Services) {
+		service := s.Services[name]
+		add("services."+name+".kind", service.Kind)
+		if service.PlainTokens != 0 {
+			add("services."+name+".plain_tokens", figure(service.PlainTokens))
+		}
+	}
+	for _, service := range sortedNames(s.Weights) {
+		for _, region := range sortedNames(s.Weights[service]) {
+			add("weights."+service+"."+region, figure(s.Weights[service][region]))
+		}
+	}
+	for _, name := range sortedNames(s.Tenants) {
+		tenant := s.Tenants[name]
+		add("tenants."+name+".rate", figure(tenant.Rate))
+		if tenant.Burst != 0 {
+			add("tenants."+name+".burst", figure(tenant.Burst))
+		}
+		if tenant.Home != "" {
+			add("tenants."+name+".home", tenant.Home)
+		}
+		if len(tenant.KeyHashes) > 0 {
+			add("tenants."+name+".keys", strings.Join(tenant.KeyHashes, " "))
+		}
+	}
+	for _, name := range sortedNames(s.Settings) {
+		add("settings."+name, s.Settings[name])
+	}
+	return cells
+}
+
+// Diff returns what changes from one sheet to another, one line a cell: "+" for
+// a cell that comes, "-" for one that goes, "~" for one that changes. Either
+// sheet may be nil.
+func Diff(from, to *Sheet) []string {
+	before, after := from.Cells(), to.Cells()
+	old := make(map[string]string, len(before))
+	for _, cell := range before {
+		old[cell.Path] = cell.Value
+	}
+	var lines []string
+	for _, cell := range after {
+		value, there := old[cell.Path]
+		switch {
+		case !there:
+			lines = append(lines, "+ "+cell.Path+" = "+cell.Value)
+		case value != cell.Value:
+			lines = append(lines, "~ "+cell.Path+": "+value+" -> "+cell.Value)
+		}
+		delete(old, cell.Path)
+	}
+	for _, cell := range before {
+		if value, gone := old[cell.Path]; gone {
+			lines = append(lines, "- "+cell.Path+" = "+value)
+		}
+	}
+	return lines
+}
+
+var csvHead = []string{"cell", "value"}
+
+// ExportCSV returns the sheet as CSV with the columns cell and value, one row a
+// cell.
+func (s *Sheet) ExportCSV() []byte {
+	var out bytes.Buffer
+	w := csv.NewWriter(&out)
+	_ = w.Write(csvHead)
+	for _, cell := range s.Cells() {
+		_ = w.Write([]string{cell.Path, cell.Value})
+	}
+	w.Flush()
+	return out.Bytes()
+}
+
+// ImportCSV reads what ExportCSV wrote, from at most limit bytes, and checks
+// it. Rows may stand in any order; an empty value leaves the cell unset.
+func ImportCSV(data []byte, limit int) (*Sheet, *kernel.Fault) {
+	if len(data) > limit {
+		return nil, kernel.Decline(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(data), limit)
+	}
+	r := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(data, []byte("\ufeff"))))
+	r.FieldsPerRecord = len(csvHead)
+	head, err := r.Read()
+	if err != nil || !slices.Equal(head, csvHead) {
+		return nil, kernel.Decline(kernel.InvalidSheet, "the first row must be cell,value")
+	}
+	e := importer{sheet: Sheet{Services: map[string]Service{}, Weights: map[string]map[string]float64{},
+		Tenants: map[string]Tenant{}, Settings: map[string]string{}}, seen: map[string]bool{}}
+	var broken rules
+	for {
+		row, err := r.Read()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, kernel.Decline(kernel.InvalidSheet, "%v", err)
+		}
+		if why := e.set(strings.TrimSpace(row[0]), strings.TrimSpace(row[1])); why != "" {
+			line, _ := r.FieldPos(0)
+			broken.add("line %d: %s: %s", line, clip(row[0]), why)
+		}
+	}
+	if fault := broken.fault(kernel.InvalidSheet); fault != nil {
+		return nil, fault
+	}
+	if fault := e.sheet.Check(); fault != nil {
+		return nil, fault
+	}
+	return &e.sheet, nil
+}
+
+type importer struct {
+	sheet Sheet
+	seen  map[string]bool
+}
+
+func (e *importer) set(path, value string) (why string) {
+	c, fault := splitPath(path)
+	if fault != nil {
+		return "no such cell"
+	}
+	if e.seen[path] {
+		return "given twice"
+	}
+	e.seen[path] = true
+	if value == "" && c.table != "settings" {
+		return ""
+	}
+	var v float64
+	if c.numeric() {
+		parsed, err := strconv.ParseFloat(value, 64)
+		if err != nil || !validNumber(parsed) {
+			return strconv.Quote(clip(value)) + " is no number from 0 to 1e12"
+		}
+		v = parsed
+	}
+	service, tenant := e.sheet.Services[c.row], e.sheet.Tenants[c.row]
+	switch c.table + "." + c.column {
+	case "services.kind":
+		service.Kind = value
+	case "services.plain_tokens":
+		service.PlainTokens = v
+	case "tenants.rate":
+		tenant.Rate = v
+	case "tenants.burst":
+		tenant.Burst = v
+	case "tenants.home":
+		tenant.Home = value
+	case "tenants.keys":
+		tenant.KeyHashes = hashFields(value)
+	default:
+		switch {
+		case c.table == "weights" && c.column != "":
+			if e.sheet.Weights[c.row] == nil {
+				e.sheet.Weights[c.row] = make(map[string]float64)
+			}
+			e.sheet.Weights[c.row][c.column] = v
+		case c.table == "settings":
+			e.sheet.Settings[c.row] = value
+		default:
+			return "not one cell"
+		}
+	}
+	switch c.table {
+	case "services":
+		e.sheet.Services[c.row] = service
+	case "tenants":
+		e.sheet.Tenants[c.row] = tenant
+	}
+	return ""
+}
+
+func hashFields(value string) []string {
+	return strings.FieldsFunc(value, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+func figure(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/core/sheet/command.go
@@ -0,0 +1,483 @@
+package sheet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+)
+
+// Verbs of the commands.
+const (
+	VerbPut      = "put"
+	VerbPatch    = "patch"
+	VerbEvacuate = "evacuate"
+	VerbRestore  = "restore"
+	VerbRemove   = "remove"
+	VerbAdd      = "add"
+	VerbSettle   = "settle"
+	VerbDuty     = "duty"
+	VerbNoop     = "noop"
+)
+
+// Result is the outcome of a command, the same wherever it is applied. Epoch is
+// the epoch that the order made (for an order sent again, the earlier one), or
+// for BaseMoved the one that won on its base. SheetEpoch is the sheet's epoch
+// after the command.
+type Result struct {
+	Code       kernel.Code
+	Epoch      uint64
+	SheetEpoch uint64
+	Detail     string
+}
+
+// Fault returns the result as a fault, or nil for OK.
+func (r Result) Fault() *kernel.Fault {
+	if r.Code == kernel.OK {
+		return nil
+	}
+	return &kernel.Fault{Code: r.Code, Detail: r.Detail}
+}
+
+// Command is one entry of the log of agreed commands.
+type Command interface {
+	Verb() string
+	// Apply returns the state of the given epoch and the outcome. A declined
+	// command uses up its epoch and changes nothing else.
+	Apply(s State, epoch uint64) (State, Result)
+}
+
+// Order is what every operator's order carries. OrderID names it when it is
+// sent again; Digest tells apart another order under the same id and is worked
+// out from the order's content where it is empty. Base is the sheet's epoch
+// that a put or patch was built on. A put or patch without an id goes by its
+// digest. Other orders without one are not known again: they are harmless when
+// repeated, and a zone emptied, taken back and emptied again is three orders.
+type Order struct {
+	OrderID  string `json:"order_id,omitempty"`
+	Operator string `json:"operator,omitempty"`
+	Digest   string `json:"digest,omitempty"`
+	Base     uint64 `json:"base,omitempty"`
+	AtMS     int64  `json:"at_ms,omitempty"`
+}
+
+// The commands. PutSheet replaces the sheet; PatchSheet changes some cells.
+// Evacuate empties a region or locality and Restore takes it back; both are
+// harmless when repeated.
+type (
+	PutSheet struct {
+		Order
+		Sheet *Sheet `json:"sheet"`
+	}
+	PatchSheet struct {
+		Order
+		Changes []Change `json:"changes"`
+	}
+	Evacuate struct {
+		Order
+		Locality string `json:"locality"`
+	}
+	Restore struct {
+		Order
+		Locality string `json:"locality"`
+	}
+	// AddMembers puts processes on the roster. Names that are on it stay as
+	// they are. While an earlier change isn't settled it is declined with
+	// EpochBehind, to be tried again later.
+	AddMembers struct {
+		Members []Member `json:"members"`
+		By      string   `json:"by,omitempty"`
+	}
+	// RemoveMembers takes names off the roster. Proposed by a core it is a
+	// change that must be settled. Ordered by an operator, who vouches that
+	// the machines are off, it holds at once: the names leave the prior roster
+	// too, and count nowhere.
+	RemoveMembers struct {
+		Order
+		Names []string `json:"names"`
+		By    string   `json:"by,omitempty"`
+	}
+	// SettleRoster ends the change of RosterEpoch; for another one it is void.
+	SettleRoster struct {
+		RosterEpoch uint64 `json:"roster_epoch"`
+	}
+	// TakeDuty claims the next term of a duty. The first in the log wins it.
+	TakeDuty struct {
+		Duty   string `json:"duty"`
+		Term   uint64 `json:"term"`
+		Holder string `json:"holder"`
+	}
+	// Noop fills a slot.
+	Noop struct{}
+)
+
+func (PutSheet) Verb() string      { return VerbPut }
+func (PatchSheet) Verb() string    { return VerbPatch }
+func (Evacuate) Verb() string      { return VerbEvacuate }
+func (Restore) Verb() string       { return VerbRestore }
+func (AddMembers) Verb() string    { return VerbAdd }
+func (RemoveMembers) Verb() string { return VerbRemove }
+func (SettleRoster) Verb() string  { return VerbSettle }
+func (TakeDuty) Verb() string      { return VerbDuty }
+func (Noop) Verb() string          { return VerbNoop }
+
+// Apply replaces the sheet if the base still stands.
+func (c PutSheet) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	order := c.seal()
+	if result, done := s.before(order, true); done {
+		return s, result
+	}
+	if fault := c.Sheet.Check(); fault != nil {
+		return s, s.declined(fault)
+	}
+	summary := fmt.Sprintf("%d services, %d tenants", len(c.Sheet.Services), len(c.Sheet.Tenants))
+	s.Sheet, s.SheetEpoch = c.Sheet, epoch
+	return s.accept(order, VerbPut, summary)
+}
+
+// Apply changes the cells if the base still stands and the sheet stays sound.
+func (c PatchSheet) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	order := c.seal()
+	if result, done := s.before(order, true); done {
+		return s, result
+	}
+	patched, fault := s.Sheet.Patch(c.Changes)
+	if fault != nil {
+		return s, s.declined(fault)
+	}
+	s.Sheet, s.SheetEpoch = patched, epoch
+	return s.accept(order, VerbPatch, summarize(c.Changes))
+}
+
+// Apply empties the locality; one that is empty already stays as it is.
+func (c Evacuate) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	order := c.seal()
+	if result, done := s.before(order, false); done {
+		return s, result
+	}
+	if !ValidLocality(c.Locality) {
+		return s, s.result(kernel.UnknownLocality, "%s is neither a region nor region/zone", strconv.Quote(clip(c.Locality)))
+	}
+	if _, empty := s.Evacuated[c.Locality]; !empty {
+		s.Evacuated = cloned(s.Evacuated)
+		s.Evacuated[c.Locality] = epoch
+	}
+	return s.accept(order, VerbEvacuate, c.Locality)
+}
+
+// Apply takes the locality back; one that isn't empty stays as it is.
+func (c Restore) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	order := c.seal()
+	if result, done := s.before(order, false); done {
+		return s, result
+	}
+	if !ValidLocality(c.Locality) {
+		return s, s.result(kernel.UnknownLocality, "%s is neither a region nor region/zone", strconv.Quote(clip(c.Locality)))
+	}
+	if _, empty := s.Evacuated[c.Locality]; empty {
+		s.Evacuated = cloned(s.Evacuated)
+		delete(s.Evacuated, c.Locality)
+	}
+	return s.accept(order, VerbRestore, c.Locality)
+}
+
+// Apply puts the new ones of the members on the roster.
+func (c AddMembers) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	roster := s.Roster
+	for _, member := range c.Members {
+		if _, known := s.Roster[member.Name]; known || member.Name == "" {
+			continue
+		}
+		if len(roster) == len(s.Roster) {
+			roster = cloned(roster)
+		}
+		if _, twice := roster[member.Name]; !twice {
+			roster[member.Name] = member
+		}
+	}
+	return s.change(roster)
+}
+
+// Apply takes the names off the roster.
+func (c RemoveMembers) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	byOperator := c.Operator != ""
+	order := c.seal()
+	if byOperator {
+		if result, done := s.before(order, false); done {
+			return s, result
+		}
+	}
+	roster := without(s.Roster, c.Names)
+	prior := without(s.PriorRoster, c.Names)
+	if !byOperator {
+		return s.change(roster)
+	}
+	if len(roster) == len(s.Roster) && len(prior) == len(s.PriorRoster) {
+		return s, s.result(kernel.UnknownMember, "none of %s is on the roster", clip(strings.Join(c.Names, ", ")))
+	}
+	if sameNames(roster, prior) {
+		prior = nil
+	}
+	s.Roster, s.PriorRoster, s.RosterEpoch = roster, prior, epoch
+	return s.accept(order, VerbRemove, clip(strings.Join(c.Names, ", ")))
+}
+
+// Apply ends the roster's change that it names.
+func (c SettleRoster) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	if c.RosterEpoch == s.RosterEpoch {
+		s.PriorRoster = nil
+	}
+	return s, s.result(kernel.OK, "")
+}
+
+// Apply gives the duty to the holder if the term is the next one.
+func (c TakeDuty) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	current := s.Duties[c.Duty]
+	if current == (Duty{Term: c.Term, Holder: c.Holder}) {
+		return s, s.result(kernel.OK, "")
+	}
+	if c.Term != current.Term+1 || c.Duty == "" || c.Holder == "" {
+		return s, s.result(kernel.BaseMoved, "term %d of %s is %s's", current.Term, c.Duty, current.Holder)
+	}
+	s.Duties = cloned(s.Duties)
+	s.Duties[c.Duty] = Duty{Term: c.Term, Holder: c.Holder}
+	return s, s.result(kernel.OK, "")
+}
+
+// Apply changes nothing but the epoch.
+func (Noop) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	return s, s.result(kernel.OK, "")
+}
+
+func (s State) result(code kernel.Code, format string, args ...any) Result {
+	return Result{Code: code, Epoch: s.Epoch, SheetEpoch: s.SheetEpoch, Detail: fmt.Sprintf(format, args...)}
+}
+
+func (s State) declined(fault *kernel.Fault) Result {
+	return Result{Code: fault.Code, Epoch: s.Epoch, SheetEpoch: s.SheetEpoch, Detail: fault.Detail}
+}
+
+func (s State) before(order Order, onBase bool) (Result, bool) {
+	if order.OrderID != "" {
+		if earlier, known := s.Applied(order.OrderID); known {
+			if earlier.Digest != order.Digest {
+				return s.result(kernel.OrderIDReused, "order %s was a %s, accepted at epoch %d", clip(order.OrderID), earlier.Verb, earlier.Epoch), true
+			}
+			return Result{Code: kernel.OK, Epoch: earlier.Epoch, SheetEpoch: earlier.SheetEpoch}, true
+		}
+	}
+	if onBase && order.Base != s.SheetEpoch {
+		won := s.winner(order.Base)
+		moved := s.result(kernel.BaseMoved, "base %d was taken by epoch %d; the sheet is at %d", order.Base, won, s.SheetEpoch)
+		if order.Base > s.SheetEpoch {
+			moved = s.result(kernel.BaseMoved, "base %d is not the sheet's; it is at %d", order.Base, s.SheetEpoch)
+		}
+		moved.Epoch = won
+		return moved, true
+	}
+	return Result{}, false
+}
+
+func (s State) accept(order Order, verb, summary string) (State, Result) {
+	s = s.remember(Record{Epoch: s.Epoch, SheetEpoch: s.SheetEpoch, Operator: order.Operator, Verb: verb,
+		OrderID: order.OrderID, Digest: order.Digest, AtMS: order.AtMS, Summary: summary})
+	return s, s.result(kernel.OK, "")
+}
+
+func (s State) change(roster map[string]Member) (State, Result) {
+	if len(roster) == len(s.Roster) {
+		return s, s.result(kernel.OK, "")
+	}
+	if !s.Settled() {
+		return s, s.result(kernel.EpochBehind, "the roster's change of epoch %d is not settled", s.RosterEpoch)
+	}
+	s.PriorRoster, s.Roster, s.RosterEpoch = s.Roster, roster, s.Epoch
+	return s, s.result(kernel.OK, "")
+}
+
+func without(roster map[string]Member, names []string) map[string]Member {
+	left := roster
+	for _, name := range names {
+		if _, known := left[name]; !known {
+			continue
+		}
+		if len(left) == len(roster) {
+			left = cloned(roster)
+		}
+		delete(left, name)
+	}
+	return left
+}
+
+func sameNames(a, b map[string]Member) bool {
+	return maps.EqualFunc(a, b, func(Member, Member) bool { return true })
+}
+
+func cloned[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
+
+func (c PutSheet) seal() Order {
+	return c.Order.sealed(VerbPut, func() any { return c.Sheet })
+}
+
+func (c PatchSheet) seal() Order {
+	return c.Order.sealed(VerbPatch, func() any { return c.Changes })
+}
+
+func (c Evacuate) seal() Order {
+	return c.Order.sealed(VerbEvacuate, func() any { return c.Locality })
+}
+
+func (c Restore) seal() Order {
+	return c.Order.sealed(VerbRestore, func() any { return c.Locality })
+}
+
+func (c RemoveMembers) seal() Order {
+	if c.Operator == "" {
+		return c.Order
+	}
+	return c.Order.sealed(VerbRemove, func() any { return c.Names })
+}
+
+func (o Order) sealed(verb string, content func() any) Order {
+	if o.Digest == "" {
+		body, err := json.Marshal(content())
+		if err != nil {
+			body = []byte(err.Error())
+		}
+		h := sha256.New()
+		fmt.Fprintf(h, "%q %q %d ", o.Operator, verb, o.Base)
+		h.Write(body)
+		o.Digest = hex.EncodeToString(h.Sum(nil))
+	}
+	if o.OrderID == "" && (verb == VerbPut || verb == VerbPatch) {
+		o.OrderID = o.Digest
+	}
+	return o
+}
+
+// OrderOf returns the order part of an operator's command, with its digest;
+// false for commands that no operator sent.
+func OrderOf(command Command) (Order, bool) {
+	switch c := command.(type) {
+	case PutSheet:
+		return c.seal(), true
+	case PatchSheet:
+		return c.seal(), true
+	case Evacuate:
+		return c.seal(), true
+	case Restore:
+		return c.seal(), true
+	case RemoveMembers:
+		return c.seal(), c.Operator != ""
+	}
+	return Order{}, false
+}
+
+type envelope struct {
+	Verb string          `json:"verb"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Encode returns the command's bytes, with the digest of an order in them. It
+// panics on a command that JSON can't hold, such as one with a weight that is
+// not finite; Check declines those first.
+func Encode(command Command) []byte {
+	switch c := command.(type) {
+	case PutSheet:
+		c.Order = c.seal()
+		command = c
+	case PatchSheet:
+		c.Order = c.seal()
+		command = c
+	case Evacuate:
+		c.Order = c.seal()
+		command = c
+	case Restore:
+		c.Order = c.seal()
+		command = c
+	case RemoveMembers:
+		c.Order = c.seal()
+		command = c
+	}
+	body, err := json.Marshal(command)
+	if err != nil {
+		panic(errors.Wrap(err, "encode command"))
+	}
+	data := make([]byte, 0, len(body)+32)
+	data = append(data, `{"verb":"`...)
+	data = append(data, command.Verb()...)
+	data = append(data, `","body":`...)
+	data = append(data, body...)
+	return append(data, '}')
+}
+
+// Decode reads what Encode wrote.
+func Decode(data []byte) (Command, error) {
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "decode command")
+	}
+	switch e.Verb {
+	case VerbPut:
+		return decodeAs[PutSheet](e.Body)
+	case VerbPatch:
+		return decodeAs[PatchSheet](e.Body)
+	case VerbEvacuate:
+		return decodeAs[Evacuate](e.Body)
+	case VerbRestore:
+		return decodeAs[Restore](e.Body)
+	case VerbAdd:
+		return decodeAs[AddMembers](e.Body)
+	case VerbRemove:
+		return decodeAs[RemoveMembers](e.Body)
+	case VerbSettle:
+		return decodeAs[SettleRoster](e.Body)
+	case VerbDuty:
+		return decodeAs[TakeDuty](e.Body)
+	case VerbNoop:
+		return Noop{}, nil
+	}
+	return nil, errors.Errorf("decode command: no verb %s", strconv.Quote(clip(e.Verb)))
+}
+
+func decodeAs[C Command](body json.RawMessage) (Command, error) {
+	var c C
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, errors.Wrapf(err, "decode %s", c.Verb())
+	}
+	return c, nil
+}
+
+func summarize(changes []Change) string {
+	const shown = 4
+	var parts []string
+	for _, change := range changes[:min(shown, len(changes))] {
+		parts = append(parts, clip(change.String()))
+	}
+	if len(changes) > shown {
+		parts = append(parts, fmt.Sprintf("and %d more", len(changes)-shown))
+	}
+	return strings.Join(slices.Clip(parts), "; ")
+}
--- /dev/null
+++ b/internal/core/sheet/order.go
@@ -0,0 +1,169 @@
+package sheet
+
+import (
+	"strconv"
+	"unicode/utf8"
+
+	"stepwick/internal/kernel"
+)
+
+// MaxOrderID bounds an order's id in bytes.
+const MaxOrderID = 128
+
+// Limits bounds an order's body in bytes. Setting, where it is given, checks a
+// run-time setting's name and value before an order is proposed.
+type Limits struct {
+	Bytes   int
+	Setting func(name, value string) error
+}
+
+var (
+	changesShape = &shape{kind: isList, code: kernel.InvalidChange, each: &shape{kind: isRecord,
+		fields: map[string]*shape{"path": text, "value": whole, "delete": truth}}}
+
+	orderShapes = map[string]*shape{
+		VerbPut:      {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number, "sheet": sheetShape}},
+		VerbPatch:    {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number, "changes": changesShape}},
+		VerbEvacuate: {kind: isRecord, fields: map[string]*shape{"order_id": text, "locality": text}},
+		VerbRestore:  {kind: isRecord, fields: map[string]*shape{"order_id": text, "locality": text}},
+		VerbRemove:   {kind: isRecord, fields: map[string]*shape{"order_id": text, "names": texts}},
+	}
+)
+
+type orderBody struct {
+	OrderID  string   `json:"order_id"`
+	Base     *uint64  `json:"base"`
+	Sheet    *Sheet   `json:"sheet"`
+	Changes  []Change `json:"changes"`
+	Locality string   `json:"locality"`
+	Names    []string `json:"names"`
+}
+
+// ParseOrder reads the JSON body of an operator's put, patch, evacuate, restore
+// or remove and checks all of it that needs no state:
+//
+//	put      {"order_id":"…","base":17,"sheet":{…}}
+//	patch    {"order_id":"…","base":17,"changes":[{"path":"weights.chat.lagos","value":30}]}
+//	evacuate {"order_id":"…","locality":"lagos/a"}, and so restore
+//	remove   {"order_id":"…","names":["node-4"]}
+//
+// A put or patch without an order id goes by its digest, over operator, verb,
+// base and content, which is the same for any spelling of the same content.
+func ParseOrder(verb, operator string, body []byte, limits Limits, atMS int64) (Command, *kernel.Fault) {
+	want, known := orderShapes[verb]
+	if !known {
+		return nil, kernel.Decline(kernel.UnknownPath, "no order %s", strconv.Quote(clip(verb)))
+	}
+	if len(body) > limits.Bytes {
+		return nil, kernel.Decline(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(body), limits.Bytes)
+	}
+	var b orderBody
+	if fault := parse(body, want, kernel.BadField, &b); fault != nil {
+		return nil, fault
+	}
+	if len(b.OrderID) > MaxOrderID || !utf8.ValidString(b.OrderID) {
+		return nil, kernel.Decline(kernel.BadField, "order_id: over %d bytes", MaxOrderID)
+	}
+	order := Order{OrderID: b.OrderID, Operator: operator, AtMS: atMS}
+	if verb == VerbPut || verb == VerbPatch {
+		if b.Base == nil {
+			return nil, kernel.Decline(kernel.MissingField, "base: the sheet's epoch that the order is built on")
+		}
+		order.Base = *b.Base
+	}
+	return b.command(verb, order, limits)
+}
+
+func (b orderBody) command(verb string, order Order, limits Limits) (Command, *kernel.Fault) {
+	switch verb {
+	case VerbPut:
+		if b.Sheet == nil {
+			return nil, kernel.Decline(kernel.MissingField, "sheet")
+		}
+		if fault := b.Sheet.Check(); fault != nil {
+			return nil, fault
+		}
+		if fault := b.Sheet.checkRunTime(limits); fault != nil {
+			return nil, fault
+		}
+		c := PutSheet{Order: order, Sheet: b.Sheet}
+		c.Order = c.seal()
+		return c, nil
+	case VerbPatch:
+		if len(b.Changes) == 0 {
+			return nil, kernel.Decline(kernel.MissingField, "changes")
+		}
+		if fault := checkChanges(b.Changes, limits); fault != nil {
+			return nil, fault
+		}
+		c := PatchSheet{Order: order, Changes: b.Changes}
+		c.Order = c.seal()
+		return c, nil
+	case VerbRemove:
+		if len(b.Names) == 0 {
+			return nil, kernel.Decline(kernel.MissingField, "names")
+		}
+		c := RemoveMembers{Order: order, Names: b.Names, By: order.Operator}
+		c.Order = c.seal()
+		return c, nil
+	}
+	if b.Locality == "" {
+		return nil, kernel.Decline(kernel.MissingField, "locality")
+	}
+	if !ValidLocality(b.Locality) {
+		return nil, kernel.Decline(kernel.UnknownLocality, "%s is neither a region nor region/zone", strconv.Quote(clip(b.Locality)))
+	}
+	if verb == VerbEvacuate {
+		c := Evacuate{Order: order, Locality: b.Locality}
+		c.Order = c.seal()
+		return c, nil
+	}
+	c := Restore{Order: order, Locality: b.Locality}
+	c.Order = c.seal()
+	return c, nil
+}
+
+func (s *Sheet) checkRunTime(limits Limits) *kernel.Fault {
+	if limits.Setting == nil {
+		return nil
+	}
+	var broken rules
+	for _, name := range sortedNames(s.Settings) {
+		if err := limits.Setting(name, s.Settings[name]); err != nil {
+			broken.add("settings.%s: %v", name, err)
+		}
+	}
+	return broken.fault(kernel.InvalidSheet)
+}
+
+func checkChanges(changes []Change, limits Limits) *kernel.Fault {
+	if len(changes) > MaxChanges {
+		return kernel.Decline(kernel.InvalidChange, "%d changes; the bound is %d", len(changes), MaxChanges)
+	}
+	var broken rules
+	for _, change := range changes {
+		c, fault := splitPath(change.Path)
+		if fault != nil {
+			broken.add("%s", fault.Detail)
+			continue
+		}
+		if change.Delete != (len(change.Value) == 0) {
+			broken.add("%s: give either a value or delete", clip(change.Path))
+			continue
+		}
+		if c.table != "settings" || change.Delete || limits.Setting == nil {
+			continue
+		}
+		var value string
+		why := typed(change.Value, text, &value)
+		if why == "" {
+			if err := limits.Setting(c.row, value); err != nil {
+				why = err.Error()
+			}
+		}
+		if why != "" {
+			broken.add("%s: %s", clip(change.Path), why)
+		}
+	}
+	return broken.fault(kernel.InvalidChange)
+}
--- /dev/null
+++ b/internal/core/sheet/sheet.go
@@ -0,0 +1,279 @@
+// Package sheet holds the configuration that operators agree on: the sheet's
+// cells and checks, the commands that change it, and the state that the log of
+// agreed commands folds into. Everything here is a pure function of its
+// arguments and gives the same bytes on every machine.
+package sheet
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"stepwick/internal/kernel"
+)
+
+// Epoch is a slot number in the log of agreed commands.
+type Epoch = uint64
+
+// Kinds of a service.
+const (
+	KindModel = "model"
+	KindWeb   = "web"
+)
+
+// Bounds of a sheet. MaxBytes bounds Size.
+const (
+	MaxBytes      = 16 << 20
+	MaxName       = 64
+	MaxServices   = 1024
+	MaxRegions    = 256
+	MaxTenants    = 1 << 16
+	MaxKeys       = 64
+	MaxSettings   = 256
+	MaxSetting    = 1024
+	MaxNumber     = 1e12
+	detailedRules = 8
+)
+
+// Service is one row of the services. PlainTokens is what one one-shot call
+// costs its tenant; zero means the default.
+type Service struct {
+	Kind        string  `json:"kind"`
+	PlainTokens float64 `json:"plain_tokens,omitempty"`
+}
+
+// Tenant is one row of the tenants: Rate in tokens a second, Burst in tokens,
+// Home a region or empty, KeyHashes in lower-case hexadecimal SHA-256.
+type Tenant struct {
+	Rate      float64  `json:"rate"`
+	Burst     float64  `json:"burst,omitempty"`
+	Home      string   `json:"home,omitempty"`
+	KeyHashes []string `json:"keys,omitempty"`
+}
+
+// Sheet is what operators submit. Weights go by service, then region. Settings
+// are those that may change at run time. A sheet in a State is never changed.
+type Sheet struct {
+	Services map[string]Service            `json:"services"`
+	Weights  map[string]map[string]float64 `json:"weights"`
+	Tenants  map[string]Tenant             `json:"tenants,omitempty"`
+	Settings map[string]string             `json:"settings,omitempty"`
+}
+
+// Locality names a zone of a region, such as lagos/a.
+func Locality(region, zone string) string { return region + "/" + zone }
+
+// ValidName says whether a name may stand in a sheet: 1 to MaxName bytes of
+// letters, digits, _ and -.
+func ValidName(name string) bool {
+	if name == "" || len(name) > MaxName || !utf8.ValidString(name) {
+		return false
+	}
+	for _, r := range name {
+		if r != '_' && r != '-' && !unicode.IsLetter(r) && !unicode.IsDigit(r) && !unicode.IsMark(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// ValidLocality says whether a name is that of a region or of a locality.
+func ValidLocality(name string) bool {
+	region, zone, both := strings.Cut(name, "/")
+	return ValidName(region) && (!both || ValidName(zone))
+}
+
+// ValidKeyHash says whether a text is a SHA-256 in lower-case hexadecimal.
+func ValidKeyHash(hash string) bool {
+	if len(hash) != 64 {
+		return false
+	}
+	for i := range len(hash) {
+		c := hash[i]
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// Size returns about how many bytes the sheet takes as JSON.
+func (s *Sheet) Size() int {
+	size := 64
+	for name := range s.Services {
+		size += len(name) + 40
+	}
+	for service, row := range s.Weights {
+		size += len(service) + 8
+		for region := range row {
+			size += len(region) + 12
+		}
+	}
+	for name, tenant := range s.Tenants {
+		size += len(name) + len(tenant.Home) + 64 + 67*len(tenant.KeyHashes)
+	}
+	for name, value := range s.Settings {
+		size += len(name) + len(value) + 8
+	}
+	return size
+}
+
+// Check returns nil for a sound sheet, or a fault whose detail names the first
+// broken rules in the order of the cells. The code is SheetTooLarge where a
+// bound on size is passed and InvalidSheet otherwise.
+func (s *Sheet) Check() *kernel.Fault {
+	if s == nil {
+		return kernel.Decline(kernel.InvalidSheet, "no sheet")
+	}
+	if size := s.Size(); size > MaxBytes {
+		return kernel.Decline(kernel.SheetTooLarge, "about %d bytes; the bound is %d", size, MaxBytes)
+	}
+	if len(s.Tenants) > MaxTenants || len(s.Services) > MaxServices || len(s.Settings) > MaxSettings {
+		return kernel.Decline(kernel.SheetTooLarge, "%d tenants, %d services, %d settings; the bounds are %d, %d and %d",
+			len(s.Tenants), len(s.Services), len(s.Settings), MaxTenants, MaxServices, MaxSettings)
+	}
+	var broken rules
+	s.checkServices(&broken)
+	s.checkWeights(&broken)
+	s.checkTenants(&broken)
+	s.checkSettings(&broken)
+	return broken.fault(kernel.InvalidSheet)
+}
+
+func (s *Sheet) checkServices(broken *rules) {
+	if len(s.Services) == 0 {
+		broken.add("services: there is none")
+	}
+	for _, name := range sortedNames(s.Services) {
+		service := s.Services[name]
+		if !ValidName(name) {
+			broken.add("services: %s is no name", strconv.Quote(clip(name)))
+			continue
+		}
+		if service.Kind != KindModel && service.Kind != KindWeb {
+			broken.add("services.%s.kind: %s is neither model nor web", name, strconv.Quote(clip(service.Kind)))
+		}
+		if !validNumber(service.PlainTokens) {
+			broken.add("services.%s.plain_tokens: %v is out of bounds", name, service.PlainTokens)
+		}
+		if !hasWeight(s.Weights[name]) {
+			broken.add("weights.%s: no region has a weight above zero", name)
+		}
+	}
+}
+
+func hasWeight(row map[string]float64) bool {
+	for _, weight := range row {
+		if weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Sheet) checkWeights(broken *rules) {
+	for _, service := range sortedNames(s.Weights) {
+		if _, known := s.Services[service]; !known {
+			broken.add("weights: no service %s", strconv.Quote(clip(service)))
+			continue
+		}
+		row := s.Weights[service]
+		if len(row) > MaxRegions {
+			broken.add("weights.%s: %d regions; the bound is %d", service, len(row), MaxRegions)
+		}
+		for _, region := range sortedNames(row) {
+			switch {
+			case !ValidName(region):
+				broken.add("weights.%s: %s is no name", service, strconv.Quote(clip(region)))
+			case !validNumber(row[region]):
+				broken.add("weights.%s.%s: %v is out of bounds", service, region, row[region])
+			}
+		}
+	}
+}
+
+func (s *Sheet) checkTenants(broken *rules) {
+	owners := make(map[string]string, len(s.Tenants))
+	for _, name := range sortedNames(s.Tenants) {
+		tenant := s.Tenants[name]
+		if !ValidName(name) {
+			broken.add("tenants: %s is no name", strconv.Quote(clip(name)))
+			continue
+		}
+		if !validNumber(tenant.Rate) {
+			broken.add("tenants.%s.rate: %v is out of bounds", name, tenant.Rate)
+		}
+		if !validNumber(tenant.Burst) {
+			broken.add("tenants.%s.burst: %v is out of bounds", name, tenant.Burst)
+		}
+		if tenant.Home != "" && !ValidName(tenant.Home) {
+			broken.add("tenants.%s.home: %s is no name", name, strconv.Quote(clip(tenant.Home)))
+		}
+		if len(tenant.KeyHashes) > MaxKeys {
+			broken.add("tenants.%s.keys: %d keys; the bound is %d", name, len(tenant.KeyHashes), MaxKeys)
+		}
+		for _, hash := range tenant.KeyHashes {
+			if !ValidKeyHash(hash) {
+				broken.add("tenants.%s.keys: %s is not 64 lower-case hexadecimal digits", name, strconv.Quote(clip(hash)))
+				continue
+			}
+			if owner, taken := owners[hash]; taken {
+				broken.add("tenants.%s.keys: %s… is already a key of %s", name, hash[:8], owner)
+				continue
+			}
+			owners[hash] = name
+		}
+	}
+}
+
+func (s *Sheet) checkSettings(broken *rules) {
+	for _, name := range sortedNames(s.Settings) {
+		for part := range strings.SplitSeq(name, ".") {
+			if !ValidName(part) {
+				broken.add("settings: %s is no name", strconv.Quote(clip(name)))
+				break
+			}
+		}
+		if value := s.Settings[name]; len(value) > MaxSetting || !utf8.ValidString(value) {
+			broken.add("settings.%s: not a text of at most %d bytes", clip(name), MaxSetting)
+		}
+	}
+}
+
+func validNumber(v float64) bool {
+	return !math.IsNaN(v) && v >= 0 && v <= MaxNumber
+}
+
+func clip(text string) string {
+	if len(text) > MaxName {
+		return text[:MaxName] + "…"
+	}
+	return text
+}
+
+type rules struct {
+	first []string
+	more  int
+}
+
+func (r *rules) add(format string, args ...any) {
+	if len(r.first) == detailedRules {
+		r.more++
+		return
+	}
+	r.first = append(r.first, fmt.Sprintf(format, args...))
+}
+
+func (r *rules) fault(code kernel.Code) *kernel.Fault {
+	if len(r.first) == 0 {
+		return nil
+	}
+	detail := strings.Join(r.first, "; ")
+	if r.more > 0 {
+		detail += fmt.Sprintf("; and %d more", r.more)
+	}
+	return &kernel.Fault{Code: code, Detail: detail}
+}
