Fold server reports, plan the period and choose servers by shares, affinity and caps

Decisions only, no I/O: merge folds mergeable sights per server, plan works out shares and caps, route chooses within them at a front.

--- /dev/null
+++ b/internal/core/merge/fold.go
@@ -0,0 +1,123 @@
+package merge
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"stepwick/internal/wire"
+)
+
+// Severity orders states by how much they keep requests away; the worst of the
+// fresh sights is the state.
+func Severity(state wire.ServerState) int {
+	switch state {
+	case wire.ServerState_SERVER_STATE_READY:
+		return 1
+	case wire.ServerState_SERVER_STATE_COLD:
+		return 2
+	case wire.ServerState_SERVER_STATE_DRAINING:
+		return 3
+	case wire.ServerState_SERVER_STATE_LEAVING:
+		return 4
+	case wire.ServerState_SERVER_STATE_GONE:
+		return 5
+	}
+	return 0
+}
+
+func worst(a, b wire.ServerState) wire.ServerState {
+	if Severity(b) > Severity(a) {
+		return b
+	}
+	return a
+}
+
+func fold(name string, sightings map[string]sighting, fresh int64) *wire.ServerStatus {
+	listed := counting(sightings, Listed, fresh)
+	own := counting(sightings, Own, fresh)
+	place := identity(listed, own)
+	if place == nil {
+		return nil
+	}
+	status := &wire.ServerStatus{Name: name, Address: place.Address, Kind: place.Kind, Services: place.Services,
+		Region: place.Region, Zone: place.Zone}
+	for _, s := range listed {
+		said := s.report.Status
+		status.State = worst(status.State, said.State)
+		if said.LeaveAtMs > 0 && (status.LeaveAtMs == 0 || said.LeaveAtMs < status.LeaveAtMs) {
+			status.LeaveAtMs = said.LeaveAtMs
+		}
+	}
+	foldOwn(status, own)
+	if status.State == wire.ServerState_SERVER_STATE_UNSPECIFIED && status.Reachable {
+		status.State = wire.ServerState_SERVER_STATE_READY
+	}
+	return status
+}
+
+func foldOwn(status *wire.ServerStatus, own []sighting) {
+	refused, silent := 0, 0
+	var load *wire.ServerStatus
+	for _, s := range own {
+		said := s.report.Status
+		switch {
+		case !said.Reachable && said.State == wire.ServerState_SERVER_STATE_GONE:
+			refused++
+		case !said.Reachable:
+			silent++
+		default:
+			status.State = worst(status.State, said.State)
+			if load == nil || said.Incarnation > load.Incarnation {
+				load = said
+			}
+		}
+	}
+	if refused > 0 && refused == len(own) {
+		status.State = wire.ServerState_SERVER_STATE_GONE
+	}
+	status.Reachable = 2*(refused+silent) <= len(own)
+	if load == nil {
+		return
+	}
+	status.Incarnation, status.Answered = load.Incarnation, load.Answered
+	status.Slots, status.Running, status.Queued = load.Slots, load.Running, load.Queued
+	status.TokensPerSecond, status.PrefillPerSecond, status.KvUsed = load.TokensPerSecond, load.PrefillPerSecond, load.KvUsed
+}
+
+func counting(sightings map[string]sighting, kind Sight, fresh int64) []sighting {
+	var all []sighting
+	for watcher, s := range sightings {
+		if _, sight := SightOf(watcher); sight == kind {
+			all = append(all, s)
+		}
+	}
+	slices.SortFunc(all, func(a, b sighting) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), cmp.Compare(a.report.Watcher, b.report.Watcher))
+	})
+	for i, s := range all {
+		if s.at < all[0].at-fresh {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+func identity(listed, own []sighting) *wire.ServerStatus {
+	for _, sights := range [][]sighting{listed, own} {
+		for _, s := range sights {
+			if s.report.Status.Address != "" {
+				return s.report.Status
+			}
+		}
+	}
+	return nil
+}
+
+func same(a, b *wire.ServerStatus) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return proto.Equal(a, b)
+}
--- /dev/null
+++ b/internal/core/merge/merge.go
@@ -0,0 +1,200 @@
+// Package merge folds what many watchers say of the servers into one status
+// each. Reports are mergeable state: per watcher and server the higher
+// (incarnation, counter) wins, so reports may arrive in any order, twice and
+// over any core, and every process that holds the same reports folds the same
+// statuses.
+//
+// A watcher looks at two things, and reports them under two names: the
+// platform's list, and the server's own status. The list gives the place and
+// the state that the platform wants; the own status gives load and reach.
+// Sights age against the newest sight of the same server, not against a clock:
+// a watcher that died is outlived by the others after Config.Fresh, and when
+// all watchers of a server died their last word stands. A server whose own
+// status nobody has asked for yet counts as reachable.
+package merge
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Sight tells what a watcher looked at.
+type Sight string
+
+// Sights: the platform's list, or the server's own status.
+const (
+	Listed Sight = "list"
+	Own    Sight = "own"
+)
+
+// Watcher returns the name under which a process reports one kind of sight.
+func Watcher(process string, sight Sight) string { return process + "/" + string(sight) }
+
+// SightOf returns the process and the kind of sight in a report's watcher.
+// Without a kind it is a sight of the server's own status.
+func SightOf(watcher string) (process string, sight Sight) {
+	if process, found := strings.CutSuffix(watcher, "/"+string(Listed)); found {
+		return process, Listed
+	}
+	return strings.TrimSuffix(watcher, "/"+string(Own)), Own
+}
+
+// Config bounds the age of sights. Fresh: how much older than the newest sight
+// of a server another one may be and still count (3 s when zero). Keep: after
+// how long an outlived report, and a server that is gone, is dropped (30 s when
+// zero). Skew: how far ahead of this process a watcher's fleet time is believed
+// (500 ms when zero).
+type Config struct {
+	Fresh, Keep, Skew kernel.Duration
+}
+
+func (c Config) orDefaults() Config {
+	if c.Fresh <= 0 {
+		c.Fresh = 3 * kernel.Second
+	}
+	if c.Keep <= 0 {
+		c.Keep = 30 * kernel.Second
+	}
+	if c.Skew <= 0 {
+		c.Skew = 500 * kernel.Millisecond
+	}
+	return c
+}
+
+type sighting struct {
+	report *wire.Report
+	at     int64
+}
+
+type entry struct {
+	sightings map[string]sighting
+	status    *wire.ServerStatus
+}
+
+// Reports is the set of newest reports. It has one owner; the maps and
+// statuses it hands out are never changed afterwards.
+type Reports struct {
+	cfg     Config
+	servers map[string]*entry
+	dirty   map[string]bool
+	folded  map[string]*wire.ServerStatus
+}
+
+// New returns an empty set.
+func New(cfg Config) *Reports {
+	return &Reports{cfg: cfg.orDefaults(), servers: map[string]*entry{}, dirty: map[string]bool{},
+		folded: map[string]*wire.ServerStatus{}}
+}
+
+// Merge takes a report in and tells whether it was newer than what was held,
+// so that it is worth passing on. The report must not be changed afterwards.
+// now is fleet time; a report from the future counts as of now.
+func (r *Reports) Merge(report *wire.Report, now kernel.Time) bool {
+	if report.GetServer() == "" || report.GetWatcher() == "" || report.GetStatus() == nil {
+		return false
+	}
+	e := r.servers[report.Server]
+	if e == nil {
+		e = &entry{sightings: map[string]sighting{}}
+		r.servers[report.Server] = e
+	}
+	if held, ok := e.sightings[report.Watcher]; ok && !newer(report, held.report) {
+		return false
+	}
+	at := report.AtMs
+	if nowMS := now.UnixMilli(); at > nowMS+r.cfg.Skew.Milliseconds() {
+		at = nowMS
+	}
+	e.sightings[report.Watcher] = sighting{report, at}
+	r.dirty[report.Server] = true
+	return true
+}
+
+func newer(a, b *wire.Report) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Counter > b.Counter
+}
+
+// Servers returns the folded status of every server that a list sight or an
+// own sight with an address has named. The same map is returned until
+// something changes, and an unchanged server keeps its pointer.
+func (r *Reports) Servers() map[string]*wire.ServerStatus {
+	if len(r.dirty) == 0 {
+		return r.folded
+	}
+	next := maps.Clone(r.folded)
+	changed := false
+	for name := range r.dirty {
+		e := r.servers[name]
+		if e == nil {
+			if _, held := next[name]; held {
+				delete(next, name)
+				changed = true
+			}
+			continue
+		}
+		status := fold(name, e.sightings, r.cfg.Fresh.Milliseconds())
+		if same(e.status, status) {
+			continue
+		}
+		e.status = status
+		changed = true
+		if status == nil {
+			delete(next, name)
+			continue
+		}
+		next[name] = status
+	}
+	clear(r.dirty)
+	if changed {
+		r.folded = next
+	}
+	return r.folded
+}
+
+// Reports returns all held reports in the order of server and watcher, as for
+// a snapshot.
+func (r *Reports) Reports() []*wire.Report {
+	var all []*wire.Report
+	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
+		sightings := r.servers[name].sightings
+		for _, watcher := range slices.Sorted(maps.Keys(sightings)) {
+			all = append(all, sightings[watcher].report)
+		}
+	}
+	return all
+}
+
+// Expire drops reports that newer ones of the same kind have outlived by Keep,
+// and servers that have been gone for Keep. The last word on a server that is
+// not gone stays for good. now is fleet time.
+func (r *Reports) Expire(now kernel.Time) {
+	keep := r.cfg.Keep.Milliseconds()
+	r.Servers()
+	for name, e := range r.servers {
+		newest := map[Sight]int64{}
+		last := int64(0)
+		for watcher, s := range e.sightings {
+			_, sight := SightOf(watcher)
+			newest[sight] = max(newest[sight], s.at)
+			last = max(last, s.at)
+		}
+		if (e.status == nil || e.status.State == wire.ServerState_SERVER_STATE_GONE) && now.UnixMilli()-last > keep {
+			delete(r.servers, name)
+			r.dirty[name] = true
+			continue
+		}
+		for watcher, s := range e.sightings {
+			if _, sight := SightOf(watcher); newest[sight]-s.at > keep {
+				delete(e.sightings, watcher)
+				r.dirty[name] = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/plan/plan.go
@@ -0,0 +1,178 @@
+// Package plan decides the period plan: for each service and region of origin
+// the shares over regions, and for each server the bound of requests in flight
+// over all fronts. It is pure: equal inputs give equal plans.
+package plan
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Input is all that a plan is worked out from. Now is fleet time. Prior is the
+// plan in force, nil when there is none.
+type Input struct {
+	State   sheet.State
+	Servers map[string]*wire.ServerStatus
+	Fronts  []sheet.Member
+	Prior   *wire.Plan
+	Term    uint64
+	Number  uint64
+	Holder  string
+	Now     kernel.Time
+	Period  kernel.Duration
+	Cause   string
+	Policy  Policy
+}
+
+// Compute works out the plan of the period that begins at in.Now.
+func Compute(in Input) *wire.Plan {
+	policy := in.Policy.OrDefaults()
+	next := &wire.Plan{Term: in.Term, Number: in.Number, Epoch: in.State.Epoch, AtMs: in.Now.UnixMilli(),
+		PeriodMs: uint32(in.Period.Milliseconds()), Holder: in.Holder, Cause: in.Cause}
+	next.Shares = Shares(in.State, in.Servers, in.Fronts, policy)
+	for _, name := range slices.Sorted(maps.Keys(in.Servers)) {
+		status := in.Servers[name]
+		if Excluded(in.State, status) == "" {
+			next.Caps = append(next.Caps, &wire.Cap{Server: name, InFlight: uint32(policy.Bound(status))})
+		}
+	}
+	return next
+}
+
+// Forced tells whether a server or a region that the plan in force counts on
+// is lost, and which failure, drain or evacuation forces a new plan. Nothing
+// else does: the plan stands for its period.
+func Forced(prior *wire.Plan, in Input) (cause string, forced bool) {
+	if prior == nil {
+		return "first", true
+	}
+	for _, c := range prior.Caps {
+		if c.InFlight == 0 {
+			continue
+		}
+		status := in.Servers[c.Server]
+		if status == nil {
+			return "failure: " + c.Server + " gone", true
+		}
+		switch why := Excluded(in.State, status); why {
+		case "":
+		case Draining, Leaving:
+			return "drain: " + c.Server + " " + why, true
+		case Evacuated:
+			return "evacuation: " + sheet.Locality(status.Region, status.Zone), true
+		default:
+			return "failure: " + c.Server + " " + why, true
+		}
+	}
+	return "", false
+}
+
+// Due tells whether the plan's period has ended. now is fleet time.
+func Due(prior *wire.Plan, now kernel.Time) bool {
+	return prior == nil || now.UnixMilli() >= prior.AtMs+int64(prior.PeriodMs)
+}
+
+// Newer tells whether a plan replaces another: the higher (term, number) does.
+func Newer(a, b *wire.Plan) bool {
+	if a == nil || b == nil {
+		return a != nil
+	}
+	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Number, b.Number)) > 0
+}
+
+// Reasons why a server gets nothing.
+const (
+	Draining    = "draining"
+	Leaving     = "leaving"
+	Gone        = "gone"
+	Unreachable = "unreachable"
+	Evacuated   = "evacuated"
+)
+
+// Excluded returns the reason why a server may get no request, or "".
+func Excluded(state sheet.State, status *wire.ServerStatus) string {
+	switch status.GetState() {
+	case wire.ServerState_SERVER_STATE_DRAINING:
+		return Draining
+	case wire.ServerState_SERVER_STATE_LEAVING:
+		return Leaving
+	case wire.ServerState_SERVER_STATE_GONE:
+		return Gone
+	}
+	if IsEvacuated(state, status.GetRegion(), status.GetZone()) {
+		return Evacuated
+	}
+	if !status.GetReachable() {
+		return Unreachable
+	}
+	return ""
+}
+
+// IsEvacuated tells whether a region, or a zone in it, is evacuated.
+func IsEvacuated(state sheet.State, region, zone string) bool {
+	if len(state.Evacuated) == 0 {
+		return false
+	}
+	_, whole := state.Evacuated[region]
+	_, part := state.Evacuated[sheet.Locality(region, zone)]
+	return whole || part
+}
+
+// Policy holds the numbers of the caps. RampStart is the cap of a server that
+// has answered nothing; each answer raises it by one up to the full cap: the
+// server's slots and Slack of them more, queued at the server. ModelSlots and
+// WebSlots stand in for a server that does not tell its slots. Headroom is how
+// much more than the requests now in flight the regions' room is judged by.
+type Policy struct {
+	RampStart  int
+	Slack      float64
+	ModelSlots int
+	WebSlots   int
+	Headroom   float64
+}
+
+// OrDefaults fills what is zero: 2, 0.25, 8, 64, 1.25.
+func (p Policy) OrDefaults() Policy {
+	p.RampStart = cmp.Or(p.RampStart, 2)
+	p.Slack = cmp.Or(p.Slack, 0.25)
+	p.ModelSlots = cmp.Or(p.ModelSlots, 8)
+	p.WebSlots = cmp.Or(p.WebSlots, 64)
+	p.Headroom = cmp.Or(p.Headroom, 1.25)
+	return p
+}
+
+// Full returns the cap of a server that is warm.
+func (p Policy) Full(status *wire.ServerStatus) int {
+	slots := int(min(status.GetSlots(), 1<<16))
+	if slots == 0 {
+		slots = p.ModelSlots
+		if status.GetKind() == "web" {
+			slots = p.WebSlots
+		}
+	}
+	return slots + int(math.Ceil(float64(slots)*p.Slack))
+}
+
+// Ramp returns the cap after a number of answers.
+func (p Policy) Ramp(full int, answered uint64) int {
+	return int(min(uint64(full), uint64(p.RampStart)+answered))
+}
+
+// Returned returns the cap at which a server comes back that was away, or that
+// says it is cold although it has answered before.
+func (p Policy) Returned(full int) int { return min(full, max(p.RampStart, full/4)) }
+
+// Bound returns a server's cap by what it says of itself.
+func (p Policy) Bound(status *wire.ServerStatus) int {
+	full := p.Full(status)
+	if status.GetState() == wire.ServerState_SERVER_STATE_COLD {
+		full = p.Returned(full)
+	}
+	return p.Ramp(full, status.GetAnswered())
+}
--- /dev/null
+++ b/internal/core/route/choose.go
@@ -0,0 +1,229 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepwick/internal/core/plan"
+	"stepwick/internal/kernel"
+)
+
+const (
+	comeBack     = kernel.Second
+	leastBack    = 100 * kernel.Millisecond
+	mostBack     = 5 * kernel.Second
+	wheelPhase   = 1024
+	leastCredits = 2
+	mostCredits  = 20
+)
+
+// Choose decides where a request goes now. A retry (with Tried) spends from the
+// retry budget, a first attempt adds to it. The caller calls Started when it
+// follows the choice, before it asks again.
+func (t *Table) Choose(req Request, now kernel.Time) Choice {
+	if len(req.Tried) == 0 {
+		t.budget.add()
+	} else if !t.budget.has() {
+		return Choice{Fault: kernel.Decline(kernel.BudgetSpent, "retries are bound to a share of the requests").After(comeBack)}
+	}
+	c := t.choose(&req, now, true)
+	if c.Server != "" && len(req.Tried) > 0 {
+		t.budget.spend()
+	}
+	return c
+}
+
+func (t *Table) choose(req *Request, now kernel.Time, fresh bool) Choice {
+	var c Choice
+	switch {
+	case t.view.Plan == nil || t.view.State.Sheet == nil:
+		c.Fault = kernel.Decline(kernel.NoPlan, "no plan has arrived").After(comeBack)
+		return c
+	case !now.Before(req.Deadline):
+		c.Fault = kernel.Decline(kernel.DeadlinePassed, "the deadline has passed").After(leastBack)
+		return c
+	}
+	if _, known := t.view.State.Sheet.Services[req.Service]; !known {
+		c.Fault = kernel.Decline(kernel.UnknownService, "no service %q", req.Service)
+		return c
+	}
+	if fresh && t.pending.waiting(classOf(req)) {
+		return t.wait(req, now, c)
+	}
+	key := req.Prefix
+	if key == 0 {
+		key = xxhash.Sum64String(req.ID) | 1
+	}
+	full := false
+	if req.Home != "" {
+		if p := t.pools[poolKey{req.Service, req.Home}]; p != nil {
+			s, fullHere := t.pick(p, req, key, now, &c)
+			if s != nil {
+				return c.to(s)
+			}
+			full = fullHere
+		}
+	} else {
+		w := t.wheel(req)
+		first := w.peek()
+		for i := range w.spokes {
+			at := i
+			if first > 0 {
+				at = spill(i, first)
+			}
+			k := &w.spokes[at]
+			if k.pool == nil {
+				continue
+			}
+			s, fullHere := t.pick(k.pool, req, key, now, &c)
+			if s != nil {
+				w.commit(first)
+				return c.to(s)
+			}
+			full = full || fullHere
+		}
+	}
+	switch {
+	case full && fresh:
+		return t.wait(req, now, c)
+	case full:
+		c.Pending = true
+		return c
+	}
+	c.Fault = kernel.Decline(kernel.NoServer, "no server of %s can take requests%s", req.Service, homeNote(req.Home)).After(comeBack)
+	return c
+}
+
+func homeNote(home string) string {
+	if home == "" {
+		return ""
+	}
+	return " in " + home
+}
+
+// spill puts the first spoke first and leaves the others in their order.
+func spill(i, first int) int {
+	switch {
+	case i == 0:
+		return first
+	case i <= first:
+		return i - 1
+	}
+	return i
+}
+
+func (c Choice) to(s *server) Choice {
+	c.Server, c.Address, c.Region = s.name, s.status.Address, s.status.Region
+	c.Pending, c.Fault = false, nil
+	return c
+}
+
+// wheel is a smooth weighted round robin over the regions of one service and
+// region of origin: over any short span the shares hold to within one request.
+type wheel struct {
+	spokes []spoke
+	total  float64
+}
+
+type spoke struct {
+	region  string
+	weight  float64
+	current float64
+	pool    *pool
+}
+
+func (w *wheel) peek() int {
+	best := -1
+	for i := range w.spokes {
+		k := &w.spokes[i]
+		if k.pool != nil && (best < 0 || k.current+k.weight > w.spokes[best].current+w.spokes[best].weight) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (w *wheel) commit(at int) {
+	for i := range w.spokes {
+		if k := &w.spokes[i]; k.pool != nil {
+			k.current += k.weight
+		}
+	}
+	w.spokes[at].current -= w.total
+}
+
+// wheel returns the wheel of a request; an origin that the plan doesn't name
+// goes by the shares of the front's own region.
+func (t *Table) wheel(req *Request) *wheel {
+	if w := t.shares[shareKey{req.Service, req.FromRegion}]; w != nil {
+		return w
+	}
+	if w := t.shares[shareKey{req.Service, t.cfg.Region}]; w != nil {
+		return w
+	}
+	return &noWheel
+}
+
+var noWheel wheel
+
+// turnWheels sets the wheels by the plan's shares, minus the regions that have
+// no server left. A plan older than the sheet in force is overruled by shares
+// worked out here from that sheet, so that no older sheet rules on through its
+// plan.
+func (t *Table) turnWheels() {
+	old := t.shares
+	t.shares = map[shareKey]*wheel{}
+	if t.view.Plan == nil || t.view.State.Sheet == nil {
+		return
+	}
+	shares := t.view.Plan.Shares
+	if t.view.Plan.Epoch < t.view.State.SheetEpoch {
+		shares = plan.Shares(t.view.State, t.view.Servers, nil, t.cfg.Policy)
+	}
+	for _, share := range shares {
+		if share.Share <= 0 {
+			continue
+		}
+		key := shareKey{share.Service, share.FromRegion}
+		w := t.shares[key]
+		if w == nil {
+			w = &wheel{}
+			t.shares[key] = w
+		}
+		w.spokes = append(w.spokes, spoke{region: share.ToRegion, weight: share.Share,
+			pool: t.pools[poolKey{share.Service, share.ToRegion}]})
+	}
+	for key, w := range t.shares {
+		t.settle(key, w, old[key])
+	}
+}
+
+func (t *Table) settle(key shareKey, w, old *wheel) {
+	for i := range w.spokes {
+		k := &w.spokes[i]
+		if k.pool != nil {
+			w.total += k.weight
+		}
+		if old == nil {
+			phase := mix(t.self^xxhash.Sum64String(key.service+"/"+key.from+"/"+k.region)) % wheelPhase
+			k.current = k.weight * (float64(phase)/wheelPhase - 0.5)
+			continue
+		}
+		at := slices.IndexFunc(old.spokes, func(o spoke) bool { return o.region == k.region })
+		if at >= 0 && k.pool != nil {
+			k.current = min(max(old.spokes[at].current, -1), 1)
+		}
+	}
+}
+
+// budget bounds retries to a share of the requests.
+type budget struct {
+	ratio, credits float64
+}
+
+func newBudget(ratio float64) budget { return budget{ratio, mostCredits / 2} }
+
+func (b *budget) add()      { b.credits = min(mostCredits, b.credits+b.ratio) }
+func (b *budget) has() bool { return b.credits >= 1 }
+func (b *budget) spend()    { b.credits-- }
