Run a core beside its replica: grants, feed, orders in force, roster and planner

Cause: orders must be acknowledged only once they are in force, and every change must reach the fleet from a place on. A core grants nothing until it has read from a majority since its start, since what its former life learned need not have been synced. A planner that restarted takes a new term, since it no longer knows its plans' numbers.

--- a/internal/core/grant/holder.go
+++ b/internal/core/grant/holder.go
@@ -118,28 +118,24 @@
 // never a ground to rule: such a message may have lain in a buffer.
 func (h *Holder) Known(epoch uint64) { h.newest = max(h.newest, epoch) }
 
-// Heard takes a peer's answer to a ping that left at sentAt. Answers of an
-// older incarnation than was seen are dropped.
+// Heard takes a peer's answer to a ping that left at sentAt: it proves what the
+// peer was at that instant or later. Answers to earlier pings than the last
+// one counted are dropped.
 func (h *Holder) Heard(name string, incarnation uint64, sentAt kernel.Time, epoch uint64, unconfirmed bool) {
 	p := h.peer(name)
-	if incarnation < p.incarnation {
+	if sentAt.Before(p.contact) {
 		return
 	}
-	if incarnation > p.incarnation {
+	if incarnation != p.incarnation {
 		p.incarnation, p.heard = incarnation, kernel.Time{}
 	}
-	p.refused = kernel.Time{}
-	if sentAt.After(p.contact) {
-		p.contact = sentAt
-	}
+	p.refused, p.contact = kernel.Time{}, sentAt
 	if unconfirmed {
 		p.heard = kernel.Time{}
 		return
 	}
 	h.newest = max(h.newest, epoch)
-	if sentAt.After(p.heard) {
-		p.heard = sentAt
-	}
+	p.heard = sentAt
 }
 
 // Refused takes the refusal of a connection, at the instant it was seen. It
--- a/internal/core/grant/inforce.go
+++ b/internal/core/grant/inforce.go
@@ -108,7 +108,7 @@
 	for _, view := range counted {
 		for _, id := range view.Waiting {
 			name, life := ParseMemberID(id)
-			if !(f.confirmed[name] == life && f.newest[name] == life) {
+			if f.newest[name] == life && f.confirmed[name] != life {
 				f.waiting = append(f.waiting, name)
 			}
 		}
--- a/internal/core/grant/ledger.go
+++ b/internal/core/grant/ledger.go
@@ -81,11 +81,17 @@
 	}
 }
 
-// Heard takes a member's answer to the core's own ping.
+// Heard takes a member's answer to the core's own ping. A later life ends the
+// grant of the one before.
 func (l *Ledger) Heard(name string, incarnation uint64, now kernel.Time) {
 	delete(l.gone, name)
-	if e, ok := l.members[name]; ok && e.incarnation == incarnation {
+	e, ok := l.members[name]
+	switch {
+	case !ok || incarnation < e.incarnation:
+	case incarnation == e.incarnation:
 		e.heard = now
+	default:
+		l.members[name] = &entry{member: e.member, incarnation: incarnation, heard: now}
 	}
 }
 
--- /dev/null
+++ b/internal/node/core/core.go
@@ -0,0 +1,435 @@
+// Package core is the control part of a process with a disk, beside its
+// replica: it grants, feeds the fleet, coordinates orders until they are in
+// force, keeps the roster and carries duties. One goroutine owns all of it;
+// handlers ask it and wait outside.
+package core
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/core/merge"
+	"stepwick/internal/core/plan"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+// Config is what a core is set up with. Zero values take the defaults named.
+type Config struct {
+	Self        string
+	Incarnation uint64
+	GrantTTL    kernel.Duration // 2 s
+	PingEvery   kernel.Duration // 500 ms: pace of pings and of the cores' views
+	QuietAfter  kernel.Duration // 700 ms: silence after which a member is pinged
+	BatchFor    kernel.Duration // 300 ms: how long new members are gathered
+	RemoveAfter kernel.Duration // 60 s of unbroken refusal
+	TurnStep    kernel.Duration // 500 ms: stagger between cores that would propose the same
+	PlanPeriod  kernel.Duration // 5 s
+	LoadEvery   kernel.Duration // 1 s: pace at which mere load rides the feed
+	AckPace     kernel.Duration // 50 ms: pace at which views are asked for an order
+	OrderWait   kernel.Duration // 10 s: patience of an order that names none
+	FeedWait    kernel.Duration // 5 s: longest poll
+	FeedBound   int             // 4096 changes
+	SheetMax    int             // 16 MiB
+	Merge       merge.Config
+	Policy      plan.Policy
+	// FleetNow gives fleet time; the clock's own when nil.
+	FleetNow func() kernel.Time
+}
+
+func (c Config) orDefaults(clock kernel.Clock) Config {
+	span := func(d *kernel.Duration, fallback kernel.Duration) {
+		if *d <= 0 {
+			*d = fallback
+		}
+	}
+	span(&c.GrantTTL, 2*kernel.Second)
+	span(&c.PingEvery, 500*kernel.Millisecond)
+	span(&c.QuietAfter, 700*kernel.Millisecond)
+	span(&c.BatchFor, 300*kernel.Millisecond)
+	span(&c.RemoveAfter, kernel.Minute)
+	span(&c.TurnStep, 500*kernel.Millisecond)
+	span(&c.PlanPeriod, 5*kernel.Second)
+	span(&c.LoadEvery, kernel.Second)
+	span(&c.AckPace, 50*kernel.Millisecond)
+	span(&c.OrderWait, 10*kernel.Second)
+	span(&c.FeedWait, 5*kernel.Second)
+	if c.FeedBound <= 0 {
+		c.FeedBound = 4096
+	}
+	if c.SheetMax <= 0 {
+		c.SheetMax = 16 << 20
+	}
+	if c.FleetNow == nil {
+		c.FleetNow = clock.Now
+	}
+	return c
+}
+
+// Agreement is what a core needs of its replica.
+type Agreement interface {
+	// Propose returns once the command is chosen and applied here.
+	Propose(ctx kernel.Context, command []byte) (epoch uint64, result sheet.Result, err error)
+	// ReadMajority returns a state that holds whatever was chosen before the call.
+	ReadMajority(ctx kernel.Context) (sheet.State, error)
+	// Current returns the newest state applied here.
+	Current() sheet.State
+	// Learned returns the commands applied here after an epoch, oldest first;
+	// whole is false when some of them are no longer kept.
+	Learned(after uint64) (chosen []*wire.Chosen, whole bool)
+	// Changed returns a channel that is closed when a newer state is applied.
+	Changed() <-chan struct{}
+	Standing() wire.Standing
+	Voters() []string
+}
+
+const (
+	tickEvery   = 50 * kernel.Millisecond
+	viewTimeout = 400 * kernel.Millisecond
+	jobTimeout  = 3 * kernel.Second
+	inboxBound  = 1024
+	orderBound  = 64
+)
+
+// Core is the runtime of a core. Fields after inbox belong to Serve's
+// goroutine.
+type Core struct {
+	config    Config
+	agreement Agreement
+	peers     port.Peers
+	clock     kernel.Clock
+	log       events.Log
+	orders    chan struct{}
+	encoded   atomic.Pointer[encodedState]
+	inbox     chan func()
+
+	ctx       kernel.Context
+	ledger    *grant.Ledger
+	opened    bool
+	state     sheet.State
+	feed      *feed
+	reports   *reports
+	plan      *wire.Plan
+	outboxes  map[string]*outbox
+	sights    map[string]sight
+	pinging   map[string]bool
+	jobs      map[string]bool
+	wonTerm   uint64 // of the planner's duty, by this life of the process
+	since     map[string]kernel.Time
+	lastViews kernel.Time
+	lastPings kernel.Time
+}
+
+type sight struct {
+	at   kernel.Time
+	view *wire.GrantViewResponse
+}
+
+type encodedState struct {
+	epoch uint64
+	data  []byte
+}
+
+// New returns a core whose grants begin now.
+func New(config Config, agreement Agreement, peers port.Peers, clock kernel.Clock, log events.Log) *Core {
+	config = config.orDefaults(clock)
+	return &Core{
+		config: config, agreement: agreement, peers: peers, clock: clock, log: log,
+		orders: make(chan struct{}, orderBound), inbox: make(chan func(), inboxBound),
+		ledger:  grant.NewLedger(config.Self, config.GrantTTL, clock.Now()),
+		feed:    newFeed(config.Self, config.Incarnation, config.FeedBound),
+		reports: newReports(config.Merge), outboxes: map[string]*outbox{}, sights: map[string]sight{},
+		pinging: map[string]bool{}, jobs: map[string]bool{}, since: map[string]kernel.Time{},
+	}
+}
+
+// Serve runs the owner until the context ends.
+func (c *Core) Serve(ctx kernel.Context) error {
+	c.ctx = ctx
+	clear(c.pinging)
+	clear(c.jobs)
+	for _, box := range c.outboxes {
+		box.busy = false
+	}
+	tick := c.clock.Ticker(tickEvery)
+	defer tick.Stop()
+	for {
+		changed := c.agreement.Changed()
+		c.learn()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case step := <-c.inbox:
+			step()
+		case <-changed:
+		case <-tick.C():
+			c.tick(c.clock.Now())
+		}
+	}
+}
+
+func (c *Core) tick(now kernel.Time) {
+	c.open(now)
+	c.ledger.Expire(now)
+	c.feed.prune()
+	c.foldReports(now)
+	c.pingQuiet(now)
+	c.askViews(now)
+	c.keepRoster(now)
+	c.keepDuty(now)
+	c.keepPlan(now)
+	c.flushAll()
+}
+
+// post hands a step to the owner.
+func (c *Core) post(ctx kernel.Context, step func()) bool {
+	select {
+	case c.inbox <- step:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask runs a question at the owner and waits for its answer.
+func ask[T any](ctx kernel.Context, c *Core, question func() T) (T, error) {
+	reply := make(chan T, 1)
+	var none T
+	if !c.post(ctx, func() { reply <- question() }) {
+		return none, ctx.Err()
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// job runs work outside the owner, one at a time of a name, and then at the
+// owner what it returns.
+func (c *Core) job(name string, timeout kernel.Duration, work func(ctx kernel.Context) func()) {
+	if c.jobs[name] {
+		return
+	}
+	c.jobs[name] = true
+	parent := c.ctx
+	go func() {
+		ctx, cancel := kernel.WithTimeout(parent, timeout)
+		defer cancel()
+		done := work(ctx)
+		c.post(parent, func() {
+			c.jobs[name] = false
+			if done != nil {
+				done()
+			}
+		})
+	}()
+}
+
+// waited tells whether a condition has held since it was first asked about,
+// for a span; ending it forgets.
+func (c *Core) waited(name string, holds bool, span kernel.Duration, now kernel.Time) bool {
+	if !holds {
+		delete(c.since, name)
+		return false
+	}
+	since, ok := c.since[name]
+	if !ok {
+		c.since[name] = now
+		since = now
+	}
+	return now.Sub(since) >= span
+}
+
+// learn takes up what the replica has applied and feeds it on. When commands
+// in between are no longer kept the feed begins a new life, so that those who
+// follow it take a snapshot.
+func (c *Core) learn() {
+	current := c.agreement.Current()
+	if current.Epoch <= c.state.Epoch {
+		return
+	}
+	chosen, whole := c.agreement.Learned(c.state.Epoch)
+	before := c.state
+	c.state = current
+	if before.Epoch > 0 && whole && len(chosen) > 0 && chosen[0].Epoch == before.Epoch+1 && chosen[len(chosen)-1].Epoch >= current.Epoch {
+		for _, one := range chosen {
+			if one.Epoch <= current.Epoch {
+				c.feed.publish(&wire.Change{What: &wire.Change_Chosen{Chosen: one}})
+			}
+		}
+	} else {
+		c.feed.restart()
+		c.log.Emit(events.FeedSnapshot, "epoch", current.Epoch)
+	}
+	c.announce(before, current)
+	c.answerWaiters()
+}
+
+func (c *Core) announce(before, after sheet.State) {
+	c.log.Emit(events.EpochLearned, "epoch", after.Epoch, "sheet_epoch", after.SheetEpoch)
+	for name := range after.Roster {
+		if _, known := before.Roster[name]; !known && before.Epoch > 0 {
+			c.log.Emit(events.MemberAdded, "member", name, "epoch", after.Epoch)
+		}
+	}
+	for name := range before.Roster {
+		if _, known := after.Roster[name]; !known {
+			c.log.Emit(events.MemberRemoved, "member", name, "epoch", after.Epoch)
+		}
+	}
+	if !before.Settled() && after.Settled() {
+		c.log.Emit(events.RosterSettled, "epoch", after.Epoch, "members", len(after.Roster))
+	}
+}
+
+// learned returns the core's learned epoch; it never falls within a life.
+func (c *Core) learned() uint64 { return max(c.state.Epoch, c.agreement.Current().Epoch) }
+
+// open lets grants begin once the core holds whatever a majority had chosen
+// when it started: what its former life learned and vouched for may not have
+// been synced.
+func (c *Core) open(now kernel.Time) {
+	if c.opened || c.agreement.Standing() != wire.Standing_STANDING_VOTING {
+		return
+	}
+	if !c.waited("open", true, 0, now) {
+		return
+	}
+	c.job("open", jobTimeout, func(ctx kernel.Context) func() {
+		state, err := c.agreement.ReadMajority(ctx)
+		if err != nil {
+			return nil
+		}
+		return func() { c.opened = c.opened || c.learned() >= state.Epoch }
+	})
+}
+
+func (c *Core) closedFault() *kernel.Fault {
+	switch c.agreement.Standing() {
+	case wire.Standing_STANDING_BLANK, wire.Standing_STANDING_UNSPECIFIED:
+		return kernel.Decline(kernel.CoreBlank, "the cores have not formed yet")
+	case wire.Standing_STANDING_AMNESIAC:
+		return kernel.Decline(kernel.CoreAmnesiac, "the core rebuilds its state")
+	}
+	if !c.opened {
+		return kernel.Decline(kernel.NoMajority, "the core has not caught up since its start")
+	}
+	return nil
+}
+
+// Renew grants a member that has confirmed what this core learned. Until the
+// core has caught up since its start it answers a fault, which is no answer to
+// whether the member is confirmed.
+func (c *Core) Renew(ctx kernel.Context, req *wire.RenewRequest) (*wire.RenewResponse, error) {
+	if req.GetSelf().GetName() == "" {
+		return nil, kernel.Decline(kernel.MissingField, "self.name")
+	}
+	type answer struct {
+		resp  *wire.RenewResponse
+		fault *kernel.Fault
+	}
+	got, err := ask(ctx, c, func() answer {
+		if fault := c.closedFault(); fault != nil {
+			return answer{fault: fault}
+		}
+		return answer{resp: c.ledger.Renew(req, c.learned(), c.clock.Now())}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if got.fault != nil {
+		return nil, got.fault
+	}
+	return got.resp, nil
+}
+
+// Release ends the grant of a member that stops of itself.
+func (c *Core) Release(ctx kernel.Context, req *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
+	_, err := ask(ctx, c, func() bool {
+		c.ledger.Release(req.Name, req.Incarnation)
+		c.log.Emit(events.GrantReleased, "member", req.Name, "by", "itself")
+		return true
+	})
+	return &wire.ReleaseResponse{}, err
+}
+
+// GrantView answers another core's question whether an epoch is in force.
+func (c *Core) GrantView(ctx kernel.Context, req *wire.GrantViewRequest) (*wire.GrantViewResponse, error) {
+	return ask(ctx, c, func() *wire.GrantViewResponse { return c.view(req.Epoch) })
+}
+
+func (c *Core) view(epoch uint64) *wire.GrantViewResponse {
+	view := c.ledger.View(epoch, c.learned(), c.clock.Now())
+	view.Settled = view.Settled && c.opened
+	return view
+}
+
+// others returns the other cores that are known, by name.
+func (c *Core) others() []*wire.Process {
+	var others []*wire.Process
+	for _, voter := range c.agreement.Voters() {
+		if voter == c.config.Self {
+			continue
+		}
+		if p, ok := c.peers.Process(voter); ok {
+			others = append(others, p)
+		}
+	}
+	return others
+}
+
+// views asks all cores, this one included, for one round of grant views. Cores
+// that don't answer in time are left out.
+func (c *Core) views(ctx kernel.Context, epoch uint64) []*wire.GrantViewResponse {
+	ctx, cancel := kernel.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	others := c.others()
+	found := make(chan *wire.GrantViewResponse, len(others))
+	for _, p := range others {
+		go func() {
+			resp, err := c.peers.Client(p.Address).GrantView(ctx, connect.NewRequest(&wire.GrantViewRequest{Epoch: epoch}))
+			if err != nil || resp.Msg.Core != p.Name {
+				found <- nil
+				return
+			}
+			found <- resp.Msg
+		}()
+	}
+	var views []*wire.GrantViewResponse
+	if own, err := ask(ctx, c, func() *wire.GrantViewResponse { return c.view(epoch) }); err == nil {
+		views = append(views, own)
+	}
+	for range others {
+		if view := <-found; view != nil {
+			views = append(views, view)
+		}
+	}
+	return views
+}
+
+// rank is this core's place among the voters, by which cores that would
+// propose the same take turns.
+func (c *Core) rank() (place int, voter bool) {
+	voters := slices.Clone(c.agreement.Voters())
+	slices.Sort(voters)
+	place = slices.Index(voters, c.config.Self)
+	return place, place >= 0
+}
+
+func (c *Core) turn() kernel.Duration {
+	place, _ := c.rank()
+	return kernel.Duration(max(place, 0)) * c.config.TurnStep
+}
+
+func (c *Core) mayPropose() bool {
+	_, voter := c.rank()
+	return voter && c.opened && c.agreement.Standing() == wire.Standing_STANDING_VOTING
+}
--- /dev/null
+++ b/internal/node/core/feed.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"fmt"
+
+	"stepwick/internal/journal"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const feedBatch = 512
+
+// feed is the numbered journal of changes and those who wait for more. Its id
+// changes whenever its numbers begin anew.
+type feed struct {
+	self        string
+	incarnation uint64
+	life        int
+	bound       int
+	changes     *journal.Journal[*wire.Change]
+	waiters     []*waiter
+}
+
+type waiter struct {
+	ctx   kernel.Context
+	req   *wire.FollowRequest
+	reply chan *pulled
+}
+
+// pulled is a part of the feed; one that needs a snapshot has the state to be
+// encoded outside the owner.
+type pulled struct {
+	resp  *wire.FollowResponse
+	state func() []byte
+}
+
+func newFeed(self string, incarnation uint64, bound int) *feed {
+	return &feed{self: self, incarnation: incarnation, bound: bound, changes: journal.New[*wire.Change](bound)}
+}
+
+func (f *feed) id() string { return fmt.Sprintf("%s/%d/%d", f.self, f.incarnation, f.life) }
+
+func (f *feed) restart() {
+	f.life++
+	f.changes = journal.New[*wire.Change](f.bound)
+}
+
+func (f *feed) publish(change *wire.Change) { f.changes.Append(change) }
+
+// read returns what comes after the place of a request; ok is false when it
+// needs a snapshot.
+func (f *feed) read(req *wire.FollowRequest) (resp *wire.FollowResponse, ok bool) {
+	if req.Feed != f.id() {
+		return nil, false
+	}
+	entries, whole := f.changes.After(req.Place, feedBatch)
+	if !whole {
+		return nil, false
+	}
+	resp = &wire.FollowResponse{Feed: req.Feed, Place: req.Place}
+	for _, entry := range entries {
+		resp.Changes = append(resp.Changes, &wire.Change{Place: entry.Number, What: entry.Event.What})
+		resp.Place = entry.Number
+	}
+	return resp, true
+}
+
+// prune forgets those who no longer wait.
+func (f *feed) prune() {
+	kept := f.waiters[:0]
+	for _, w := range f.waiters {
+		if w.ctx.Err() == nil {
+			kept = append(kept, w)
+		}
+	}
+	clear(f.waiters[len(kept):])
+	f.waiters = kept
+}
+
+// Follow returns the changes after a place, or a snapshot where they are no
+// longer kept or the feed is another one. With nothing new it waits, at most
+// wait_ms.
+func (c *Core) Follow(ctx kernel.Context, req *wire.FollowRequest) (*wire.FollowResponse, error) {
+	wait := min(kernel.Duration(req.WaitMs)*kernel.Millisecond, c.config.FeedWait)
+	waiting, cancel := kernel.WithTimeout(ctx, wait)
+	defer cancel()
+	reply := make(chan *pulled, 1)
+	posted := c.post(ctx, func() {
+		if got := c.pull(req); got != nil {
+			reply <- got
+			return
+		}
+		c.feed.waiters = append(c.feed.waiters, &waiter{ctx: waiting, req: req, reply: reply})
+	})
+	if !posted {
+		return nil, ctx.Err()
+	}
+	select {
+	case got := <-reply:
+		if got.state != nil {
+			got.resp.Snapshot.State = got.state()
+		}
+		return got.resp, nil
+	case <-waiting.Done():
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return &wire.FollowResponse{Feed: req.Feed, Place: req.Place, Learned: c.agreement.Current().Epoch}, nil
+	}
+}
+
+// pull returns what a request may have now, nil when it has to wait.
+func (c *Core) pull(req *wire.FollowRequest) *pulled {
+	resp, ok := c.feed.read(req)
+	if ok {
+		if len(resp.Changes) == 0 {
+			return nil
+		}
+		resp.Learned = c.state.Epoch
+		return &pulled{resp: resp}
+	}
+	state := c.state
+	snapshot := &wire.Snapshot{Epoch: state.Epoch, Plan: c.plan, Reports: c.reports.fed()}
+	resp = &wire.FollowResponse{Feed: c.feed.id(), Place: c.feed.changes.Last(), Learned: state.Epoch, Snapshot: snapshot}
+	if state.Epoch == 0 || req.Epoch >= state.Epoch {
+		return &pulled{resp: resp}
+	}
+	return &pulled{resp: resp, state: func() []byte {
+		if held := c.encoded.Load(); held != nil && held.epoch == state.Epoch {
+			return held.data
+		}
+		data := state.Encode()
+		c.encoded.Store(&encodedState{epoch: state.Epoch, data: data})
+		return data
+	}}
+}
+
+// answerWaiters answers those for whom there is something new.
+func (c *Core) answerWaiters() {
+	kept := c.feed.waiters[:0]
+	for _, w := range c.feed.waiters {
+		if w.ctx.Err() != nil {
+			continue
+		}
+		if got := c.pull(w.req); got != nil {
+			w.reply <- got
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(c.feed.waiters[len(kept):])
+	c.feed.waiters = kept
+}
--- /dev/null
+++ b/internal/node/core/planner.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"slices"
+
+	"stepwick/internal/core/duty"
+	"stepwick/internal/core/plan"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// keepDuty tries for the planner's duty when it is vacant and this core's turn
+// has come. A holder that restarted takes a new term, as it no longer knows
+// which plans it numbered.
+func (c *Core) keepDuty(now kernel.Time) {
+	if !c.mayPropose() {
+		return
+	}
+	held := c.state.Duties[duty.Planner]
+	voters := c.agreement.Voters()
+	own := held.Holder == c.config.Self
+	vacant := (own && held.Term != c.wonTerm) || (!own && duty.Vacant(held, voters, c.sightsOf(held.Holder, now)))
+	wait, voter := duty.Turn(c.config.Self, held, voters, c.config.TurnStep)
+	if own {
+		wait = 0
+	}
+	if !voter || !c.waited(duty.Planner, vacant, wait, now) {
+		return
+	}
+	next := sheet.TakeDuty{Duty: duty.Planner, Term: held.Term + 1, Holder: c.config.Self}
+	c.job(duty.Planner, jobTimeout, func(ctx kernel.Context) func() {
+		_, result, err := c.agreement.Propose(ctx, sheet.Encode(next))
+		return func() {
+			delete(c.since, duty.Planner)
+			if err == nil && result.Fault() == nil {
+				c.wonTerm = next.Term
+				c.log.Emit(events.DutyWon, "duty", duty.Planner, "term", next.Term)
+			}
+		}
+	})
+}
+
+// sightsOf tells what each core knows of a holder. A core that is not settled
+// or was not heard within a TTL says nothing.
+func (c *Core) sightsOf(holder string, now kernel.Time) []duty.Sight {
+	if holder == "" {
+		return nil
+	}
+	heard, answered := c.sights[holder]
+	direct := answered && now.Sub(heard.at) < c.config.GrantTTL
+	var sights []duty.Sight
+	if direct || c.ledger.Settled(now) {
+		sights = append(sights, duty.Sight{Core: c.config.Self, Alive: direct || c.ledger.Live(holder, now)})
+	}
+	for core, s := range c.sights {
+		if core == c.config.Self || now.Sub(s.at) >= c.config.GrantTTL || !s.view.Settled {
+			continue
+		}
+		sights = append(sights, duty.Sight{Core: core, Alive: core == holder || listed(s.view.Confirmed, holder)})
+	}
+	return sights
+}
+
+// keepPlan makes a plan when this core holds the duty and the period is over
+// or something forces one.
+func (c *Core) keepPlan(now kernel.Time) {
+	held := c.state.Duties[duty.Planner]
+	if held.Holder != c.config.Self || held.Term != c.wonTerm || !c.opened || c.state.Sheet == nil {
+		return
+	}
+	in := c.planInput(held.Term)
+	cause, forced := plan.Forced(c.plan, in)
+	switch {
+	case forced:
+		in.Cause = cause
+	case c.plan.Term != held.Term:
+		in.Cause = "term"
+	case plan.Due(c.plan, in.Now):
+		in.Cause = "period"
+	default:
+		return
+	}
+	c.job("plan", jobTimeout, func(kernel.Context) func() {
+		next := plan.Compute(in)
+		return func() {
+			if c.state.Duties[duty.Planner] != held || !c.takePlan(next) {
+				return
+			}
+			c.log.Emit(events.PlanMade, "term", next.Term, "number", next.Number, "cause", next.Cause, "epoch", next.Epoch)
+			for _, p := range c.others() {
+				c.outbox(p.Name).plan = next
+			}
+			c.flushAll()
+		}
+	})
+}
+
+func (c *Core) planInput(term uint64) plan.Input {
+	number := uint64(1)
+	if c.plan != nil && c.plan.Term == term {
+		number = c.plan.Number + 1
+	}
+	return plan.Input{State: c.state, Servers: c.reports.merged.Servers(), Fronts: frontsOf(c.state.Roster), Prior: c.plan,
+		Term: term, Number: number, Holder: c.config.Self, Now: c.config.FleetNow(), Period: c.config.PlanPeriod, Policy: c.config.Policy}
+}
+
+func frontsOf(roster map[string]sheet.Member) []sheet.Member {
+	var fronts []sheet.Member
+	for _, member := range roster {
+		if member.Front {
+			fronts = append(fronts, member)
+		}
+	}
+	slices.SortFunc(fronts, func(a, b sheet.Member) int {
+		switch {
+		case a.Name < b.Name:
+			return -1
+		case a.Name > b.Name:
+			return 1
+		}
+		return 0
+	})
+	return fronts
+}
+
+func planSummary(p *wire.Plan) *planStatus {
+	if p == nil {
+		return nil
+	}
+	return &planStatus{Term: p.Term, Number: p.Number, Epoch: p.Epoch, Holder: p.Holder, Cause: p.Cause, AtMS: p.AtMs}
+}
--- /dev/null
+++ b/internal/node/core/roster.go
@@ -0,0 +1,120 @@
+package core
+
+import (
+	"connectrpc.com/connect"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+// pingQuiet pings members that have not been heard for a while. A refusal
+// releases their grant at once; silence never does.
+func (c *Core) pingQuiet(now kernel.Time) {
+	if now.Sub(c.lastPings) < c.config.PingEvery/2 {
+		return
+	}
+	c.lastPings = now
+	for _, quiet := range c.ledger.Quiet(c.state.Roster, c.config.QuietAfter, now) {
+		p, known := c.peers.Process(quiet.Name)
+		if !known || quiet.Name == c.config.Self || c.pinging[quiet.Name] {
+			continue
+		}
+		c.pinging[quiet.Name] = true
+		parent := c.ctx
+		go func() {
+			ctx, cancel := kernel.WithTimeout(parent, c.config.PingEvery)
+			defer cancel()
+			resp, err := c.peers.Client(p.Address).Ping(ctx, connect.NewRequest(&wire.PingRequest{
+				From: c.config.Self, Incarnation: c.config.Incarnation, Unconfirmed: true}))
+			c.post(parent, func() {
+				delete(c.pinging, quiet.Name)
+				c.pinged(quiet, resp, err)
+			})
+		}()
+	}
+}
+
+func (c *Core) pinged(quiet grant.Quiet, resp *connect.Response[wire.PingResponse], err error) {
+	now := c.clock.Now()
+	switch {
+	case err == nil && resp.Msg.Name == quiet.Name:
+		c.ledger.Heard(quiet.Name, resp.Msg.Incarnation, now)
+	case err != nil && port.Refused(err):
+		if quiet.Incarnation != 0 && c.ledger.Live(quiet.Name, now) {
+			c.log.Emit(events.GrantReleased, "member", quiet.Name, "by", "refusal")
+		}
+		c.ledger.Gone(quiet.Name, quiet.Incarnation, now)
+	}
+}
+
+// askViews keeps a fresh view of the other cores, by which vacancy of a duty
+// is judged.
+func (c *Core) askViews(now kernel.Time) {
+	if now.Sub(c.lastViews) < c.config.PingEvery {
+		return
+	}
+	c.lastViews = now
+	c.job("views", viewTimeout*2, func(ctx kernel.Context) func() {
+		views := c.views(ctx, 0)
+		return func() {
+			at := c.clock.Now()
+			for _, view := range views {
+				c.sights[view.Core] = sight{at: at, view: view}
+			}
+		}
+	})
+}
+
+// keepRoster proposes what the roster needs: members that renew and are not on
+// it, members that refused for long, and the end of a change in force.
+func (c *Core) keepRoster(now kernel.Time) {
+	if !c.mayPropose() {
+		return
+	}
+	c.settleRoster(now)
+	newcomers := c.ledger.Newcomers(c.state.Roster, now)
+	if c.waited("add", len(newcomers) > 0 && c.state.Settled(), c.config.BatchFor+c.turn(), now) {
+		c.propose("add", sheet.AddMembers{Members: newcomers, By: c.config.Self})
+	}
+	departed := c.ledger.Departed(c.state.Roster, c.config.RemoveAfter, now)
+	if c.waited("remove", len(departed) > 0 && c.state.Settled(), c.turn(), now) {
+		c.propose("remove", sheet.RemoveMembers{Names: departed, By: c.config.Self})
+	}
+}
+
+func (c *Core) settleRoster(now kernel.Time) {
+	state := c.state
+	if !c.waited("settle", !state.Settled(), c.turn(), now) {
+		return
+	}
+	c.job("settle", jobTimeout, func(ctx kernel.Context) func() {
+		met, _ := grant.Settled(grant.Question{Epoch: state.RosterEpoch, Voters: len(c.agreement.Voters()),
+			Views: c.views(ctx, state.RosterEpoch), Roster: state.Roster, Prior: state.PriorRoster})
+		if !met {
+			wait, stop := kernel.Timer(c.config.AckPace * 2)
+			defer stop()
+			select {
+			case <-wait:
+			case <-ctx.Done():
+			}
+			return nil
+		}
+		if newest := c.agreement.Current(); newest.RosterEpoch == state.RosterEpoch && !newest.Settled() {
+			_, _, _ = c.agreement.Propose(ctx, sheet.Encode(sheet.SettleRoster{RosterEpoch: state.RosterEpoch}))
+		}
+		return nil
+	})
+}
+
+// propose puts a command of the core's own to a ballot; what it asks for is
+// looked at anew afterwards, so a failure needs no other answer.
+func (c *Core) propose(name string, command sheet.Command) {
+	c.job(name, jobTimeout, func(ctx kernel.Context) func() {
+		_, _, _ = c.agreement.Propose(ctx, sheet.Encode(command))
+		return func() { delete(c.since, name) }
+	})
+}
