Drive sheets, evacuations and the roster from the command line

Operators' commands speak the operator API of any node, try the next one when a node can't be reached and say which and why. An order keeps its id while its outcome is pending and is sent again to the next node; a wait that ends prints the id to send again. The sheet that get writes carries its epoch, so that an edited copy loses against an order that won meanwhile instead of undoing it.

--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"github.com/go-kit/log"
+	"github.com/spf13/cobra"
+
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/settings"
+)
+
+func (a *App) run(role string) *cobra.Command {
+	var file string
+	short := map[string]string{
+		settings.RoleCore:  "Run a core: control on a machine with a disk, and a front beside it",
+		settings.RoleFront: "Run a front: it carries traffic and keeps nothing on disk",
+	}[role]
+	command := &cobra.Command{
+		Use:   role,
+		Short: short,
+		Long: short + `.
+
+Settings come from the file, and flags win over the file; both take the names of
+"stepwick settings list". Events are logged to the standard error, one a line.
+SIGTERM and SIGINT make the process not ready, let its requests finish within
+drain.grace, and end it with exit code 0.`,
+		Example:           "  stepwick " + role + " --config " + role + ".yaml\n  stepwick " + role + " --config " + role + ".yaml --log.level debug",
+		Args:              cobra.NoArgs,
+		ValidArgsFunction: noArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			values, err := settings.LoadRole(file, command.Flags(), role)
+			if err != nil {
+				return err
+			}
+			return a.serve(command.Context(), role, values)
+		},
+	}
+	command.Flags().SortFlags = false
+	command.Flags().StringVar(&file, "config", "", "the settings file (YAML)")
+	_ = command.MarkFlagFilename("config", "yaml", "yml")
+	settings.Register(command.Flags())
+	return command
+}
+
+func (a *App) serve(ctx kernel.Context, role string, values *settings.Values) error {
+	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(a.Err)), "node", values.String("name"))
+	stream := events.New(logger, a.Clock)
+	stream.SetLevel(events.Level(values.String("log.level")))
+	logging, stop := kernel.WithCancel(kernel.Background())
+	written := make(chan error, 1)
+	go func() { written <- stream.Serve(logging) }()
+	defer func() {
+		stop()
+		<-written
+	}()
+	for _, name := range []string{"disk.quota", "disk.sync_delay", "clock.step"} {
+		if row, _ := settings.Lookup(name); values.Source(name) != "default" && values.Text(name) != row.Default {
+			stream.Emit(events.ProofSetting, "setting", name, "value", values.Text(name))
+		}
+	}
+	return a.Node(ctx, role, values, stream)
+}
--- /dev/null
+++ b/internal/cli/standin_test.go
@@ -0,0 +1,157 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+)
+
+const operatorKey = "ada's key"
+
+// standIn answers the operator API from one state in memory.
+type standIn struct {
+	state   sheet.State
+	pending int               // orders that get OutcomePending although they are applied
+	lost    int               // orders whose answer is lost after they are applied
+	bodies  map[string]string // of calls that only read
+	seen    []string          // order ids as they came
+}
+
+func newStandIn(t *testing.T, first string) *standIn {
+	s := &standIn{bodies: map[string]string{}}
+	parsed, fault := sheet.ParseSheet([]byte(first), 1<<20)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	s.state.Sheet, s.state.SheetEpoch, s.state.Epoch = parsed, 17, 17
+	return s
+}
+
+func (s *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Authorization") != "Bearer "+operatorKey {
+		kernel.ReplyFault(w, kernel.Decline(kernel.OperatorUnknown, ""), "")
+		return
+	}
+	path := strings.TrimPrefix(r.URL.Path, controlPath)
+	if body, ok := s.bodies[path]; ok {
+		_, _ = io.WriteString(w, body)
+		return
+	}
+	verb := map[string]string{"PUT sheet": sheet.VerbPut, "PATCH sheet": sheet.VerbPatch, "POST evacuate": sheet.VerbEvacuate,
+		"POST restore": sheet.VerbRestore, "POST members/remove": sheet.VerbRemove}[r.Method+" "+path]
+	switch {
+	case path == "sheet" && r.Method == http.MethodGet:
+		kernel.Reply(w, http.StatusOK, held{s.state.Epoch, s.state.SheetEpoch, s.state.Sheet, s.state.Evacuated})
+	case path == "history":
+		kernel.Reply(w, http.StatusOK, map[string]any{"orders": s.state.History})
+	case verb == "":
+		kernel.ReplyFault(w, kernel.Decline(kernel.NotFound, "%s", path), "")
+	default:
+		s.order(w, r, verb)
+	}
+}
+
+func (s *standIn) order(w http.ResponseWriter, r *http.Request, verb string) {
+	body, _ := io.ReadAll(r.Body)
+	command, fault := sheet.ParseOrder(verb, "ada", body, sheet.Limits{Bytes: 1 << 20}, 1790000000000)
+	if fault != nil {
+		kernel.ReplyFault(w, fault, "")
+		return
+	}
+	order, _ := sheet.OrderOf(command)
+	s.seen = append(s.seen, order.OrderID)
+	next, result := s.state.Step(s.state.Epoch+1, sheet.Encode(command))
+	s.state = next
+	switch {
+	case result.Fault() != nil:
+		kernel.ReplyFault(w, result.Fault(), "")
+	case s.lost > 0:
+		s.lost--
+		panic(http.ErrAbortHandler)
+	case s.pending > 0:
+		s.pending--
+		kernel.ReplyFault(w, kernel.Decline(kernel.OutcomePending, "waiting for front-4").After(300*kernel.Millisecond), "")
+	default:
+		kernel.Reply(w, http.StatusOK, outcome{result.Epoch, result.SheetEpoch, true, 9, 9, order.OrderID})
+	}
+}
+
+// quick is a clock whose waits end at once and move it on.
+type quick struct {
+	kernel.Clock
+	now time.Time
+}
+
+func (q *quick) Now() time.Time { return q.now }
+
+func (q *quick) After(d time.Duration) <-chan time.Time {
+	q.now = q.now.Add(d)
+	c := make(chan time.Time, 1)
+	c <- q.now
+	return c
+}
+
+// session runs command lines one after another and keeps a transcript.
+type session struct {
+	app        *App
+	transcript bytes.Buffer
+	env        map[string]string
+	hide       map[string]string
+	nodes      []*httptest.Server
+}
+
+func newSession(t *testing.T, fleet *standIn, nodes int) *session {
+	s := &session{env: map[string]string{"STEPWICK_OPERATOR_KEY": operatorKey}, hide: map[string]string{}}
+	var addresses []string
+	for i := range nodes {
+		node := httptest.NewServer(fleet)
+		t.Cleanup(node.Close)
+		address := strings.TrimPrefix(node.URL, "http://")
+		s.hide[address] = fmt.Sprintf("10.0.0.%d:8080", i+1)
+		s.nodes, addresses = append(s.nodes, node), append(addresses, address)
+	}
+	s.env["STEPWICK_NODE"] = strings.Join(addresses, ",")
+	ids := 0
+	s.app = &App{Out: &s.transcript, Err: &s.transcript, In: strings.NewReader(""), Env: func(name string) string { return s.env[name] },
+		Clock: &quick{now: time.Unix(1790000000, 0)}, Transport: transport(), NewID: func() string { ids++; return fmt.Sprintf("order-%d", ids) }}
+	t.Chdir(t.TempDir())
+	return s
+}
+
+func (s *session) run(args ...string) int {
+	var shown []string
+	for _, arg := range args {
+		if strings.ContainsAny(arg, ` {'"`) {
+			arg = "'" + arg + "'"
+		}
+		shown = append(shown, arg)
+	}
+	fmt.Fprintf(&s.transcript, "$ stepwick %s\n", strings.Join(shown, " "))
+	code := s.app.Main(context.Background(), args)
+	fmt.Fprintf(&s.transcript, "[exit %d]\n\n", code)
+	return code
+}
+
+func (s *session) text() []byte {
+	text := s.transcript.String()
+	for real, shown := range s.hide {
+		text = strings.ReplaceAll(text, real, shown)
+	}
+	return []byte(text)
+}
+
+func write(t *testing.T, name, text string) {
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
