Decide the shared tally by blend, bound and share, and run it on fronts

The front's book and the holder's ledger are pure; node/spend runs them with owners parted by tenant.

--- /dev/null
+++ b/internal/core/tally/blend.go
@@ -0,0 +1,104 @@
+package tally
+
+import "stepwick/internal/kernel"
+
+// account is what one front knows of one tenant.
+type account struct {
+	tenant string
+	own    ring // this front's adds
+	others ring // the other fronts' adds, as far as learned
+
+	terms    Terms
+	used     kernel.Time // last request
+	asOf     kernel.Time // when the totals learned last were asked for; zero: never
+	asked    kernel.Time // first ask that has no answer yet; zero: none
+	share    float64     // this front's part of the room
+	reserved float64     // part of the limit kept for silent fronts
+	turn     float64     // where this front stands in the order of rounding, 0..1
+	unsent   float64     // own adds since the last ask
+	urgent   bool
+	marked   kernel.Time // the mark's end
+	from     source
+}
+
+type source struct {
+	name        string
+	incarnation uint64
+}
+
+// estimate is what an account amounts to at one instant; tokens.
+type estimate struct {
+	limit, prev, cur, blend, recent float64
+	since                           float64 // own adds that the holder's totals may not have met
+	budget                          float64 // bound of since
+}
+
+func (a *account) span(first, last int64) float64 {
+	return a.own.sum(first, last) + a.others.sum(first, last)
+}
+
+func (a *account) at(c *Config, g grid, now kernel.Time) estimate {
+	slice, passed := g.at(now)
+	first := g.window(slice) * g.slices
+	newest := max(a.own.top, a.others.top, slice)
+	var e estimate
+	e.limit = a.terms.Limit(c.Window)
+	e.prev = a.span(first-g.slices, first-1)
+	e.cur = a.span(first, newest)
+	over := (float64(slice-first) + passed) / float64(g.slices)
+	e.blend = e.prev*(1-over) + e.cur
+	oldest := slice - g.slices
+	e.recent = a.span(oldest+1, newest) + (a.own.get(oldest)+a.others.get(oldest))*(1-passed)
+
+	e.since = a.own.sum(oldest+1, newest) + a.own.get(oldest)*(1-passed)
+	if !a.asOf.IsZero() {
+		if sure, part := g.at(a.asOf.Add(-c.Lag)); sure > oldest {
+			e.since = a.own.sum(sure+1, newest) + a.own.get(sure)*(1-part)
+		}
+	}
+	room := e.limit*(1-a.reserved) - (e.recent - e.since)
+	e.budget = a.share * max(0, room+c.Slack*e.limit)
+	return e
+}
+
+type verdict uint8
+
+const (
+	passes verdict = iota
+	overLimit
+	overShare
+)
+
+// judge decides whether tokens may pass. A request counts half against the
+// bound, so that large ones end around the limit and not always above it, and
+// by the front's turn against its share, so that of many fronts with less than
+// one request's share each only as many pass as there is room for.
+func (a *account) judge(c *Config, e estimate, tokens float64) verdict {
+	if e.limit <= 0 {
+		return overLimit
+	}
+	half := min(tokens, e.limit) / 2
+	switch {
+	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= c.Band*e.limit):
+		return overLimit
+	case c.has(Bound) && e.recent+half > e.limit*(1-a.reserved) && e.recent > 0:
+		return overLimit
+	case c.has(Share) && e.since+tokens*a.turn > e.budget:
+		return overShare
+	}
+	return passes
+}
+
+// opens returns how long it takes until tokens may pass if nobody spends.
+func (a *account) opens(c *Config, g grid, now kernel.Time, tokens float64) kernel.Duration {
+	low, high := kernel.Duration(0), 2*c.Window
+	for high-low > c.Window/256 {
+		middle := (low + high) / 2
+		if a.judge(c, a.at(c, g, now.Add(middle)), tokens) == passes {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return max(high, c.Interval/4)
+}
--- /dev/null
+++ b/internal/core/tally/book.go
@@ -0,0 +1,306 @@
+package tally
+
+import (
+	"sort"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	silentAfter = 5   // intervals without an answer after which a holder is out of reach
+	holdBelow   = 0.9 // part of the limit below which a request may be held for an exchange
+	sendAt      = 0.25
+	reservedKey = 0 // window number of a total that carries the reserved part of the limit
+)
+
+// Book is one front's side of the tally: an account for each tenant that was
+// active on this front within the last two windows. A Book has one owner; to use
+// several cores, give each its own Book and part the tenants among them.
+type Book struct {
+	self     string
+	config   Config
+	grid     grid
+	roster   []string
+	accounts map[string]*account
+	urgent   []*account
+	holders  map[string]holderSight
+	newest   kernel.Time
+}
+
+type holderSight struct {
+	incarnation uint64
+	fresh       bool
+}
+
+// NewBook returns an empty Book of the front named self.
+func NewBook(self string, config Config) *Book {
+	config = config.withDefaults()
+	return &Book{self: self, config: config, grid: gridOf(config), roster: []string{self},
+		accounts: map[string]*account{}, holders: map[string]holderSight{}}
+}
+
+// SetRoster tells the names of all fronts on the roster; the floor of a front's
+// share is counted over them.
+func (b *Book) SetRoster(names []string) {
+	if len(names) == 0 {
+		names = []string{b.self}
+	}
+	b.roster = names
+	for _, a := range b.accounts {
+		a.turn = b.turnOf(a.tenant)
+	}
+}
+
+func (b *Book) turnOf(tenant string) float64 {
+	own, rank := weigh(b.self, tenant), 0
+	for _, name := range b.roster {
+		if weigh(name, tenant) > own {
+			rank++
+		}
+	}
+	return (float64(rank) + 0.5) / float64(max(1, len(b.roster)))
+}
+
+// steady keeps time from running backwards over a small step of fleet time; a
+// step of more than a window starts the Book anew.
+func (b *Book) steady(now kernel.Time) kernel.Time {
+	switch {
+	case !now.Before(b.newest):
+		b.newest = now
+	case b.newest.Sub(now) > b.config.Window:
+		clear(b.accounts)
+		b.urgent = nil
+		b.newest = now
+	}
+	return b.newest
+}
+
+func (b *Book) open(tenant string, now kernel.Time) *account {
+	a := b.accounts[tenant]
+	if a == nil {
+		a = &account{tenant: tenant, own: newRing(b.grid), others: newRing(b.grid),
+			share: 1 / float64(len(b.roster)), turn: b.turnOf(tenant)}
+		b.accounts[tenant] = a
+	}
+	a.used = now
+	return a
+}
+
+// Admit decides one request of so many tokens at fleet time now. A passed
+// request's tokens are added at once; a declined one adds nothing.
+func (b *Book) Admit(tenant string, tokens float64, terms Terms, now kernel.Time) Decision {
+	now = b.steady(now)
+	a := b.open(tenant, now)
+	a.terms = terms
+	e := a.at(&b.config, b.grid, now)
+	d := Decision{Blend: e.blend, Prev: e.prev, Cur: e.cur, Limit: e.limit, Recent: e.recent}
+	ruling := a.judge(&b.config, e, tokens)
+	if !b.config.has(MarkEnds) && now.Before(a.marked) {
+		ruling = overLimit
+	}
+	if ruling == passes {
+		slice, _ := b.grid.at(now)
+		a.own.add(slice, tokens)
+		a.unsent += tokens
+		d.Pass = true
+		d.Send = b.config.has(Share) && a.unsent > sendAt*e.budget
+		b.hurry(a, d.Send)
+		return d
+	}
+	d.Code = kernel.QuotaExceeded
+	silent := a.silent(&b.config, now)
+	if ruling == overLimit {
+		d.Marked = true
+		a.marked = b.windowEnd(now)
+	} else if silent || a.asOf.IsZero() {
+		d.Code = kernel.ShareExceeded
+	}
+	if ruling == overShare && !silent {
+		d.Send = true
+		d.Hold = b.config.has(Hold) && e.recent+tokens/2 <= holdBelow*e.limit
+		b.hurry(a, true)
+	}
+	if d.RetryAfter = a.opens(&b.config, b.grid, now, tokens); !b.config.has(MarkEnds) {
+		d.RetryAfter = max(d.RetryAfter, a.marked.Sub(now))
+	}
+	return d
+}
+
+func (b *Book) windowEnd(now kernel.Time) kernel.Time {
+	window := b.config.Window.Microseconds()
+	return kernel.UnixMicro((now.UnixMicro()/window + 1) * window)
+}
+
+func (b *Book) hurry(a *account, urgent bool) {
+	if urgent && !a.urgent {
+		a.urgent = true
+		b.urgent = append(b.urgent, a)
+	}
+}
+
+func (a *account) silent(c *Config, now kernel.Time) bool {
+	return !a.asked.IsZero() && now.Sub(a.asked) > silentAfter*c.Interval
+}
+
+// Outgoing returns the counts to send, by holder, of all tenants active within
+// the last window, and drops tenants that were idle for two windows. Counts are
+// cumulative: sending one twice, late or to another holder is harmless.
+func (b *Book) Outgoing(now kernel.Time, holderOf func(tenant string) string) map[string][]*wire.Count {
+	now = b.steady(now)
+	batches := map[string][]*wire.Count{}
+	for tenant, a := range b.accounts {
+		idle := now.Sub(a.used)
+		if idle > 2*b.config.Window {
+			delete(b.accounts, tenant)
+			continue
+		}
+		if idle <= b.config.Window || a.unsent > 0 {
+			b.pack(batches, a, now, holderOf)
+		}
+	}
+	for _, a := range b.urgent {
+		a.urgent = false
+	}
+	b.urgent = b.urgent[:0]
+	for _, counts := range batches {
+		sort.Slice(counts, func(i, j int) bool {
+			return counts[i].Tenant < counts[j].Tenant || (counts[i].Tenant == counts[j].Tenant && counts[i].Window < counts[j].Window)
+		})
+	}
+	return batches
+}
+
+// Urgent returns the counts that should not wait for the next interval, by
+// holder, for which ready holds; the others stay urgent.
+func (b *Book) Urgent(now kernel.Time, holderOf func(tenant string) string, ready func(holder string) bool) map[string][]*wire.Count {
+	if len(b.urgent) == 0 {
+		return nil
+	}
+	now = b.steady(now)
+	batches := map[string][]*wire.Count{}
+	waiting := b.urgent[:0]
+	for _, a := range b.urgent {
+		if !ready(holderOf(a.tenant)) {
+			waiting = append(waiting, a)
+			continue
+		}
+		a.urgent = false
+		b.pack(batches, a, now, holderOf)
+	}
+	b.urgent = waiting
+	return batches
+}
+
+func (b *Book) pack(batches map[string][]*wire.Count, a *account, now kernel.Time, holderOf func(string) string) {
+	holder := holderOf(a.tenant)
+	if holder == "" {
+		return
+	}
+	if a.asked.IsZero() {
+		a.asked = now
+	}
+	a.unsent = 0
+	sight := b.holders[holder]
+	teach := !a.asOf.IsZero() && (sight.fresh || a.from != source{holder, sight.incarnation})
+	slice, _ := b.grid.at(now)
+	window := b.grid.window(slice)
+	if teach || a.asOf.IsZero() || a.asOf.Before(now.Add(-b.config.Window/8)) || slice-window*b.grid.slices < b.grid.slices/4 {
+		batches[holder] = append(batches[holder], b.count(a, window-1, teach))
+	}
+	batches[holder] = append(batches[holder], b.count(a, window, teach))
+}
+
+func (b *Book) count(a *account, window int64, teach bool) *wire.Count {
+	first := window * b.grid.slices
+	last := first + b.grid.slices - 1
+	c := &wire.Count{Tenant: a.tenant, Window: window, Own: a.own.sum(first, last), Slices: a.own.window(b.grid, window)}
+	if teach {
+		c.Learned = a.span(first, last)
+		c.LearnedSlices = a.others.window(b.grid, window)
+		for i, own := range c.Slices {
+			if i < len(c.LearnedSlices) {
+				c.LearnedSlices[i] += own
+			} else {
+				c.LearnedSlices = append(c.LearnedSlices, own)
+			}
+		}
+	}
+	return c
+}
+
+// Learn takes a holder's answer to counts that left at fleet time sentAt.
+// Answers may come late, twice or out of order.
+func (b *Book) Learn(resp *wire.AddResponse, sentAt, now kernel.Time) {
+	now = b.steady(now)
+	if sentAt.After(now) {
+		sentAt = now
+	}
+	b.holders[resp.Holder] = holderSight{resp.Incarnation, resp.Fresh}
+	for i, total := range resp.Totals {
+		a := b.accounts[total.Tenant]
+		if a == nil {
+			continue
+		}
+		if i == 0 || resp.Totals[i-1].Tenant != total.Tenant {
+			a.reserved = 0
+		}
+		if total.Window == reservedKey {
+			a.reserved = total.Total
+		}
+		first := total.Window * b.grid.slices
+		for k, tokens := range total.Slices {
+			if k < len(total.AckedSlices) {
+				tokens -= total.AckedSlices[k]
+			}
+			if tokens > 0 && int64(k) < b.grid.slices {
+				a.others.raise(first+int64(k), tokens)
+			}
+		}
+		if i+1 == len(resp.Totals) || resp.Totals[i+1].Tenant != total.Tenant {
+			b.learned(a, source{resp.Holder, resp.Incarnation}, sentAt)
+		}
+	}
+}
+
+func (b *Book) learned(a *account, from source, sentAt kernel.Time) {
+	a.asked = kernel.Time{}
+	a.from = from
+	if sentAt.Before(a.asOf) {
+		return
+	}
+	a.asOf = sentAt
+	slice, _ := b.grid.at(sentAt)
+	first := slice - b.grid.slices/4
+	if total := a.span(first, slice); total > 0 {
+		a.share = mix(b.config.Floor, len(b.roster), a.own.sum(first, slice)/total)
+	}
+}
+
+// mix is a front's part of the room: some of it shared evenly, so that no front
+// is without, and the rest by usage.
+func mix(floor float64, fronts int, usage float64) float64 {
+	return floor/float64(max(1, fronts)) + (1-floor)*usage
+}
+
+// Inspect returns what the Book knows, in the order of the tenants' names.
+func (b *Book) Inspect(now kernel.Time) []TenantView {
+	now = b.steady(now)
+	views := make([]TenantView, 0, len(b.accounts))
+	for tenant, a := range b.accounts {
+		e := a.at(&b.config, b.grid, now)
+		slice, _ := b.grid.at(now)
+		v := TenantView{Tenant: tenant, Limit: e.limit, Blend: e.blend, Recent: e.recent, Share: a.share,
+			Own: a.own.sum(slice-b.grid.slices, slice), Reserved: a.reserved, Holder: a.from.name, Age: -1,
+			Marked: a.judge(&b.config, e, 0) == overLimit}
+		if !a.asOf.IsZero() {
+			v.Age = now.Sub(a.asOf)
+		}
+		views = append(views, v)
+	}
+	sort.Slice(views, func(i, j int) bool { return views[i].Tenant < views[j].Tenant })
+	return views
+}
+
+// Active returns the number of tenants with an account.
+func (b *Book) Active() int { return len(b.accounts) }
--- /dev/null
+++ b/internal/core/tally/ledger.go
@@ -0,0 +1,171 @@
+package tally
+
+import (
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Ledger is the holder's side: the counts of the tenants that this front holds,
+// by front. It has one owner.
+type Ledger struct {
+	self        string
+	incarnation uint64
+	config      Config
+	grid        grid
+	began       kernel.Time
+	newest      kernel.Time
+	roster      []string
+	silent      map[string]bool
+	tenants     map[string]*held
+}
+
+type held struct {
+	fronts  map[source]*contribution
+	shares  map[string]float64 // last known usage, by front
+	sum     ring
+	learned ring
+	touched kernel.Time
+}
+
+type contribution struct {
+	own   ring
+	heard kernel.Time
+}
+
+// NewLedger returns an empty Ledger of the front named self.
+func NewLedger(self string, incarnation uint64, config Config) *Ledger {
+	config = config.withDefaults()
+	return &Ledger{self: self, incarnation: incarnation, config: config, grid: gridOf(config), tenants: map[string]*held{}}
+}
+
+// SetReach tells the roster, and which of its fronts are silent without being
+// known to be gone: what they may be spending on their own is kept for them.
+func (l *Ledger) SetReach(roster, silent []string) {
+	l.roster = roster
+	l.silent = make(map[string]bool, len(silent))
+	for _, name := range silent {
+		l.silent[name] = true
+	}
+}
+
+// Add takes a front's counts and answers with the totals over all fronts. Each
+// slice of a front keeps the highest count seen, so an Add may be sent again,
+// late or out of order.
+func (l *Ledger) Add(req *wire.AddRequest, now kernel.Time) *wire.AddResponse {
+	if now.After(l.newest) {
+		l.newest = now
+	}
+	if l.began.IsZero() {
+		l.began = now
+	}
+	resp := &wire.AddResponse{Holder: l.self, Incarnation: l.incarnation,
+		Fresh: now.Sub(l.began) < 2*kernel.Duration(silentAfter)*l.config.Interval}
+	front := source{req.Front, req.Incarnation}
+	for i, count := range req.Counts {
+		t := l.open(count.Tenant, now)
+		c := t.fronts[front]
+		if c == nil {
+			c = &contribution{own: newRing(l.grid)}
+			t.fronts[front] = c
+		}
+		c.heard = now
+		first := count.Window * l.grid.slices
+		for k, tokens := range count.Slices {
+			if int64(k) >= l.grid.slices {
+				break
+			}
+			if risen := c.own.raise(first+int64(k), tokens); risen > 0 {
+				t.sum.add(first+int64(k), risen)
+			}
+		}
+		for k, tokens := range count.LearnedSlices {
+			if int64(k) < l.grid.slices {
+				t.learned.raise(first+int64(k), tokens)
+			}
+		}
+		resp.Totals = append(resp.Totals, l.total(t, c, count))
+		if i+1 == len(req.Counts) || req.Counts[i+1].Tenant != count.Tenant {
+			l.weighUsage(t, c, req.Front, now)
+			if kept := l.reserved(t); kept > 0 {
+				resp.Totals = append(resp.Totals, &wire.Total{Tenant: count.Tenant, Window: reservedKey, Total: kept})
+			}
+		}
+	}
+	return resp
+}
+
+func (l *Ledger) open(tenant string, now kernel.Time) *held {
+	t := l.tenants[tenant]
+	if t == nil {
+		t = &held{fronts: map[source]*contribution{}, shares: map[string]float64{},
+			sum: newRing(l.grid), learned: newRing(l.grid)}
+		l.tenants[tenant] = t
+	}
+	t.touched = now
+	return t
+}
+
+func (l *Ledger) total(t *held, c *contribution, count *wire.Count) *wire.Total {
+	out := &wire.Total{Tenant: count.Tenant, Window: count.Window, Slices: t.sum.window(l.grid, count.Window),
+		AckedSlices: c.own.window(l.grid, count.Window)}
+	for k, tokens := range t.learned.window(l.grid, count.Window) {
+		if k >= len(out.Slices) {
+			out.Slices = append(out.Slices, 0)
+		}
+		out.Slices[k] = max(out.Slices[k], tokens)
+	}
+	for _, tokens := range out.Slices {
+		out.Total += tokens
+	}
+	for _, tokens := range out.AckedSlices {
+		out.Acked += tokens
+	}
+	return out
+}
+
+func (l *Ledger) weighUsage(t *held, c *contribution, front string, now kernel.Time) {
+	slice, _ := l.grid.at(now)
+	first := slice - l.grid.slices/4
+	if total := t.sum.sum(first, slice); total > 0 {
+		t.shares[front] = c.own.sum(first, slice) / total
+	}
+}
+
+// reserved is the part of the limit kept for silent fronts. Each may spend the
+// higher of its even part and its part by last known usage; of what the even
+// parts add to that, a quarter of the limit is let go.
+func (l *Ledger) reserved(t *held) float64 {
+	if len(l.silent) == 0 || len(l.roster) == 0 {
+		return 0
+	}
+	even := 1 / float64(len(l.roster))
+	byUsage, atMost := 0.0, 0.0
+	for name := range l.silent {
+		part := mix(l.config.Floor, len(l.roster), t.shares[name])
+		byUsage += part
+		atMost += max(even, part)
+	}
+	return max(byUsage, atMost-0.25)
+}
+
+// Expire drops tenants and fronts' counts that were idle for two windows.
+func (l *Ledger) Expire(now kernel.Time) {
+	horizon := now.Add(-2 * l.config.Window)
+	for tenant, t := range l.tenants {
+		if t.touched.Before(horizon) {
+			delete(l.tenants, tenant)
+			continue
+		}
+		for front, c := range t.fronts {
+			if c.heard.Before(horizon) {
+				delete(t.fronts, front)
+				if !l.silent[front.name] {
+					delete(t.shares, front.name)
+				}
+			}
+		}
+	}
+}
+
+// Held returns the number of tenants whose count is held here.
+func (l *Ledger) Held() int { return len(l.tenants) }
--- /dev/null
+++ b/internal/core/tally/ring.go
@@ -0,0 +1,112 @@
+package tally
+
+import "stepwick/internal/kernel"
+
+// grid cuts time into slices and windows, both numbered since the unix epoch.
+type grid struct {
+	slice  int64 // microseconds
+	slices int64 // in a window
+}
+
+func gridOf(c Config) grid {
+	return grid{slice: c.Window.Microseconds() / int64(c.Slices), slices: int64(c.Slices)}
+}
+
+func (g grid) at(t kernel.Time) (slice int64, passed float64) {
+	us := t.UnixMicro()
+	slice = us / g.slice
+	return slice, float64(us%g.slice) / float64(g.slice)
+}
+
+func (g grid) window(slice int64) int64 { return slice / g.slices }
+
+// ring keeps the tokens of the newest slices; older ones fall out.
+type ring struct {
+	top    int64 // newest slice kept
+	tokens []float64
+}
+
+func newRing(g grid) ring { return ring{tokens: make([]float64, 2*g.slices+g.slices/2)} }
+
+func (r *ring) advance(top int64) {
+	n := int64(len(r.tokens))
+	if top <= r.top {
+		return
+	}
+	if top-r.top >= n {
+		clear(r.tokens)
+	} else {
+		for k := r.top + 1; k <= top; k++ {
+			r.tokens[k%n] = 0
+		}
+	}
+	r.top = top
+}
+
+func (r *ring) get(slice int64) float64 {
+	n := int64(len(r.tokens))
+	if slice > r.top || slice <= r.top-n {
+		return 0
+	}
+	return r.tokens[slice%n]
+}
+
+func (r *ring) add(slice int64, tokens float64) {
+	r.advance(slice)
+	if n := int64(len(r.tokens)); slice > r.top-n {
+		r.tokens[slice%n] += tokens
+	}
+}
+
+// raise lifts a slice to at least tokens and returns by how much it rose.
+func (r *ring) raise(slice int64, tokens float64) float64 {
+	r.advance(slice)
+	n := int64(len(r.tokens))
+	if slice <= r.top-n || r.tokens[slice%n] >= tokens {
+		return 0
+	}
+	risen := tokens - r.tokens[slice%n]
+	r.tokens[slice%n] = tokens
+	return risen
+}
+
+// sum adds up the slices from first to last, both included.
+func (r *ring) sum(first, last int64) float64 {
+	n := int64(len(r.tokens))
+	first, last = max(first, r.top-n+1), min(last, r.top)
+	if first > last {
+		return 0
+	}
+	i, j := first%n, last%n
+	total := 0.0
+	if i <= j {
+		for _, v := range r.tokens[i : j+1] {
+			total += v
+		}
+		return total
+	}
+	for _, v := range r.tokens[i:] {
+		total += v
+	}
+	for _, v := range r.tokens[:j+1] {
+		total += v
+	}
+	return total
+}
+
+// window copies the slices of one window, without the empty ones at its end.
+func (r *ring) window(g grid, window int64) []float64 {
+	first := window * g.slices
+	last := first + g.slices - 1
+	for last >= first && r.get(last) == 0 {
+		last--
+	}
+	if last < first {
+		return nil
+	}
+	out := make([]float64, last-first+1)
+	for i := range out {
+		out[i] = r.get(first + int64(i))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/tally/tally.go
@@ -0,0 +1,129 @@
+// Package tally decides what each tenant may spend. A Book is one front's side:
+// it admits requests from what it knows of a tenant's spend everywhere. A
+// Ledger is the holder's side: it sums what the fronts have added. Both are
+// plain values with one owner; nothing here blocks, sends or reads a clock.
+package tally
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"stepwick/internal/kernel"
+)
+
+// Exception is a departure from the ordinary path of the design: the blend of
+// two windows with a mark until the window's end. docs/TALLY.md gives the cause
+// and the figures of each.
+type Exception uint8
+
+// Exceptions, in the order in which they were added.
+const (
+	MarkEnds Exception = 1 << iota // a mark ends when the blend falls below the limit
+	Bound                          // nothing passes once the spend of the last window's span is at the limit
+	Room                           // a request that only the blend declines passes while that spend is well below the limit
+	Share                          // a front spends no more than its share of the room it is sure of
+	Hold                           // a request over that share waits for the next exchange, well below the limit
+
+	Ordinary = MarkEnds | Bound | Room | Share | Hold // all of them: leave these out to get the ordinary path
+)
+
+// Config sets the tally's measures; the zero value of each field stands for
+// its default.
+type Config struct {
+	Window   kernel.Duration // 8 s
+	Slices   int             // slices of a window, 32
+	Interval kernel.Duration // between two exchanges with a holder, 200 ms
+	Lag      kernel.Duration // how far a holder's totals may be behind the other fronts' adds, 300 ms
+	Band     float64         // part of the limit below which the blend alone declines nothing, 0.95
+	Floor    float64         // part of the room that is shared evenly, whatever the usage, 0.4
+	Slack    float64         // part of the limit that all fronts together may overspend, 0.04
+	Without  Exception       // exceptions left out, for measurement
+}
+
+func (c Config) withDefaults() Config {
+	if c.Window <= 0 {
+		c.Window = 8 * kernel.Second
+	}
+	if c.Slices <= 0 {
+		c.Slices = 32
+	}
+	if c.Interval <= 0 {
+		c.Interval = 200 * kernel.Millisecond
+	}
+	if c.Lag <= 0 {
+		c.Lag = 300 * kernel.Millisecond
+	}
+	if c.Band <= 0 {
+		c.Band = 0.95
+	}
+	if c.Floor <= 0 {
+		c.Floor = 0.4
+	}
+	if c.Slack <= 0 {
+		c.Slack = 0.04
+	}
+	return c
+}
+
+func (c Config) has(e Exception) bool { return c.Without&e == 0 }
+
+// Terms are a tenant's allowance: Rate in tokens a second, Burst in tokens.
+type Terms struct{ Rate, Burst float64 }
+
+// Limit returns the tokens of one window: Rate times the window plus Burst.
+func (t Terms) Limit(window kernel.Duration) float64 {
+	return t.Rate*window.Seconds() + t.Burst
+}
+
+// Decision is the answer to one request. Blend, Prev, Cur, Recent and Limit are
+// in tokens; Prev and Cur are the totals of the two windows, Recent the spend of
+// the last window's span.
+type Decision struct {
+	Pass       bool
+	Code       kernel.Code     // OK, QuotaExceeded, or ShareExceeded when the holder is out of reach
+	Blend      float64         // estimate before this request
+	Prev       float64         // previous window's total
+	Cur        float64         // current window's total
+	Limit      float64         // of one window
+	Recent     float64         // spend of the last window's span
+	Marked     bool            // the tenant's limit is crossed on this node
+	RetryAfter kernel.Duration // when there will be room, if nobody spends until then
+	Hold       bool            // not passed, but may be after the next exchange with the holder
+	Send       bool            // own adds should go to the holder at once
+}
+
+// TenantView is what a Book knows of one tenant; tokens, and Age the time since
+// the holder's totals were asked for (negative when it never answered).
+type TenantView struct {
+	Tenant   string
+	Limit    float64
+	Blend    float64
+	Recent   float64
+	Own      float64 // own part of Recent
+	Share    float64 // this node's part of the room
+	Reserved float64 // part of the limit kept for fronts that are silent
+	Marked   bool
+	Holder   string
+	Age      kernel.Duration
+}
+
+// HolderOf returns the front that holds a tenant's count: the highest of the
+// roster by rendezvous hash, "" for an empty roster.
+func HolderOf(tenant string, roster []string) string {
+	var best string
+	var highest uint64
+	for _, name := range roster {
+		if h := weigh(name, tenant); best == "" || h > highest || (h == highest && name < best) {
+			best, highest = name, h
+		}
+	}
+	return best
+}
+
+func weigh(name, tenant string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(name)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(tenant)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/node/spend/shard.go
@@ -0,0 +1,232 @@
+package spend
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+
+	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	paces    = 10 // paces of an interval: urgent counts and held requests are looked at on each
+	inFlight = 8  // exchanges with one holder at a time
+)
+
+type ask struct {
+	ended  <-chan struct{}
+	tenant string
+	tokens float64
+	terms  tally.Terms
+	answer chan tally.Decision
+}
+
+var asks = sync.Pool{New: func() any { return &ask{answer: make(chan tally.Decision, 1)} }}
+
+type hold struct {
+	*ask
+	until kernel.Time
+	last  tally.Decision
+}
+
+type learned struct {
+	holder string
+	sentAt kernel.Time // fleet time
+	resp   *wire.AddResponse
+	err    error
+}
+
+// shard owns the Book of its part of the tenants.
+type shard struct {
+	spend    *Spend
+	name     string
+	book     *tally.Book
+	asks     chan *ask
+	inspects chan chan []tally.TenantView
+	flushes  chan chan error
+	answers  chan learned
+
+	roster  []string
+	holders map[string]string // tenant -> holder
+	flying  map[string]int    // holder -> exchanges
+	paced   map[string]bool   // holders that were sent to on this pace
+	silent  map[string]bool
+	holds   []hold
+	flush   []flush
+}
+
+type flush struct {
+	done    chan error
+	pending int
+}
+
+func newShard(s *Spend, number int) *shard {
+	return &shard{spend: s, name: "spend-" + strconv.Itoa(number), book: tally.NewBook(s.config.Self, s.config.Tally),
+		asks: make(chan *ask, 64), inspects: make(chan chan []tally.TenantView), flushes: make(chan chan error),
+		answers: make(chan learned, 64), holders: map[string]string{}, flying: map[string]int{},
+		paced: map[string]bool{}, silent: map[string]bool{}}
+}
+
+func (o *shard) String() string { return o.name }
+
+// Serve runs the owner until the context ends.
+func (o *shard) Serve(ctx kernel.Context) error {
+	ticker := o.spend.clock.Ticker(o.spend.config.Tally.Interval / paces)
+	defer ticker.Stop()
+	o.follow()
+	for pace := 0; ; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case ask := <-o.asks:
+			o.decide(ask)
+		case <-ticker.C():
+			clear(o.paced)
+			if pace++; pace%paces == 0 {
+				o.follow()
+				o.send(ctx, o.book.Outgoing(o.spend.fleetNow(), o.holderOf))
+				o.spend.metrics.active(o.name, o.book.Active())
+			}
+			o.hurry(ctx)
+			o.retry()
+		case answer := <-o.answers:
+			o.learn(answer)
+			o.hurry(ctx)
+			o.retry()
+		case answer := <-o.inspects:
+			answer <- o.book.Inspect(o.spend.fleetNow())
+		case done := <-o.flushes:
+			sent := o.send(ctx, o.book.Outgoing(o.spend.fleetNow(), o.holderOf))
+			if o.flush = append(o.flush, flush{done, sent}); sent == 0 {
+				o.flushed(nil)
+			}
+		}
+	}
+}
+
+func (o *shard) follow() {
+	roster := o.spend.roster()
+	if slices.Equal(roster, o.roster) {
+		return
+	}
+	o.roster = slices.Clone(roster)
+	clear(o.holders)
+	o.book.SetRoster(o.roster)
+}
+
+func (o *shard) holderOf(tenant string) string {
+	holder, known := o.holders[tenant]
+	if !known {
+		if len(o.holders) > 2*o.book.Active()+1024 {
+			clear(o.holders)
+		}
+		holder = tally.HolderOf(tenant, o.roster)
+		o.holders[tenant] = holder
+	}
+	return holder
+}
+
+func (o *shard) decide(ask *ask) {
+	decision := o.book.Admit(ask.tenant, ask.tokens, ask.terms, o.spend.fleetNow())
+	if !decision.Hold || len(o.holds) >= o.spend.config.HoldMost {
+		ask.answer <- decision
+		return
+	}
+	o.holds = append(o.holds, hold{ask, o.spend.clock.Now().Add(o.spend.config.HoldFor), decision})
+}
+
+func (o *shard) retry() {
+	if len(o.holds) == 0 {
+		return
+	}
+	now, kept := o.spend.clock.Now(), o.holds[:0]
+	for _, h := range o.holds {
+		select {
+		case <-h.ended:
+			continue
+		default:
+		}
+		h.last = o.book.Admit(h.tenant, h.tokens, h.terms, o.spend.fleetNow())
+		if h.last.Hold && now.Before(h.until) {
+			kept = append(kept, h)
+			continue
+		}
+		o.spend.metrics.held(h.last.Pass)
+		h.answer <- h.last
+	}
+	clear(o.holds[len(kept):])
+	o.holds = kept
+}
+
+func (o *shard) hurry(ctx kernel.Context) {
+	o.send(ctx, o.book.Urgent(o.spend.fleetNow(), o.holderOf, func(holder string) bool {
+		return !o.paced[holder] && o.flying[holder] < inFlight
+	}))
+}
+
+func (o *shard) send(ctx kernel.Context, batches map[string][]*wire.Count) int {
+	sent := 0
+	for holder, counts := range batches {
+		if o.flying[holder] >= inFlight {
+			continue
+		}
+		o.flying[holder]++
+		o.paced[holder] = true
+		sent++
+		sentAt := o.spend.fleetNow()
+		go func() {
+			resp, err := o.spend.exchange(ctx, holder, counts)
+			select {
+			case o.answers <- learned{holder, sentAt, resp, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	return sent
+}
+
+func (o *shard) learn(answer learned) {
+	if o.flying[answer.holder]--; o.flying[answer.holder] <= 0 {
+		delete(o.flying, answer.holder)
+	}
+	o.spend.metrics.exchanged(answer.err)
+	if answer.err == nil {
+		o.book.Learn(answer.resp, answer.sentAt, o.spend.fleetNow())
+	}
+	if silent := answer.err != nil; silent != o.silent[answer.holder] {
+		if silent {
+			o.silent[answer.holder] = true
+			o.spend.log.Emit(HolderSilent, "holder", answer.holder, "owner", o.name, "error", answer.err)
+		} else {
+			delete(o.silent, answer.holder)
+			o.spend.log.Emit(HolderBack, "holder", answer.holder, "owner", o.name)
+		}
+	}
+	if len(o.flush) > 0 {
+		o.flushed(answer.err)
+	}
+}
+
+func (o *shard) flushed(err error) {
+	kept := o.flush[:0]
+	for _, f := range o.flush {
+		f.pending--
+		if err == nil && f.pending > 0 {
+			kept = append(kept, f)
+			continue
+		}
+		f.done <- err
+	}
+	o.flush = kept
+}
+
+// Events of the tally.
+var (
+	HolderSilent = events.Event{Number: 4201, Name: "holder_silent", Level: events.Warn,
+		Help: "The holder of some tenants' counts does not answer; this front spends its share of their limits until it does."}
+	HolderBack = events.Event{Number: 4202, Name: "holder_back", Level: events.Info,
+		Help: "The holder of some tenants' counts answers again."}
+)
--- /dev/null
+++ b/internal/node/spend/spend.go
@@ -0,0 +1,207 @@
+// Package spend runs the shared tally on a front: owners of the Book, parted by
+// tenant, the owner of the Ledger of the counts held here, and the exchange of
+// counts between them and the other fronts.
+package spend
+
+import (
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/thejerf/suture/v4"
+
+	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+// Config holds a front's part in the tally. Zero values take the defaults named.
+type Config struct {
+	Self        string
+	Incarnation uint64
+	Tally       tally.Config
+	Shards      int             // owners of the Book, 4
+	Timeout     kernel.Duration // of one exchange, 1 s
+	HoldFor     kernel.Duration // longest hold of a request for an exchange, 1 s
+	HoldMost    int             // requests held by one owner, 256
+	Silent      func() []string // fronts on the roster that are silent without being known to be gone; may be nil
+	Metrics     prometheus.Registerer
+}
+
+// Spend decides requests by the shared tally.
+type Spend struct {
+	config   Config
+	peers    port.Peers
+	clock    kernel.Clock
+	fleetNow func() kernel.Time
+	roster   func() []string
+	log      events.Log
+	metrics  *metrics
+	shards   []*shard
+	keeper   *keeper
+}
+
+// New returns the tally's runtime; it decides nothing before Serve runs.
+// fleetNow tells the time that the fleet agrees on, roster the fronts' names.
+func New(config Config, peers port.Peers, clock kernel.Clock, fleetNow func() kernel.Time, roster func() []string, log events.Log) (*Spend, error) {
+	if config.Shards <= 0 {
+		config.Shards = 4
+	}
+	if config.Timeout <= 0 {
+		config.Timeout = kernel.Second
+	}
+	if config.HoldFor <= 0 {
+		config.HoldFor = kernel.Second
+	}
+	if config.HoldMost <= 0 {
+		config.HoldMost = 256
+	}
+	if config.Tally.Interval <= 0 {
+		config.Tally.Interval = 200 * kernel.Millisecond
+	}
+	if config.Silent == nil {
+		config.Silent = func() []string { return nil }
+	}
+	metrics, err := newMetrics(config.Metrics)
+	if err != nil {
+		return nil, errors.Wrap(err, "register the tally's metrics")
+	}
+	s := &Spend{config: config, peers: peers, clock: clock, fleetNow: fleetNow, roster: roster, log: log, metrics: metrics}
+	s.keeper = newKeeper(s)
+	for i := range config.Shards {
+		s.shards = append(s.shards, newShard(s, i))
+	}
+	return s, nil
+}
+
+// Serve runs the owners until the context ends.
+func (s *Spend) Serve(ctx kernel.Context) error {
+	supervisor := suture.New("spend", suture.Spec{EventHook: func(event suture.Event) {
+		if failed, ok := event.(suture.EventServicePanic); ok {
+			s.log.Emit(events.ServiceFailed, "service", failed.ServiceName, "panic", failed.PanicMsg)
+		}
+	}})
+	supervisor.Add(s.keeper)
+	for _, owner := range s.shards {
+		supervisor.Add(owner)
+	}
+	return supervisor.Serve(ctx)
+}
+
+func (s *Spend) String() string { return "spend" }
+
+func (s *Spend) shardOf(tenant string) *shard {
+	return s.shards[xxhash.Sum64String(tenant)%uint64(len(s.shards))]
+}
+
+// Admit decides one request of so many tokens. It may hold a tenant that is
+// well below its limit for an exchange with the holder, HoldFor at the longest.
+// When ctx ends first the request is declined and adds nothing.
+func (s *Spend) Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision {
+	ask := asks.Get().(*ask)
+	ask.ended, ask.tenant, ask.tokens, ask.terms = ctx.Done(), tenant, tokens, terms
+	select {
+	case s.shardOf(tenant).asks <- ask:
+	case <-ctx.Done():
+		return s.ended(ctx)
+	}
+	select {
+	case decision := <-ask.answer:
+		ask.ended = nil
+		asks.Put(ask)
+		s.metrics.count(decision)
+		return decision
+	case <-ctx.Done():
+		return s.ended(ctx)
+	}
+}
+
+func (s *Spend) ended(ctx kernel.Context) tally.Decision {
+	if errors.Is(ctx.Err(), kernel.DeadlineExceeded) {
+		return tally.Decision{Code: kernel.DeadlinePassed}
+	}
+	return tally.Decision{Code: kernel.CallerGone}
+}
+
+// Add answers another front's counts for tenants whose count is held here.
+func (s *Spend) Add(ctx kernel.Context, req *wire.AddRequest) (*wire.AddResponse, error) {
+	return s.keeper.add(ctx, req)
+}
+
+// Inspect returns what this front knows of its active tenants, by owner and
+// name; with a tenant's name given, of that one alone.
+func (s *Spend) Inspect(ctx kernel.Context, tenant string) ([]tally.TenantView, error) {
+	var views []tally.TenantView
+	for _, owner := range s.shards {
+		answer := make(chan []tally.TenantView, 1)
+		select {
+		case owner.inspects <- answer:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		select {
+		case some := <-answer:
+			views = append(views, some...)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if tenant != "" {
+		views = slices.DeleteFunc(views, func(v tally.TenantView) bool { return v.Tenant != tenant })
+	}
+	slices.SortFunc(views, func(a, b tally.TenantView) int {
+		if a.Tenant < b.Tenant {
+			return -1
+		}
+		return 1
+	})
+	return views, nil
+}
+
+// Flush sends every count to its holder and waits for the answers, so that what
+// was spent here stays counted when the process ends.
+func (s *Spend) Flush(ctx kernel.Context) error {
+	for _, owner := range s.shards {
+		done := make(chan error, 1)
+		select {
+		case owner.flushes <- done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case err := <-done:
+			if err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// exchange sends one batch to a holder and returns its answer.
+func (s *Spend) exchange(ctx kernel.Context, holder string, counts []*wire.Count) (*wire.AddResponse, error) {
+	ctx, cancel := kernel.WithTimeout(ctx, s.config.Timeout)
+	defer cancel()
+	req := &wire.AddRequest{Front: s.config.Self, Incarnation: s.config.Incarnation, Counts: counts}
+	if holder == s.config.Self {
+		return s.keeper.add(ctx, req)
+	}
+	process, known := s.peers.Process(holder)
+	if !known {
+		return nil, errors.Errorf("no address of holder %s is known", holder)
+	}
+	resp, err := s.peers.Client(process.Address).Add(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, errors.Wrapf(err, "send counts to holder %s", holder)
+	}
+	if resp.Msg.Holder != holder {
+		return nil, errors.Errorf("%s answered in place of holder %s", resp.Msg.Holder, holder)
+	}
+	return resp.Msg, nil
+}
