Foresee orders that need no ballot, and prove the sheet's rules by properties

Cause: an order known already, built on a moved base or unsound on its base is certain to be declined or answered; a ballot for it would be spent. Change: State.Foresee; properties over random logs (an order id applied once, one winner on a base, Step over a state read back, nothing kept of a declined order, patch equals put of the patched sheet, evacuations in their own layer), a transcript of put, patch, race, evacuate, restore and resend, and benchmarks.

--- /dev/null
+++ b/internal/core/sheet/sheet_test.go
@@ -0,0 +1,247 @@
+package sheet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/kernel"
+)
+
+func hash(key string) string { return HashKey(key) }
+
+func small() *Sheet {
+	return &Sheet{
+		Services: map[string]Service{"chat": {Kind: KindModel}, "map": {Kind: KindWeb, PlainTokens: 20}},
+		Weights:  map[string]map[string]float64{"chat": {"lagos": 60, "abeokuta": 40}, "map": {"lagos": 1}},
+		Tenants: map[string]Tenant{
+			"press": {Rate: 1000, Burst: 500, Home: "lagos", KeyHashes: []string{hash("press-1"), hash("press-2")}},
+			"city":  {Rate: 250.5, KeyHashes: []string{hash("city-1")}},
+		},
+		Settings: map[string]string{"route.strategy": "affinity"},
+	}
+}
+
+func encoded(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func with(change func(*Sheet)) *Sheet {
+	s := small()
+	change(s)
+	return s
+}
+
+func TestCheck(t *testing.T) {
+	Convey("A sound sheet has no fault", t, func() {
+		So(small().Check(), ShouldBeNil)
+	})
+	Convey("Each broken rule has its number and names its cell", t, func() {
+		for _, c := range []struct {
+			cell string
+			code kernel.Code
+			s    *Sheet
+		}{
+			{"no sheet", kernel.InvalidSheet, nil},
+			{"services: there is none", kernel.InvalidSheet, &Sheet{}},
+			{"services.chat.kind", kernel.InvalidSheet, with(func(s *Sheet) { s.Services["chat"] = Service{Kind: "gpu"} })},
+			{"services.map.plain_tokens", kernel.InvalidSheet, with(func(s *Sheet) { s.Services["map"] = Service{Kind: KindWeb, PlainTokens: -1} })},
+			{"services: \"a.b\"", kernel.InvalidSheet, with(func(s *Sheet) { s.Services["a.b"] = Service{Kind: KindWeb} })},
+			{"weights.chat.lagos: NaN", kernel.InvalidSheet, with(func(s *Sheet) { s.Weights["chat"]["lagos"] = math.NaN() })},
+			{"weights.chat.lagos: +Inf", kernel.InvalidSheet, with(func(s *Sheet) { s.Weights["chat"]["lagos"] = math.Inf(1) })},
+			{"weights.chat.lagos: -1", kernel.InvalidSheet, with(func(s *Sheet) { s.Weights["chat"]["lagos"] = -1 })},
+			{"weights.map: no region", kernel.InvalidSheet, with(func(s *Sheet) { s.Weights["map"]["lagos"] = 0 })},
+			{"weights.map: no region", kernel.InvalidSheet, with(func(s *Sheet) { delete(s.Weights, "map") })},
+			{"weights: no service \"tags\"", kernel.InvalidSheet, with(func(s *Sheet) { s.Weights["tags"] = map[string]float64{"lagos": 1} })},
+			{"tenants.press.rate", kernel.InvalidSheet, with(func(s *Sheet) { s.Tenants["press"] = Tenant{Rate: math.NaN()} })},
+			{"tenants.press.burst", kernel.InvalidSheet, with(func(s *Sheet) { s.Tenants["press"] = Tenant{Burst: -5} })},
+			{"tenants.press.home", kernel.InvalidSheet, with(func(s *Sheet) { s.Tenants["press"] = Tenant{Home: "lagos/a"} })},
+			{"tenants.press.keys: \"zz\"", kernel.InvalidSheet, with(func(s *Sheet) { s.Tenants["press"] = Tenant{KeyHashes: []string{"zz"}} })},
+			{"tenants.press.keys", kernel.InvalidSheet, with(func(s *Sheet) {
+				s.Tenants["press"] = Tenant{KeyHashes: []string{strings.ToUpper(hash("press-1"))}}
+			})},
+			{"already a key of city", kernel.InvalidSheet, with(func(s *Sheet) { s.Tenants["press"] = Tenant{KeyHashes: []string{hash("city-1")}} })},
+			{"settings", kernel.InvalidSheet, with(func(s *Sheet) { s.Settings["route..x"] = "" })},
+			{"the bounds are", kernel.SheetTooLarge, with(func(s *Sheet) {
+				for i := range MaxSettings {
+					s.Settings[fmt.Sprintf("x%d", i)] = ""
+				}
+			})},
+			{"the bound is", kernel.SheetTooLarge, with(func(s *Sheet) { s.Settings["x"] = strings.Repeat("y", MaxBytes) })},
+		} {
+			fault := c.s.Check()
+			So(fault, ShouldNotBeNil)
+			So(fault.Code, ShouldEqual, c.code)
+			So(fault.Detail, ShouldContainSubstring, c.cell)
+		}
+	})
+	Convey("A detail stays short however much is broken", t, func() {
+		fault := with(func(s *Sheet) {
+			for i := range 5000 {
+				s.Tenants[fmt.Sprintf("bad%04d", i)] = Tenant{Rate: -1}
+			}
+		}).Check()
+		So(fault.Detail, ShouldStartWith, "tenants.bad0000.rate")
+		So(fault.Detail, ShouldEndWith, "; and 4992 more")
+	})
+}
+
+func TestParseSheet(t *testing.T) {
+	good := encoded(small())
+	Convey("What is written is read back", t, func() {
+		s, fault := ParseSheet([]byte(good), len(good))
+		So(fault, ShouldBeNil)
+		So(encoded(s), ShouldEqual, good)
+	})
+	Convey("Malformed and oversize bodies are declined by number and place", t, func() {
+		for _, c := range []struct {
+			body   string
+			code   kernel.Code
+			detail string
+		}{
+			{"", kernel.BadJSON, "unexpected EOF"},
+			{"null", kernel.InvalidSheet, "want an object, not null"},
+			{"[]", kernel.InvalidSheet, "want an object, not a list"},
+			{good[:len(good)-1], kernel.BadJSON, "unexpected EOF"},
+			{good + "{}", kernel.BadJSON, "more follows"},
+			{good + " ", kernel.SheetTooLarge, "the bound is"},
+			{strings.Replace(good, `"rate":1000`, `"rate":1e999`, 1), kernel.InvalidSheet, "out of bounds"},
+			{strings.Replace(good, `"rate":1000`, `"rate":NaN`, 1), kernel.BadJSON, "invalid character"},
+			{strings.Replace(good, `"rate":1000`, `"rate":"1"`, 1), kernel.InvalidSheet, "tenants.press.rate: want a number"},
+			{strings.Replace(good, `"rate":1000`, `"rate":null`, 1), kernel.InvalidSheet, "tenants.press.rate: want a number, not null"},
+			{strings.Replace(good, `"rate":1000`, `"Rate":1`, 1), kernel.UnknownField, "tenants.press.Rate: no such field"},
+			{strings.Replace(good, `"rate":1000`, `"x":1`, 1), kernel.UnknownField, "tenants.press.x: no such field"},
+			{strings.Replace(good, `"lagos":60`, `"abeokuta":6`, 1), kernel.InvalidSheet, "weights.chat.abeokuta: given twice"},
+			{strings.Replace(good, `"lagos":60`, `"lagos":-60`, 1), kernel.InvalidSheet, "weights.chat.lagos: -60"},
+			{strings.Replace(good, `"lagos":60`, `"lagos":[60]`, 1), kernel.InvalidSheet, "weights.chat.lagos: want a number, not a list"},
+			{strings.Replace(good, `"kind"`, `"kin\u0064"`, 1), kernel.OK, ""},
+		} {
+			limit := max(len(good), len(c.body))
+			if c.code == kernel.SheetTooLarge {
+				limit = len(good)
+			}
+			_, fault := ParseSheet([]byte(c.body), limit)
+			if c.code == kernel.OK {
+				So(fault, ShouldBeNil)
+				continue
+			}
+			So(fault, ShouldNotBeNil)
+			So(fault.Detail, ShouldContainSubstring, c.detail)
+			So(fault.Code, ShouldEqual, c.code)
+		}
+	})
+}
+
+func TestPatch(t *testing.T) {
+	Convey("Cells change as they are written on the command line", t, func() {
+		var changes []Change
+		for _, line := range []string{"weights.chat.lagos=30", "weights.chat.ibadan=5", "tenants.press.rate=900",
+			"tenants.press.keys+=" + hash("press-3"), "tenants.press.keys-=" + hash("press-1"),
+			`tenants.tram={"rate":10,"keys":["` + hash("tram-1") + `"]}`, "settings.route.strategy=least_loaded",
+			"services.map.plain_tokens=25", "tenants.city.home=abeokuta"} {
+			change, fault := ParseChange(line)
+			So(fault, ShouldBeNil)
+			changes = append(changes, change)
+		}
+		base := small()
+		before := encoded(base)
+		patched, fault := base.Patch(append(changes, Change{Path: "weights.chat.abeokuta", Delete: true}))
+		So(fault, ShouldBeNil)
+		So(encoded(base), ShouldEqual, before)
+		So(Diff(base, patched), ShouldResemble, []string{
+			"~ services.map.plain_tokens: 20 -> 25",
+			"+ weights.chat.ibadan = 5",
+			"~ weights.chat.lagos: 60 -> 30",
+			"+ tenants.city.home = abeokuta",
+			"~ tenants.press.rate: 1000 -> 900",
+			"~ tenants.press.keys: " + hash("press-1") + " " + hash("press-2") + " -> " + hash("press-2") + " " + hash("press-3"),
+			"+ tenants.tram.rate = 10",
+			"+ tenants.tram.keys = " + hash("tram-1"),
+			"~ settings.route.strategy: affinity -> least_loaded",
+			"- weights.chat.abeokuta = 40",
+		})
+	})
+	Convey("A change that names no cell or has no fit value is declined, and nothing is kept", t, func() {
+		for _, c := range []struct{ path, value, detail string }{
+			{"weights", "1", "no such cell"},
+			{"weight.chat.lagos", "1", "no such table"},
+			{"tenants.press.rat", "1", "no such column"},
+			{"tenants.pres.rate", "1", "no such tenant"},
+			{"services.tags.kind", `"web"`, "no such service"},
+			{"tenants.press.rate", `"1"`, "want a number"},
+			{"tenants.press.rate", "-1", "out of bounds"},
+			{"tenants.press.rate", "1e999", "out of bounds"},
+			{"tenants.press.keys+", `"` + hash("press-1") + `"`, "there already"},
+			{"tenants.press.keys+", `"` + hash("city-1") + `"`, "already a key of city"},
+			{"tenants.press.keys-", `"` + hash("press-9") + `"`, "no such key"},
+			{"tenants.tram", `{"rate":1,"rate":2}`, "given twice"},
+			{"tenants.tram", `{"rates":1}`, "no such field"},
+			{"weights.chat", `{"lagos":0}`, "no region has a weight"},
+			{"weights.tags.lagos", "1", "no service"},
+			{"weights.chat.lagos", "", "either a value or delete"},
+		} {
+			base := small()
+			before := encoded(base)
+			_, fault := base.Patch([]Change{{Path: c.path, Value: json.RawMessage(c.value)}, {Path: "weights.map.lagos", Value: json.RawMessage("7")}})
+			So(fault, ShouldNotBeNil)
+			So(fault.Detail, ShouldContainSubstring, c.detail)
+			So(encoded(base), ShouldEqual, before)
+		}
+		_, fault := small().Patch([]Change{{Path: "weights.chat.lagos", Value: json.RawMessage("1")}, {Path: "weights.chat.lagos", Value: json.RawMessage("2")}})
+		So(fault.Detail, ShouldContainSubstring, "given twice")
+		_, fault = small().Patch([]Change{{Path: "tenants.press.rate", Delete: true}})
+		So(fault.Code, ShouldEqual, kernel.InvalidChange)
+	})
+}
+
+func TestCSV(t *testing.T) {
+	Convey("A spreadsheet gives the sheet back, its rows in any order", t, func() {
+		rows := strings.Split(strings.TrimSpace(string(small().ExportCSV())), "\n")
+		for i, j := 1, len(rows)-1; i < j; i, j = i+1, j-1 {
+			rows[i], rows[j] = rows[j], rows[i]
+		}
+		s, fault := ImportCSV([]byte("\ufeff"+strings.Join(rows, "\r\n")+"\r\n"), 1<<20)
+		So(fault, ShouldBeNil)
+		So(encoded(s), ShouldEqual, encoded(small()))
+	})
+	Convey("Bad rows are named by line, all at once", t, func() {
+		_, fault := ImportCSV([]byte("cell,value\nservices.chat.kind,model\nweights.chat.lagos,NaN\nweights.chat.lagos,1\ntenants,1\n"), 1<<20)
+		So(fault.Code, ShouldEqual, kernel.InvalidSheet)
+		So(fault.Detail, ShouldEqual, `line 3: weights.chat.lagos: "NaN" is no number from 0 to 1e12; line 4: weights.chat.lagos: given twice; line 5: tenants: no such cell`)
+		_, fault = ImportCSV([]byte("a;b\n"), 1<<20)
+		So(fault.Detail, ShouldEqual, "the first row must be cell,value")
+		_, fault = ImportCSV([]byte("cell,value\n"), 3)
+		So(fault.Code, ShouldEqual, kernel.SheetTooLarge)
+	})
+}
+
+func TestIndex(t *testing.T) {
+	Convey("A key is found by its hash until the sheet that revokes it", t, func() {
+		s, _ := PutSheet{Sheet: small()}.Apply(State{}, 1)
+		x := s.Index()
+		name, tenant, ok := x.Tenant("press-1")
+		So(ok, ShouldBeTrue)
+		So(name, ShouldEqual, "press")
+		So(tenant.Rate, ShouldEqual, 1000)
+		_, _, ok = x.Tenant(hash("press-1"))
+		So(ok, ShouldBeFalse)
+		revoke, _ := TextChange("tenants.press.keys-", hash("press-1"))
+		next, result := PatchSheet{Order: Order{Base: 1}, Changes: []Change{revoke}}.Apply(s, 2)
+		So(result.Code, ShouldEqual, kernel.OK)
+		So(x.For(s), ShouldEqual, x)
+		_, _, ok = x.For(next).Tenant("press-1")
+		So(ok, ShouldBeFalse)
+		_, _, ok = x.For(next).Tenant("press-2")
+		So(ok, ShouldBeTrue)
+		_, _, ok = State{}.Index().Tenant("press-2")
+		So(ok, ShouldBeFalse)
+	})
+}
--- a/internal/core/sheet/state.go
+++ b/internal/core/sheet/state.go
@@ -123,6 +123,30 @@
 	return decoded.Apply(s, epoch)
 }
 
+// Foresee returns the result of an operator's command where this state alone
+// settles it, whatever was agreed since: an order known already, one whose base
+// has moved, or one that is unsound on its base. Such an order needs no ballot.
+func (s State) Foresee(command Command) (Result, bool) {
+	order, ok := OrderOf(command)
+	if !ok {
+		return Result{}, false
+	}
+	_, result := command.Apply(s, s.Epoch+1)
+	if result.Code != kernel.OK && result.Code != kernel.BaseMoved {
+		result.Epoch = s.Epoch
+	}
+	switch result.Code {
+	case kernel.OK:
+		_, known := s.Applied(order.OrderID)
+		return result, known && order.OrderID != ""
+	case kernel.BaseMoved:
+		return result, order.Base < s.SheetEpoch
+	case kernel.UnknownMember:
+		return Result{}, false
+	}
+	return result, true
+}
+
 func (s State) remember(r Record) State {
 	keep := s.History
 	if len(keep) >= MaxHistory {
--- /dev/null
+++ b/internal/core/sheet/state_test.go
@@ -0,0 +1,344 @@
+package sheet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"stepwick/internal/kernel"
+)
+
+func drawSheet(t *rapid.T) *Sheet {
+	s := &Sheet{Services: map[string]Service{}, Weights: map[string]map[string]float64{}, Tenants: map[string]Tenant{}, Settings: map[string]string{}}
+	for i := range rapid.IntRange(1, 3).Draw(t, "services") {
+		name := fmt.Sprintf("s%d", i)
+		s.Services[name] = Service{Kind: rapid.SampledFrom([]string{KindModel, KindWeb}).Draw(t, "kind")}
+		s.Weights[name] = map[string]float64{"lagos": rapid.Float64Range(0.1, 100).Draw(t, "weight"), "abeokuta": rapid.Float64Range(0, 100).Draw(t, "weight")}
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "tenants") {
+		s.Tenants[fmt.Sprintf("t%d", i)] = Tenant{Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"), KeyHashes: []string{hash(fmt.Sprint(i))}}
+	}
+	return s
+}
+
+func drawChange(t *rapid.T) Change {
+	path := rapid.SampledFrom([]string{"weights.s0.lagos", "weights.s0.ibadan", "weights.s1.lagos", "tenants.t0.rate",
+		"tenants.t1.burst", "tenants.t0", "settings.x.y", "weights.s0", "nowhere.x"}).Draw(t, "path")
+	if rapid.IntRange(0, 4).Draw(t, "delete") == 0 {
+		return Change{Path: path, Delete: true}
+	}
+	value := rapid.SampledFrom([]string{"3", "0", "-2", `"text"`, `{"lagos":4}`, `{"rate":9}`}).Draw(t, "value")
+	return Change{Path: path, Value: json.RawMessage(value)}
+}
+
+func drawCommand(t *rapid.T, s State) Command {
+	order := Order{Operator: rapid.SampledFrom([]string{"ada", "bola"}).Draw(t, "operator"),
+		OrderID: rapid.SampledFrom([]string{"", "o1", "o2", "o3", "o4"}).Draw(t, "id"),
+		Base:    s.SheetEpoch - min(s.SheetEpoch, uint64(rapid.IntRange(0, 1).Draw(t, "behind")))}
+	place := rapid.SampledFrom([]string{"lagos", "lagos/a", "abeokuta/c", "no/such/place"}).Draw(t, "place")
+	names := rapid.SliceOfN(rapid.SampledFrom([]string{"n1", "n2", "n3", "n4"}), 1, 3).Draw(t, "names")
+	switch rapid.IntRange(0, 9).Draw(t, "verb") {
+	case 0, 1:
+		return PutSheet{Order: order, Sheet: drawSheet(t)}
+	case 2, 3:
+		return PatchSheet{Order: order, Changes: rapid.SliceOfN(rapid.Custom(drawChange), 0, 3).Draw(t, "changes")}
+	case 4:
+		return Evacuate{Order: order, Locality: place}
+	case 5:
+		return Restore{Order: order, Locality: place}
+	case 6:
+		var members []Member
+		for _, name := range names {
+			members = append(members, Member{Name: name, Region: "lagos", Zone: "a", Front: true})
+		}
+		return AddMembers{Members: members, By: "n1"}
+	case 7:
+		if rapid.Bool().Draw(t, "by core") {
+			return RemoveMembers{Names: names, By: "n1"}
+		}
+		return RemoveMembers{Order: order, Names: names}
+	case 8:
+		return SettleRoster{RosterEpoch: s.RosterEpoch}
+	}
+	return TakeDuty{Duty: "planner", Term: s.Duties["planner"].Term + uint64(rapid.IntRange(0, 2).Draw(t, "term")), Holder: names[0]}
+}
+
+func unmoved(s State) string { s.Epoch = 0; return string(s.Encode()) }
+
+func TestLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var live, reread State
+		results := make(map[string]Result)
+		for range rapid.IntRange(1, 40).Draw(t, "commands") {
+			command := drawCommand(t, live)
+			data := Encode(command)
+			before, base := live.Encode(), live
+			next, result := live.Step(live.Epoch+1, data)
+			if seen, sure := live.Foresee(command); sure && (seen.Code != result.Code || seen.SheetEpoch != result.SheetEpoch) {
+				t.Fatalf("%s: foreseen %+v, got %+v", command.Verb(), seen, result)
+			}
+			again, twin := reread.Step(reread.Epoch+1, data)
+			if !bytes.Equal(before, base.Encode()) {
+				t.Fatalf("%s changed a state that was given out", command.Verb())
+			}
+			if !bytes.Equal(next.Encode(), again.Encode()) || result != twin {
+				t.Fatalf("%s: a state read back steps elsewhere", command.Verb())
+			}
+			if next.Epoch != base.Epoch+1 || next.SheetEpoch < base.SheetEpoch || next.RosterEpoch < base.RosterEpoch {
+				t.Fatalf("%s: an epoch went back", command.Verb())
+			}
+			if result.Code != kernel.OK && unmoved(next) != unmoved(base) {
+				t.Fatalf("%s was declined with %v and left a trace", command.Verb(), result.Code)
+			}
+			if next.Sheet != base.Sheet && next.Sheet.Check() != nil {
+				t.Fatalf("%s: an unsound sheet was kept", command.Verb())
+			}
+			if !base.Settled() && !next.Settled() && next.RosterEpoch != base.RosterEpoch && command.Verb() != VerbRemove {
+				t.Fatalf("%s: a change of the roster overtook one that is not settled", command.Verb())
+			}
+			if order, ok := OrderOf(command); ok && order.OrderID != "" && result.Code == kernel.OK {
+				if first, known := results[order.OrderID+order.Digest]; known && first != result {
+					t.Fatalf("order %s was answered %v, then %v", order.OrderID, first, result)
+				}
+				results[order.OrderID+order.Digest] = result
+				repeated, answer := next.Step(next.Epoch+1, data)
+				if answer != result || unmoved(repeated) != unmoved(next) {
+					t.Fatalf("order %s was applied twice", order.OrderID)
+				}
+			}
+			var err error
+			if reread, err = DecodeState(again.Encode()); err != nil {
+				t.Fatal(err)
+			}
+			live = next
+		}
+		for _, record := range live.History {
+			if first, known := results[record.OrderID+record.Digest]; record.OrderID != "" && known && first.Epoch != record.Epoch {
+				t.Fatalf("order %s was applied at %d and at %d", record.OrderID, first.Epoch, record.Epoch)
+			}
+		}
+	})
+}
+
+func TestRace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := PutSheet{Sheet: drawSheet(t)}.Apply(State{}, 1)
+		base := s.SheetEpoch
+		var won []uint64
+		for i := range rapid.IntRange(2, 6).Draw(t, "rivals") {
+			order := Order{Operator: fmt.Sprintf("op%d", i), Base: base}
+			var command Command = PutSheet{Order: order, Sheet: drawSheet(t)}
+			if rapid.Bool().Draw(t, "patch") {
+				command = PatchSheet{Order: order, Changes: []Change{{Path: "weights.s0.lagos", Value: json.RawMessage("3")}}}
+			}
+			var result Result
+			s, result = s.Step(s.Epoch+1, Encode(command))
+			if result.Code == kernel.OK {
+				won = append(won, result.Epoch)
+			} else if result.Code != kernel.BaseMoved || result.Epoch != won[0] {
+				t.Fatalf("a loser was told %+v", result)
+			}
+		}
+		if len(won) != 1 {
+			t.Fatalf("%d orders won on one base", len(won))
+		}
+	})
+}
+
+func TestPatchIsPut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := PutSheet{Sheet: drawSheet(t)}.Apply(State{}, 1)
+		changes := rapid.SliceOfN(rapid.Custom(drawChange), 1, 4).Draw(t, "changes")
+		patched, result := PatchSheet{Order: Order{Base: 1}, Changes: changes}.Apply(s, 2)
+		if result.Code != kernel.OK {
+			return
+		}
+		put, result := PutSheet{Order: Order{Base: 1}, Sheet: patched.Sheet}.Apply(s, 2)
+		if result.Code != kernel.OK || encoded(put.Sheet) != encoded(patched.Sheet) {
+			t.Fatalf("put of the patched sheet gave %+v", result)
+		}
+		back, fault := ImportCSV(patched.Sheet.ExportCSV(), 1<<20)
+		if fault != nil || len(Diff(patched.Sheet, back)) != 0 {
+			t.Fatalf("the spreadsheet lost cells: %v %v", fault, Diff(patched.Sheet, back))
+		}
+	})
+}
+
+func TestAnyBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := []byte(encoded(drawSheet(t)))
+		if rapid.Bool().Draw(t, "envelope") {
+			data = []byte(`{"base":0,"sheet":` + string(data) + `,"changes":[{"path":"tenants.a.keys","value":["x"]}],"names":["a"],"locality":"x"}`)
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "cuts") {
+			at := rapid.IntRange(0, len(data)).Draw(t, "at")
+			data = append(append(bytes.Clone(data[:at]), rapid.SliceOfN(rapid.Byte(), 0, 3).Draw(t, "junk")...), data[min(len(data), at+1):]...)
+		}
+		if s, fault := ParseSheet(data, 1<<20); fault == nil && s.Check() != nil {
+			t.Fatal("an unsound sheet was read")
+		}
+		for verb := range orderShapes {
+			if command, fault := ParseOrder(verb, "ada", data, Limits{Bytes: 1 << 20}, 1); fault == nil {
+				if _, err := Decode(Encode(command)); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		before := State{Epoch: 4, SheetEpoch: 2}
+		after, result := before.Step(5, data)
+		if result.Code != kernel.Internal || unmoved(after) != unmoved(before) || after.Epoch != 5 {
+			t.Fatalf("bytes that are no command gave %+v", result)
+		}
+	})
+}
+
+func TestState(t *testing.T) {
+	Convey("Steps are taken in order only", t, func() {
+		s := State{Epoch: 4}
+		for _, epoch := range []uint64{0, 3, 4, 6} {
+			next, result := s.Step(epoch, Encode(Noop{}))
+			So(result.Code, ShouldEqual, kernel.EpochBehind)
+			So(next.Epoch, ShouldEqual, 4)
+		}
+	})
+	Convey("The memory of orders is bounded and the same from the log", t, func() {
+		var s State
+		for i := range 3 * MaxHistory {
+			s, _ = Evacuate{Order: Order{OrderID: fmt.Sprint(i), Operator: "ada"}, Locality: "lagos"}.Apply(s, s.Epoch+1)
+		}
+		So(len(s.History), ShouldEqual, MaxHistory)
+		So(s.History[0].OrderID, ShouldEqual, fmt.Sprint(2*MaxHistory))
+		So(s.Evacuated["lagos"], ShouldEqual, 1)
+	})
+	Convey("A whole region's evacuation covers its localities, apart from their own", t, func() {
+		s, _ := Evacuate{Locality: "lagos"}.Apply(State{}, 1)
+		s, _ = Evacuate{Locality: "abeokuta/c"}.Apply(s, 2)
+		So(s.IsEvacuated("lagos", "a"), ShouldBeTrue)
+		So(s.IsEvacuated("abeokuta", "c"), ShouldBeTrue)
+		So(s.IsEvacuated("abeokuta", "d"), ShouldBeFalse)
+		s, _ = Restore{Locality: "lagos"}.Apply(s, 3)
+		So(s.IsEvacuated("lagos", "a"), ShouldBeFalse)
+	})
+	Convey("A roster's change waits for the one before it, unless an operator vouches", t, func() {
+		add := func(names ...string) AddMembers {
+			var c AddMembers
+			for _, name := range names {
+				c.Members = append(c.Members, Member{Name: name, Front: true})
+			}
+			return c
+		}
+		s, _ := add("n1", "n2", "n3").Apply(State{}, 1)
+		So(s.Settled(), ShouldBeTrue)
+		s, _ = add("n3", "n4", "n5").Apply(s, 2)
+		So(len(s.PriorRoster), ShouldEqual, 3)
+		So(len(s.Roster), ShouldEqual, 5)
+		s, result := RemoveMembers{Names: []string{"n1"}, By: "n2"}.Apply(s, 3)
+		So(result.Code, ShouldEqual, kernel.EpochBehind)
+		s, result = add("n5").Apply(s, 4)
+		So(result.Code, ShouldEqual, kernel.OK)
+		So(s.RosterEpoch, ShouldEqual, 2)
+		s, result = RemoveMembers{Order: Order{Operator: "ada"}, Names: []string{"n1", "n4"}}.Apply(s, 5)
+		So(result.Code, ShouldEqual, kernel.OK)
+		So(sortedNames(s.Roster), ShouldResemble, []string{"n2", "n3", "n5"})
+		So(sortedNames(s.PriorRoster), ShouldResemble, []string{"n2", "n3"})
+		s, _ = SettleRoster{RosterEpoch: 2}.Apply(s, 6)
+		So(s.Settled(), ShouldBeFalse)
+		s, _ = SettleRoster{RosterEpoch: 5}.Apply(s, 7)
+		So(s.Settled(), ShouldBeTrue)
+		_, result = RemoveMembers{Order: Order{Operator: "ada"}, Names: []string{"n9"}}.Apply(s, 8)
+		So(result.Code, ShouldEqual, kernel.UnknownMember)
+	})
+	Convey("A term of a duty has one holder, who may ask again", t, func() {
+		s, first := TakeDuty{"planner", 1, "n1"}.Apply(State{}, 1)
+		So(first.Code, ShouldEqual, kernel.OK)
+		s, again := TakeDuty{"planner", 1, "n1"}.Apply(s, 2)
+		So(again.Code, ShouldEqual, kernel.OK)
+		s, late := TakeDuty{"planner", 1, "n2"}.Apply(s, 3)
+		So(late.Code, ShouldEqual, kernel.BaseMoved)
+		s, early := TakeDuty{"planner", 3, "n2"}.Apply(s, 4)
+		So(early.Code, ShouldEqual, kernel.BaseMoved)
+		s, next := TakeDuty{"planner", 2, "n2"}.Apply(s, 5)
+		So(next.Code, ShouldEqual, kernel.OK)
+		So(s.Duties["planner"], ShouldResemble, Duty{Term: 2, Holder: "n2"})
+	})
+}
+
+func TestTranscript(t *testing.T) {
+	script, err := os.ReadFile("testdata/exchange.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	var s State
+	for line := range strings.Lines(string(script)) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			fmt.Fprintln(&out, line)
+			continue
+		}
+		operator, rest, _ := strings.Cut(line, " ")
+		verb, body, _ := strings.Cut(rest, " ")
+		fmt.Fprintf(&out, "> %s\n", line)
+		command, fault := ParseOrder(verb, operator, []byte(body), Limits{Bytes: 2000}, 1790000000000+int64(s.Epoch))
+		if fault != nil {
+			fmt.Fprintf(&out, "< %v, before any ballot\n", fault)
+			continue
+		}
+		result, sure := s.Foresee(command)
+		if !sure {
+			s, result = s.Step(s.Epoch+1, Encode(command))
+		}
+		fmt.Fprintf(&out, "< %d %s epoch=%d sheet_epoch=%d %s\n", result.Code, result.Code, result.Epoch, result.SheetEpoch, result.Detail)
+	}
+	fmt.Fprintf(&out, "\nepoch %d, sheet epoch %d, evacuated %s\n", s.Epoch, s.SheetEpoch, encoded(s.Evacuated))
+	for _, r := range s.History {
+		fmt.Fprintf(&out, "%d %s %s %.12s: %s\n", r.Epoch, r.Operator, r.Verb, r.OrderID, r.Summary)
+	}
+	out.Write(s.Sheet.ExportCSV())
+	goldie.New(t).Assert(t, "exchange", []byte(out.String()))
+}
+
+func sized(tenants int) State {
+	s := small()
+	for i := range tenants {
+		name := fmt.Sprintf("tenant-%05d", i)
+		s.Tenants[name] = Tenant{Rate: 100, Burst: 50, Home: "lagos", KeyHashes: []string{hash(name)}}
+	}
+	state, result := PutSheet{Sheet: s}.Apply(State{}, 1)
+	if result.Code != kernel.OK {
+		panic(result.Detail)
+	}
+	return state
+}
+
+func BenchmarkTenants(b *testing.B) {
+	for _, tenants := range []int{5, 100, 1000, 14000} {
+		s := sized(tenants)
+		body := []byte(`{"base":1,"changes":[{"path":"tenants.press.rate","value":900}]}`)
+		command, _ := ParseOrder(VerbPatch, "ada", body, Limits{Bytes: 1 << 20}, 1)
+		patch, data, sheet := Encode(command), s.Encode(), []byte(encoded(s.Sheet))
+		run := func(name string, f func()) {
+			b.Run(fmt.Sprintf("%s/tenants=%d", name, tenants), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					f()
+				}
+			})
+		}
+		run("StepPatch", func() { s.Step(2, patch) })
+		run("StateEncode", func() { s.Encode() })
+		run("StateDecode", func() { _, _ = DecodeState(data) })
+		run("ParseSheet", func() { _, _ = ParseSheet(sheet, MaxBytes) })
+		run("Index", func() { s.Index() })
+		x := s.Index()
+		run("TenantOfKey", func() { x.Tenant("press-1") })
+		b.Logf("tenants=%d state=%d bytes patch=%d bytes", tenants, len(data), len(patch))
+	}
+}
