Answer operators at every node: calls declared beside their handlers

Cause: operators drive the fleet over HTTP through any node. An order id may have 256 bytes, as at the core. Ruled out: the digest as id of an evacuation, as the same words come again after a restore.

--- /dev/null
+++ b/internal/adapter/controlapi/calls.go
@@ -0,0 +1,173 @@
+// Package controlapi is the operators' HTTP API, the same at every node. Each
+// call is declared beside its handler. Orders and reads are checked here and
+// handed to Orders, which relays them to a core; questions about the node's own
+// view go to an Inspector.
+package controlapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	smallBody = 64 << 10
+	prefix    = "/v1/control/"
+)
+
+// Body says what body a call takes.
+type Body string
+
+// Bodies of calls. SheetBody is bounded by the setting sheet.max, OrderBody by
+// 64 KiB.
+const (
+	NoBody    Body = "none"
+	OrderBody Body = "order"
+	SheetBody Body = "sheet"
+)
+
+// Call declares one call of the API. Path may end in one name in braces. Verb
+// is the order or question that it is handed on as. Query names the parameter
+// that it takes, if any.
+type Call struct {
+	Method string
+	Path   string
+	Verb   string
+	Body   Body
+	Query  string
+	Help   string
+	handle func(*exchange) answer
+}
+
+// Routes returns the calls of the API in the order of the pages.
+func Routes() []Call { return append([]Call(nil), calls...) }
+
+var calls = []Call{
+	{http.MethodGet, prefix + "sheet", "get", NoBody, "",
+		"The sheet, its epochs and what is evacuated, read from a majority of the cores.", (*exchange).read},
+	{http.MethodPut, prefix + "sheet", sheet.VerbPut, SheetBody, "",
+		"Replaces the sheet that stands at the base epoch.", (*exchange).order},
+	{http.MethodPatch, prefix + "sheet", sheet.VerbPatch, SheetBody, "",
+		"Changes cells of the sheet that stands at the base epoch.", (*exchange).order},
+	{http.MethodGet, prefix + "history", "history", NoBody, "",
+		"The accepted orders that are remembered, oldest first, read from a majority of the cores.", (*exchange).read},
+	{http.MethodPost, prefix + "evacuate", sheet.VerbEvacuate, OrderBody, "",
+		"Empties a region or a locality, whatever the sheet says.", (*exchange).order},
+	{http.MethodPost, prefix + "restore", sheet.VerbRestore, OrderBody, "",
+		"Takes an evacuated region or locality back.", (*exchange).order},
+	{http.MethodPost, prefix + "members/remove", sheet.VerbRemove, OrderBody, "",
+		"Takes members off the roster whose machines are known to be off.", (*exchange).order},
+	{http.MethodGet, prefix + "status", "status", NoBody, "",
+		"The asked node's view, and the fleet as a core sees it or why no core answered.", (*exchange).status},
+	{http.MethodGet, prefix + "plan", "plan", NoBody, "",
+		"The period plan that the asked node goes by.", (*exchange).inspect},
+	{http.MethodGet, prefix + "tally", "tally", NoBody, "tenant",
+		"The tenants' spend as the asked node knows it.", (*exchange).inspect},
+	{http.MethodGet, prefix + "explain/{id}", "explain", NoBody, "",
+		"Why a request went where it went, from the node that handled it.", (*exchange).inspect},
+}
+
+// find returns the call of a method and path, and the name in its braces.
+func find(method, path string) (*Call, string, *kernel.Fault) {
+	var others []string
+	for i := range calls {
+		call := &calls[i]
+		argument := ""
+		if stem, _, braces := strings.Cut(call.Path, "{"); braces {
+			rest, below := strings.CutPrefix(path, stem)
+			if !below || rest == "" || strings.Contains(rest, "/") {
+				continue
+			}
+			argument = rest
+		} else if path != call.Path {
+			continue
+		}
+		if call.Method == method {
+			return call, argument, nil
+		}
+		others = append(others, call.Method)
+	}
+	if len(others) > 0 {
+		return nil, strings.Join(others, ", "), kernel.Decline(kernel.BadMethod, "it takes %s", strings.Join(others, ", "))
+	}
+	return nil, "", kernel.Decline(kernel.UnknownPath, "")
+}
+
+// order checks an order and hands it on under its id; one without an id gets
+// one, so that a relay may hand it to two cores.
+func (x *exchange) order() answer {
+	command, fault := sheet.ParseOrder(x.call.Verb, x.operator, x.body,
+		sheet.Limits{Bytes: len(x.body), Setting: x.api.config.Setting}, 0)
+	if fault != nil {
+		return declined(fault, "")
+	}
+	order, _ := sheet.OrderOf(command)
+	id := order.OrderID
+	if id == "" {
+		id = x.api.config.NewID()
+	}
+	body, fault := withID(x.body, id)
+	if fault != nil {
+		return declined(fault, "")
+	}
+	return x.relay(body, id)
+}
+
+// read asks for what the cores agree on.
+func (x *exchange) read() answer { return x.relay(nil, "") }
+
+// status joins the node's own view with that of a core.
+func (x *exchange) status() answer {
+	code, own := x.api.inspector.Inspect(x.r.Context(), "status", "")
+	if code != kernel.OK {
+		return declined(kernel.Decline(code, "status"), "")
+	}
+	fleet := x.relay(nil, "")
+	body := struct {
+		Code       kernel.Code     `json:"code"`
+		Node       json.RawMessage `json:"node"`
+		Fleet      json.RawMessage `json:"fleet,omitempty"`
+		FleetFault json.RawMessage `json:"fleet_fault,omitempty"`
+	}{Node: own, Fleet: fleet.body}
+	if fleet.code != kernel.OK {
+		body.Fleet, body.FleetFault = nil, fleet.body
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return declined(kernel.AsFault(err), "")
+	}
+	return answer{code: kernel.OK, body: data}
+}
+
+// inspect asks the node itself.
+func (x *exchange) inspect() answer {
+	code, body := x.api.inspector.Inspect(x.r.Context(), x.call.Verb, x.argument)
+	if code != kernel.OK {
+		return declined(kernel.Decline(code, "%s %s", x.call.Verb, x.argument), "")
+	}
+	return answer{code: code, body: body}
+}
+
+func (x *exchange) relay(body []byte, id string) answer {
+	ctx, cancel := kernel.WithTimeout(x.r.Context(), x.api.config.OrderWait)
+	defer cancel()
+	began := x.api.clock.Now()
+	resp, err := x.api.orders.Order(ctx, &wire.OrderRequest{From: x.api.config.From, Operator: x.operator,
+		Verb: x.call.Verb, Body: body, WaitMs: uint32((x.api.config.OrderWait - x.api.config.OrderMargin).Milliseconds())})
+	if err != nil {
+		fault := kernel.AsFault(err)
+		if ctx.Err() != nil && fault.Code == kernel.Internal {
+			fault = kernel.Decline(kernel.NoMajority, "no core answered in time").After(kernel.Second)
+			if x.call.Body != NoBody {
+				fault = kernel.Decline(kernel.OutcomePending, "no core answered in time; send the order again with its id").After(kernel.Second)
+			}
+		}
+		return declined(fault, id)
+	}
+	x.relayed(id, kernel.Code(resp.Code), x.api.clock.Now().Sub(began))
+	return answered(resp, id)
+}
--- a/internal/core/sheet/order.go
+++ b/internal/core/sheet/order.go
@@ -8,7 +8,7 @@
 )
 
 // MaxOrderID bounds an order's id in bytes.
-const MaxOrderID = 128
+const MaxOrderID = 256
 
 // Limits bounds an order's body in bytes. Setting, where it is given, checks a
 // run-time setting's name and value before an order is proposed.
