Call servers on one connection an attempt and seal what was not sent

Cause: net/http's Transport sends an idempotent request again by itself when a kept-alive connection dies, and a dial that was given up may still end and write. Either would run a one-shot twice, or after it was said not to have run. Ruled out: guarding by method and GetBody alone (an Idempotency-Key header undoes it), and httptrace (WroteHeaders need not fire although bytes left). Change: a connection for each attempt, without keep-alive, and a ledger that is asked before the first byte: once written it can't be sealed, once sealed nothing is written. Bodies are read whole and measured; every event of a stream is checked for its request and place.

--- /dev/null
+++ b/internal/adapter/backend/backend_test.go
@@ -0,0 +1,435 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/stage"
+)
+
+// standIn is a server on a raw listener. It counts the requests whose header
+// has reached it, and hands each connection to behave.
+type standIn struct {
+	address string
+	conns   atomic.Int64
+	got     atomic.Int64
+}
+
+func newStandIn(t *testing.T, behave func(conn *net.TCPConn, request *http.Request)) *standIn {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	s := &standIn{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					s.got.Add(1)
+					behave(conn.(*net.TCPConn), request)
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func raw(text string) func(*net.TCPConn, *http.Request) {
+	return func(conn *net.TCPConn, _ *http.Request) {
+		fmt.Fprint(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+		conn.Close()
+	}
+}
+
+func reset(conn *net.TCPConn, _ *http.Request) {
+	_ = conn.SetLinger(0)
+	conn.Close()
+}
+
+func attemptAt(address string) *Attempt {
+	return &Attempt{ID: "r1", Server: "s1", Address: address, Now: time.Now, Deadline: time.Now().Add(time.Minute)}
+}
+
+func newClient(t *testing.T, config Config) *Client {
+	client, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+func TestOneShotIsSentOnce(t *testing.T) {
+	shots := map[string]*Shot{
+		"GET":  {Method: "GET", Path: "/map"},
+		"POST": {Method: "POST", Path: "/order", Body: []byte("{}")},
+		"PUT with an idempotency key": {Method: "PUT", Path: "/order", Body: []byte("{}"),
+			Header: http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}}},
+	}
+	for name, shot := range shots {
+		Convey("A "+name, t, func() {
+			client := newClient(t, Config{})
+			Convey("whose connection is reset after it was read has an unknown outcome and is not sent again", func() {
+				server := newStandIn(t, reset)
+				_, failure := client.Call(context.Background(), attemptAt(server.address), shot)
+				So(failure.Kind, ShouldEqual, Broken)
+				So(failure.Unsent(), ShouldBeFalse)
+				So(server.got.Load(), ShouldEqual, 1)
+				So(server.conns.Load(), ShouldEqual, 1)
+			})
+			Convey("is not put on a connection that the server kept alive and then reset", func() {
+				var served atomic.Int64
+				server := newStandIn(t, func(conn *net.TCPConn, request *http.Request) {
+					if served.Add(1)%2 == 0 {
+						reset(conn, request)
+						return
+					}
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nStepwick-Request-Id: r1\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\nok")
+				})
+				answer, failure := client.Call(context.Background(), attemptAt(server.address), shot)
+				So(failure, ShouldBeNil)
+				So(string(answer.Body), ShouldEqual, "ok")
+				_, failure = client.Call(context.Background(), attemptAt(server.address), shot)
+				So(failure.Unsent(), ShouldBeFalse)
+				So(server.got.Load(), ShouldEqual, 2)
+				So(server.conns.Load(), ShouldEqual, 2)
+			})
+			Convey("to a port where nobody listens is known not to have run", func() {
+				listener, _ := net.Listen("tcp", "127.0.0.1:0")
+				address := listener.Addr().String()
+				listener.Close()
+				_, failure := client.Call(context.Background(), attemptAt(address), shot)
+				So(failure.Kind, ShouldEqual, Refused)
+				So(failure.Unsent(), ShouldBeTrue)
+			})
+			Convey("that was barred meanwhile leaves the server without a byte", func() {
+				server := newStandIn(t, reset)
+				attempt := attemptAt(server.address)
+				attempt.Allow = func() *kernel.Fault { return kernel.Decline(kernel.KeyRevoked, "revoked") }
+				_, failure := client.Call(context.Background(), attempt, shot)
+				So(failure.Kind, ShouldEqual, Barred)
+				So(failure.Cause.Code, ShouldEqual, kernel.KeyRevoked)
+				So(server.got.Load(), ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+func TestCancelledDialNeverWrites(t *testing.T) {
+	Convey("A dial that ends after its request was given up as not run writes nothing", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			server, near := net.Pipe()
+			client := newClient(t, Config{ConnectTimeout: time.Hour, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				<-time.After(10 * time.Second)
+				return near, nil
+			}})
+			read := make(chan int, 1)
+			go func() {
+				n, _ := server.Read(make([]byte, 1))
+				read <- n
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			attempt := attemptAt("server:1")
+			attempt.Deadline = time.Now().Add(time.Second)
+			began := time.Now()
+			_, failure := client.Call(ctx, attempt, &Shot{Method: "GET", Path: "/"})
+			if !failure.Unsent() || time.Since(began) != time.Second {
+				t.Errorf("got %v after %s", failure, time.Since(began))
+			}
+			if n := <-read; n != 0 {
+				t.Errorf("the server got %d bytes of a call that was said not to have run", n)
+			}
+		})
+	})
+	Convey("Once sealed, the ledger lets nothing through; once written, it can't be sealed", t, func() {
+		attempt := attemptAt("")
+		sealedFirst, writtenFirst := attempt.ledger(), attempt.ledger()
+		So(sealedFirst.seal(), ShouldBeTrue)
+		So(sealedFirst.mayWrite(), ShouldBeFalse)
+		So(writtenFirst.mayWrite(), ShouldBeTrue)
+		So(writtenFirst.seal(), ShouldBeFalse)
+		So(writtenFirst.mayWrite(), ShouldBeTrue)
+	})
+}
+
+func TestAnswersAreWhole(t *testing.T) {
+	const id = "Stepwick-Request-Id: r1\n"
+	rows := []struct {
+		name, answer, method string
+		kind                 Kind
+	}{
+		{"a whole answer with its length", "HTTP/1.1 201 Made\n" + id + "Content-Length: 2\n\nok", "GET", ""},
+		{"a whole chunked answer", "HTTP/1.1 200 OK\n" + id + "Transfer-Encoding: chunked\n\n2\nok\n0\n\n", "GET", ""},
+		{"an interim answer first", "HTTP/1.1 103 Hints\n\nHTTP/1.1 200 OK\n" + id + "Content-Length: 2\n\nok", "GET", ""},
+		{"no body to a HEAD", "HTTP/1.1 200 OK\n" + id + "Content-Length: 200\n\n", "HEAD", ""},
+		{"no body by its status", "HTTP/1.1 204 None\n" + id + "\n", "GET", ""},
+		{"a body short of its length", "HTTP/1.1 200 OK\n" + id + "Content-Length: 9\n\nok", "GET", Broken},
+		{"chunks without the last one", "HTTP/1.1 200 OK\n" + id + "Transfer-Encoding: chunked\n\n2\nok\n", "GET", Broken},
+		{"a chunk cut short", "HTTP/1.1 200 OK\n" + id + "Transfer-Encoding: chunked\n\n9\nok", "GET", Broken},
+		{"a body of no known length", "HTTP/1.1 200 OK\n" + id + "\nok", "GET", Broken},
+		{"another request's id", "HTTP/1.1 200 OK\nStepwick-Request-Id: r2\nContent-Length: 2\n\nok", "GET", Crossed},
+		{"no id", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok", "GET", Crossed},
+		{"a status that is none", "HTTP/1.1 777 What\n" + id + "Content-Length: 2\n\nok", "GET", Crossed},
+		{"a body over the bound", "HTTP/1.1 200 OK\n" + id + "Content-Length: 2000\n\n" + strings.Repeat("x", 2000), "GET", Crossed},
+		{"a header over the bound", "HTTP/1.1 200 OK\n" + id + "X: " + strings.Repeat("x", 9000) + "\nContent-Length: 2\n\nok", "GET", Broken},
+		{"no HTTP at all", "what?\n\n", "GET", Broken},
+		{"nothing", "", "GET", Broken},
+	}
+	for _, row := range rows {
+		Convey("An answer with "+row.name, t, func() {
+			server := newStandIn(t, raw(row.answer))
+			client := newClient(t, Config{BodyMax: 1000, HeaderMax: 4096})
+			answer, failure := client.Call(context.Background(), attemptAt(server.address), &Shot{Method: row.method, Path: "/"})
+			if row.kind == "" {
+				So(failure, ShouldBeNil)
+				So(answer, ShouldNotBeNil)
+			} else {
+				So(answer, ShouldBeNil)
+				So(failure.Kind, ShouldEqual, row.kind)
+				So(failure.Unsent(), ShouldBeFalse)
+			}
+			So(server.got.Load(), ShouldEqual, 1)
+		})
+	}
+}
+
+func event(id string, seq int) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"seq\":%d,\"text\":\"t\"}\n\n", id, seq)
+}
+
+func final(id string, count int) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"final\":true,\"count\":%d}\n\n", id, count)
+}
+
+func TestStreamIsChecked(t *testing.T) {
+	good := event("r1", 0) + event("r1", 1)
+	rows := []struct {
+		name, events string
+		passed       int
+		kind         Kind
+	}{
+		{"whole", good + final("r1", 2), 3, ""},
+		{"of a final event alone", final("r1", 0), 1, ""},
+		{"with comments and carriage returns", ": hello\r\n\r\n" + strings.ReplaceAll(good, "\n", "\r\n") + final("r1", 2), 3, ""},
+		{"with something after its final event", good + final("r1", 2) + event("r2", 0), 3, ""},
+		{"that repeats an event", good + event("r1", 1) + final("r1", 3), 2, Crossed},
+		{"that leaves an event out", event("r1", 0) + event("r1", 2) + final("r1", 2), 1, Crossed},
+		{"that begins late", event("r1", 1) + final("r1", 1), 0, Crossed},
+		{"with another request's event", event("r1", 0) + event("r2", 1) + final("r1", 2), 1, Crossed},
+		{"with another request's end", good + final("r2", 2), 2, Crossed},
+		{"with a wrong count", good + final("r1", 3), 2, Crossed},
+		{"with no count", good + "data: {\"id\":\"r1\",\"final\":true}\n\n", 2, Crossed},
+		{"with an event without id", "data: {\"seq\":0}\n\n", 0, Crossed},
+		{"with an event that is no JSON", event("r1", 0) + "data: what\n\n", 1, Crossed},
+		{"with an error event", event("r1", 0) + "event: error\ndata: {}\n\n", 1, Crossed},
+		{"with an event over the bound", event("r1", 0) + "data: " + strings.Repeat("x", 3000) + "\n\n", 1, Crossed},
+		{"that closes cleanly too early", good, 2, Broken},
+		{"that closes cleanly inside an event", good + "data: {\"id\":\"r1\",\"fi", 2, Crossed},
+		{"that is empty", "", 0, Broken},
+	}
+	for _, row := range rows {
+		Convey("A stream "+row.name, t, func() {
+			server := newStandIn(t, func(conn *net.TCPConn, _ *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(row.events), row.events)
+			})
+			passed, failure := generate(newClient(t, Config{EventMax: 2000}), context.Background(), attemptAt(server.address))
+			So(len(passed), ShouldEqual, row.passed)
+			if row.kind == "" {
+				So(failure, ShouldBeNil)
+				So(passed[len(passed)-1].Final, ShouldBeTrue)
+			} else {
+				So(failure, ShouldNotBeNil)
+				So(failure.Kind, ShouldEqual, row.kind)
+			}
+			So(server.got.Load(), ShouldEqual, 1)
+		})
+	}
+	heads := []struct {
+		name, answer string
+		kind         Kind
+	}{
+		{"503 busy", "HTTP/1.1 503 Busy\nContent-Length: 15\n\n{\"code\":\"busy\"}", Busy},
+		{"another 503", "HTTP/1.1 503 Busy\nContent-Length: 2\n\n{}", Broken},
+		{"an error", "HTTP/1.1 500 Oh\nContent-Length: 0\n\n", Broken},
+		{"another request's id", "HTTP/1.1 200 OK\nStepwick-Request-Id: r2\nContent-Type: text/event-stream\nContent-Length: 0\n\n", Crossed},
+		{"a page", "HTTP/1.1 200 OK\nContent-Type: text/html\nContent-Length: 0\n\n", Crossed},
+	}
+	for _, row := range heads {
+		Convey("A server that answers a prompt with "+row.name, t, func() {
+			server := newStandIn(t, raw(row.answer))
+			passed, failure := generate(newClient(t, Config{}), context.Background(), attemptAt(server.address))
+			So(passed, ShouldBeEmpty)
+			So(failure.Kind, ShouldEqual, row.kind)
+		})
+	}
+}
+
+func generate(client *Client, ctx context.Context, attempt *Attempt) (passed []Event, failure *Failure) {
+	queue := stage.NewQueue[Event](2)
+	go client.Generate(ctx, attempt, &Prompt{Service: "chat", MaxTokens: 5}, queue)
+	for event := range queue.Items() {
+		passed = append(passed, event)
+	}
+	failure, _ = queue.Cause().(*Failure)
+	return passed, failure
+}
+
+// pipeDial serves each dial by behave at the far end of a pipe.
+func pipeDial(behave func(conn net.Conn)) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		far, near := net.Pipe()
+		go func() {
+			defer far.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+				behave(far)
+			}
+		}()
+		return near, nil
+	}
+}
+
+func TestDarkServer(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	hold := func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) }
+	rows := []struct {
+		name   string
+		send   string
+		passed int
+		after  time.Duration
+	}{
+		{"from the start", "", 0, 4 * time.Second},
+		{"after the header", head, 0, 4 * time.Second},
+		{"after an event", head + event("r1", 0), 1, 3 * time.Second},
+		{"but for comments", head + event("r1", 0) + ": still here\n\n", 1, 3 * time.Second},
+	}
+	for _, row := range rows {
+		Convey("A server that is dark "+row.name+" is given up after its bound", t, func() {
+			synctest.Test(t, func(t *testing.T) {
+				client := newClient(t, Config{FirstEvent: 4 * time.Second, EventGap: 3 * time.Second, Dial: pipeDial(func(conn net.Conn) {
+					fmt.Fprint(conn, row.send)
+					hold(conn)
+				})})
+				began := time.Now()
+				passed, failure := generate(client, context.Background(), attemptAt("server:1"))
+				if len(passed) != row.passed || failure == nil || failure.Kind != Dark || time.Since(began) != row.after {
+					t.Errorf("passed %d events, then %v after %s", len(passed), failure, time.Since(began))
+				}
+			})
+		})
+	}
+	Convey("A caller that is slow to take events doesn't make its server look dark", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			client := newClient(t, Config{EventGap: time.Second, Dial: pipeDial(func(conn net.Conn) {
+				fmt.Fprint(conn, head)
+				for i := range 8 {
+					fmt.Fprint(conn, event("r1", i))
+				}
+				fmt.Fprint(conn, final("r1", 8))
+			})})
+			queue := stage.NewQueue[Event](1)
+			go client.Generate(context.Background(), attemptAt("server:1"), &Prompt{}, queue)
+			taken := 0
+			for range queue.Items() {
+				taken++
+				<-time.After(5 * time.Second)
+			}
+			if taken != 9 || queue.Cause() != nil {
+				t.Errorf("took %d events, then %v", taken, queue.Cause())
+			}
+		})
+	})
+	Convey("A caller that gives up ends the call at its server", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			freed := make(chan struct{})
+			client := newClient(t, Config{Dial: pipeDial(func(conn net.Conn) {
+				fmt.Fprint(conn, head+event("r1", 0))
+				hold(conn)
+				close(freed)
+			})})
+			ctx, cancel := context.WithCancel(context.Background())
+			queue := stage.NewQueue[Event](1)
+			go client.Generate(ctx, attemptAt("server:1"), &Prompt{}, queue)
+			<-queue.Items()
+			cancel()
+			<-freed
+			if _, open := <-queue.Items(); open {
+				t.Error("an event came after the end")
+			}
+			if failure, _ := queue.Cause().(*Failure); failure == nil || failure.Kind != Gone {
+				t.Errorf("got %v", queue.Cause())
+			}
+		})
+	})
+}
+
+func BenchmarkConnection(b *testing.B) {
+	answer := "HTTP/1.1 200 OK\r\nStepwick-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					fmt.Fprint(conn, answer)
+					if request.Close {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	for _, kept := range []bool{false, true} {
+		name := map[bool]string{false: "own", true: "kept alive"}[kept]
+		b.Run(name, func(b *testing.B) {
+			client, err := New(Config{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			client.transport.DisableKeepAlives = !kept
+			attempt := attemptAt(listener.Addr().String())
+			attempt.Deadline = time.Now().Add(time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, failure := client.Call(context.Background(), attempt, &Shot{Method: "GET", Path: "/"}); failure != nil {
+					b.Fatal(failure)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/stage/stage.go
@@ -0,0 +1,62 @@
+// Package stage joins the stages of a request's way by bounded queues.
+package stage
+
+import (
+	"stepwick/internal/kernel"
+)
+
+// Queue is a bounded queue between one stage and the next. Any number of
+// goroutines may put and take; one of them, after its last Put, closes.
+type Queue[T any] struct {
+	items chan T
+	cause error
+}
+
+// NewQueue returns a queue that holds at most bound items.
+func NewQueue[T any](bound int) *Queue[T] {
+	return &Queue[T]{items: make(chan T, bound)}
+}
+
+// Put adds an item and waits while the queue is full. It gives the context's
+// error when that ends first; the item is then not in the queue.
+func (q *Queue[T]) Put(ctx kernel.Context, item T) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	select {
+	case q.items <- item:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Offer adds an item unless the queue is full, and never waits.
+func (q *Queue[T]) Offer(item T) bool {
+	select {
+	case q.items <- item:
+		return true
+	default:
+		return false
+	}
+}
+
+// Items returns the channel to receive from. It is closed by Close once all
+// items are taken.
+func (q *Queue[T]) Items() <-chan T { return q.items }
+
+// In returns the channel to send to, for a select.
+func (q *Queue[T]) In() chan<- T { return q.items }
+
+// Len returns how many items are in the queue.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// Close ends the queue with a cause, nil for a good end.
+func (q *Queue[T]) Close(cause error) {
+	q.cause = cause
+	close(q.items)
+}
+
+// Cause returns what Close was given. It may be asked only after Items was
+// seen closed.
+func (q *Queue[T]) Cause() error { return q.cause }
