--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -137,7 +137,7 @@
 		}
 	}
 	add("run", a.run(settings.RoleCore), a.run(settings.RoleFront))
-	add("operate", a.sheet(), a.locality(), a.member(), a.plan(), a.key())
+	add("operate", a.sheet(), a.locality(), a.member(), a.status(), a.plan(), a.tally(), a.explain(), a.key())
 	add("look", a.settings(), a.codes(), a.events(), a.version())
 	root.SetHelpCommandGroupID("look")
 	root.SetCompletionCommandGroupID("look")
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -53,7 +53,7 @@
 		stop()
 		<-written
 	}()
-	for _, name := range []string{"disk.quota", "disk.sync_delay", "clock.step"} {
+	for _, name := range []string{"disk.quota", "disk.sync_delay"} {
 		if row, _ := settings.Lookup(name); values.Source(name) != "default" && values.Text(name) != row.Default {
 			stream.Emit(events.ProofSetting, "setting", name, "value", values.Text(name))
 		}
--- a/internal/cli/sheet.go
+++ b/internal/cli/sheet.go
@@ -334,7 +334,7 @@
 		Args:    cobra.NoArgs, ValidArgsFunction: noArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			var got struct {
-				Orders []sheet.Record `json:"orders"`
+				Orders []sheet.Record `json:"history"`
 			}
 			body, err := l.get(command.Context(), controlPath+"history", &got)
 			if err != nil {
@@ -348,7 +348,7 @@
 				if limit <= 0 {
 					return a.printBody(body)
 				}
-				return a.printJSON(map[string]any{"orders": orders})
+				return a.printJSON(map[string]any{"history": orders})
 			}
 			t := a.table("EPOCH", "TIME", "OPERATOR", "ORDER", "WHAT", "ORDER ID")
 			for _, r := range orders {
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,230 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+)
+
+// status is the fleet as a core sees it, and the asked node as it sees itself.
+// Fleet is nil where no core answered; Fault then says why.
+type status struct {
+	Fleet *fleetStatus      `json:"fleet"`
+	Fault *kernel.FaultBody `json:"fleet_fault"`
+	Node  *nodeStatus       `json:"node"`
+}
+
+type fleetStatus struct {
+	By            string            `json:"by"`
+	Epoch         uint64            `json:"epoch"`
+	SheetEpoch    uint64            `json:"sheet_epoch"`
+	InForce       bool              `json:"in_force"`
+	Waiting       string            `json:"waiting"`
+	Confirmed     int               `json:"confirmed"`
+	Roster        int               `json:"roster"`
+	RosterEpoch   uint64            `json:"roster_epoch"`
+	RosterSettled bool              `json:"roster_settled"`
+	Evacuated     map[string]uint64 `json:"evacuated"`
+	Cores         []struct {
+		Name     string `json:"name"`
+		Standing string `json:"standing"`
+		Answered bool   `json:"answered"`
+		Learned  uint64 `json:"learned"`
+		Settled  bool   `json:"settled"`
+		Grants   int    `json:"grants"`
+	} `json:"cores"`
+	Members []struct {
+		Name      string `json:"name"`
+		Locality  string `json:"locality"`
+		Core      bool   `json:"core"`
+		Front     bool   `json:"front"`
+		Confirmed bool   `json:"confirmed"`
+		Granted   bool   `json:"granted"`
+		Gone      bool   `json:"gone"`
+	} `json:"members"`
+	Duties map[string]sheet.Duty `json:"duties"`
+	Plan   *struct {
+		Term   uint64 `json:"term"`
+		Number uint64 `json:"number"`
+		Epoch  uint64 `json:"epoch"`
+		Holder string `json:"holder"`
+		Cause  string `json:"cause"`
+		AtMS   int64  `json:"at_ms"`
+	} `json:"plan"`
+}
+
+type nodeStatus struct {
+	Name        string            `json:"name"`
+	Locality    string            `json:"locality"`
+	Role        string            `json:"role"`
+	Epoch       uint64            `json:"epoch"`
+	Ready       bool              `json:"ready"`
+	Cause       string            `json:"cause"`
+	Ruling      bool              `json:"ruling"`
+	By          string            `json:"by"`
+	Plan        uint64            `json:"plan"`
+	PlanTerm    uint64            `json:"plan_term"`
+	FleetTimeMS int64             `json:"fleet_time_ms"`
+	Servers     map[string]string `json:"servers"`
+	Processes   []struct {
+		Name     string `json:"name"`
+		Locality string `json:"locality"`
+		Address  string `json:"address"`
+		Caller   string `json:"caller"`
+		Core     bool   `json:"core"`
+		Standing string `json:"standing"`
+		Ready    bool   `json:"ready"`
+	} `json:"processes"`
+}
+
+func (a *App) status() *cobra.Command {
+	l := &link{app: a}
+	var format string
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show nodes, epochs, grants, roster, servers, plan and evacuations",
+		Long: `Show the fleet as one core sees it (cores, roster, grants, epochs, duties,
+evacuations, plan) and as the asked node sees it (processes, servers, whether it
+rules). It is no read-back: use "sheet get" for that. A tenant's spend is under
+"stepwick tally".`,
+		Example: "  stepwick status\n  stepwick status --node 10.0.0.2:8080 -o json",
+		Args:    cobra.NoArgs, ValidArgsFunction: noArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			body, err := l.get(command.Context(), controlPath+"status", nil)
+			if err != nil {
+				return err
+			}
+			if format == "json" {
+				return a.printBody(body)
+			}
+			var s status
+			if err := json.Unmarshal(body, &s); err != nil {
+				return kernel.Decline(kernel.BadAnswer, "%v", err)
+			}
+			return a.printStatus(&s)
+		},
+	}
+	l.register(command.Flags())
+	output(command, &format, "table", "table", "json")
+	return command
+}
+
+func (a *App) printStatus(s *status) error {
+	if s.Fleet != nil {
+		if err := a.printFleet(s.Fleet, s.Node); err != nil {
+			return err
+		}
+	} else if s.Fault != nil {
+		fmt.Fprintf(a.Out, "no core answered: %s (%d): %s\n\n", s.Fault.Name, s.Fault.Code, s.Fault.Detail)
+	}
+	if s.Node == nil {
+		return nil
+	}
+	return a.printNode(s.Node, s.Fleet == nil)
+}
+
+func (a *App) printFleet(f *fleetStatus, asked *nodeStatus) error {
+	force := fmt.Sprintf("in force, confirmed by %d of %d", f.Confirmed, f.Roster)
+	if !f.InForce {
+		force = fmt.Sprintf("not known to be in force (%s), confirmed by %d of %d", f.Waiting, f.Confirmed, f.Roster)
+	}
+	fmt.Fprintf(a.Out, "epoch %d %s; sheet epoch %d; as core %s sees it\n", f.Epoch, force, f.SheetEpoch, f.By)
+	settled := "settled"
+	if !f.RosterSettled {
+		settled = "changing"
+	}
+	fmt.Fprintf(a.Out, "roster of epoch %d: %d members, %s\n", f.RosterEpoch, f.Roster, settled)
+	for _, duty := range slices.Sorted(maps.Keys(f.Duties)) {
+		fmt.Fprintf(a.Out, "duty %s: %s, term %d\n", duty, f.Duties[duty].Holder, f.Duties[duty].Term)
+	}
+	if p := f.Plan; p != nil {
+		fmt.Fprintf(a.Out, "plan %d of term %d by %s, for epoch %d; cause: %s\n", p.Number, p.Term, p.Holder, p.Epoch, p.Cause)
+	} else {
+		fmt.Fprintln(a.Out, "plan: none yet")
+	}
+	for _, locality := range slices.Sorted(maps.Keys(f.Evacuated)) {
+		fmt.Fprintf(a.Out, "evacuated: %s, since epoch %d\n", locality, f.Evacuated[locality])
+	}
+	fmt.Fprintln(a.Out)
+	t := a.table("CORE", "STANDING", "ANSWERS", "LEARNED", "GRANTS")
+	for _, c := range f.Cores {
+		t.row(c.Name, c.Standing, yes(c.Answered), c.Learned, c.Grants)
+	}
+	if err := t.print(); err != nil {
+		return err
+	}
+	fmt.Fprintln(a.Out)
+	ready := map[string]string{}
+	if asked != nil {
+		for _, p := range asked.Processes {
+			ready[p.Name] = yes(p.Ready)
+		}
+	}
+	t = a.table("MEMBER", "LOCALITY", "ROLE", "GRANT", "CONFIRMED", "READY", "REFUSES")
+	for _, m := range f.Members {
+		t.row(m.Name, m.Locality, role(m.Core, m.Front), yes(m.Granted), yes(m.Confirmed), ready[m.Name], yes(m.Gone))
+	}
+	if err := t.print(); err != nil {
+		return err
+	}
+	fmt.Fprintln(a.Out)
+	return nil
+}
+
+func (a *App) printNode(n *nodeStatus, processes bool) error {
+	ruling := "does not rule"
+	if n.Ruling {
+		ruling = "rules by " + n.By
+	}
+	ready := "ready"
+	if !n.Ready {
+		ready = "not ready (" + n.Cause + ")"
+	}
+	fmt.Fprintf(a.Out, "asked node %s in %s (%s): epoch %d, plan %d of term %d, %s, %s\n", n.Name, n.Locality, n.Role, n.Epoch, n.Plan, n.PlanTerm, ruling, ready)
+	if processes {
+		fmt.Fprintln(a.Out)
+		t := a.table("PROCESS", "LOCALITY", "CORE", "STANDING", "READY", "CALLER ADDRESS")
+		for _, p := range n.Processes {
+			t.row(p.Name, p.Locality, yes(p.Core), p.Standing, yes(p.Ready), p.Caller)
+		}
+		if err := t.print(); err != nil {
+			return err
+		}
+	}
+	states := map[string][]string{}
+	for name, state := range n.Servers {
+		states[state] = append(states[state], name)
+	}
+	fmt.Fprintln(a.Out)
+	t := a.table("SERVERS", "COUNT", "NAMES")
+	for _, state := range slices.Sorted(maps.Keys(states)) {
+		names := states[state]
+		slices.Sort(names)
+		t.row(state, len(names), strings.Join(names, " "))
+	}
+	return t.print()
+}
+
+func role(core, front bool) string {
+	switch {
+	case core && front:
+		return "core+front"
+	case core:
+		return "core"
+	}
+	return "front"
+}
+
+func yes(v bool) string {
+	if v {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -151,9 +151,11 @@
 	BudgetSpent      = add(6009, "budget_spent", Warn, "The retry budget is spent; requests that fail aren't tried elsewhere.", "Look for the servers that fail.")
 	SlowCaller       = add(6010, "slow_caller", Debug, "A caller's body took too long, or it didn't read its stream.", "")
 	CallerGone       = add(6011, "caller_gone", Debug, "A caller closed its connection; its server was told to stop.", "")
-	HandlerPanicked  = add(6012, "handler_panicked", Error, "A handler panicked; the request got internal.", "Report it with the log.")
+	RequestBroke     = add(6012, "request_broke", Error, "A panic ended one request; the process and its other requests went on.", "Report it with the log.")
 	DeadlineRanOut   = add(6013, "deadline_ran_out", Debug, "A request's deadline passed before its first event.", "")
 	StreamKeyRevoked = add(6014, "stream_key_revoked", Info, "A running stream was ended as its key was revoked.", "")
+	OwnerBroke       = add(6015, "owner_broke", Error, "A panic ended an owner of traffic state, which was started again.", "Report it with the log.")
+	RouteBroke       = add(6016, "route_broke", Error, "A panic in the routing table ended one decision; its request was declined.", "Report it with the log.")
 )
 
 // 7xxx: the tally.
--- a/internal/events/stream.go
+++ b/internal/events/stream.go
@@ -99,7 +99,7 @@
 }
 
 func (s *Stream) print(e entry) {
-	line := append([]any{"ts", e.at.Format("2006-01-02T15:04:05.000Z07:00"), "level", string(e.event.Level),
+	line := append([]any{"ts", e.at.Format(kernel.RFC3339Milli), "level", string(e.event.Level),
 		"event", e.event.Number, "event_name", e.event.Name}, e.keyvals...)
 	_ = s.logger.Log(line...)
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -66,19 +66,17 @@
 }
 
 // CheckRuntime tells whether a sheet may set a setting to a value. The error
-// is a BadSetting fault.
+// is the reason why not, without the name.
 func CheckRuntime(name, value string) error {
 	row, ok := rows[name]
 	switch {
 	case !ok:
-		return kernel.Decline(kernel.BadSetting, "%s: unknown setting%s", name, nearest(name))
+		return errors.Errorf("unknown setting%s", nearest(name))
 	case !row.Runtime:
-		return kernel.Decline(kernel.BadSetting, "%s: can't change while the fleet runs; set it in the settings file", name)
+		return errors.New("can't change while the fleet runs; set it in the settings file")
 	}
-	if _, err := row.Parse(value); err != nil {
-		return kernel.Decline(kernel.BadSetting, "%s: %v", name, err)
-	}
-	return nil
+	_, err := row.Parse(value)
+	return err
 }
 
 // With returns the values with a sheet's run-time settings over them. Those
