Show whole exchanges of the operator API, and its bounds

Cause: the API landed with no test. Change: an approved transcript of put, patch, race, lost answer, evacuate, restore, resend, reads and declines (which are never relayed), and tests of body, time and concurrency bounds. The detail of a reused order id reads as a sentence.

--- /dev/null
+++ b/internal/adapter/controlapi/api_test.go
@@ -0,0 +1,235 @@
+package controlapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// cores stands in for the cores: one state in memory, asked by one goroutine.
+type cores struct {
+	state   sheet.State
+	pending bool
+	silent  bool
+	asked   []*wire.OrderRequest
+}
+
+func (c *cores) Order(ctx context.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
+	c.asked = append(c.asked, req)
+	if c.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	switch req.Verb {
+	case "get":
+		return told(kernel.OK, map[string]any{"epoch": c.state.Epoch, "sheet_epoch": c.state.SheetEpoch, "sheet": c.state.Sheet}), nil
+	case "history":
+		return nil, kernel.Decline(kernel.NoMajority, "1 of 3 cores answered").After(1500 * kernel.Millisecond)
+	case "status":
+		return told(kernel.OK, map[string]any{"epoch": c.state.Epoch, "in_force": true}), nil
+	}
+	command, fault := sheet.ParseOrder(req.Verb, req.Operator, req.Body, sheet.Limits{Bytes: 1 << 20}, 1790000000000)
+	if fault != nil {
+		return told(fault.Code, fault.Body("")), nil
+	}
+	order, _ := sheet.OrderOf(command)
+	result, sure := c.state.Foresee(command)
+	if !sure {
+		c.state, result = c.state.Step(c.state.Epoch+1, sheet.Encode(command))
+	}
+	if fault := result.Fault(); fault != nil {
+		body := fault.Body("")
+		body.Epoch = result.Epoch
+		return told(fault.Code, body), nil
+	}
+	if c.pending {
+		c.pending = false
+		return nil, kernel.Decline(kernel.OutcomePending, "waiting for front-4").After(kernel.Second)
+	}
+	return told(kernel.OK, map[string]any{"epoch": result.Epoch, "sheet_epoch": result.SheetEpoch, "in_force": true, "order_id": order.OrderID}), nil
+}
+
+func (c *cores) Inspect(_ context.Context, what, argument string) (kernel.Code, []byte) {
+	if argument == "nobody" {
+		return kernel.NotFound, nil
+	}
+	return kernel.OK, []byte(fmt.Sprintf(`{"asked":%q,"argument":%q}`, what, argument))
+}
+
+func told(code kernel.Code, body any) *wire.OrderResponse {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return &wire.OrderResponse{Code: uint32(code), Body: data}
+}
+
+func serve(t *testing.T, c *cores, config Config) *httptest.Server {
+	ids := 0
+	config.From, config.NewID = "front-1", func() string { ids++; return fmt.Sprintf("made-%d", ids) }
+	config.Operators = []string{"ada:" + sheet.HashKey("ada's key"), "bola:" + sheet.HashKey("bola's key")}
+	config.Setting = func(name, value string) error {
+		if name != "route.strategy" {
+			return fmt.Errorf("no such setting")
+		}
+		return nil
+	}
+	server := httptest.NewServer(New(config, c, c, kernel.System(), events.Discard))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func call(server *httptest.Server, who, method, path, body string) (*http.Response, string) {
+	req, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	if who != "" {
+		req.Header.Set("Authorization", "Bearer "+who+"'s key")
+	}
+	resp, err := server.Client().Do(req)
+	if err != nil {
+		panic(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		panic(err)
+	}
+	return resp, strings.TrimSpace(string(data))
+}
+
+const firstSheet = `{"services":{"chat":{"kind":"model"}},"weights":{"chat":{"lagos":60,"abeokuta":40}},"tenants":{"press":{"rate":1000}}}`
+
+func TestTranscript(t *testing.T) {
+	c := &cores{}
+	server := serve(t, c, Config{SheetMax: 600})
+	var out bytes.Buffer
+	say := func(who, method, path, body string) {
+		resp, text := call(server, who, method, path, body)
+		fmt.Fprintf(&out, "%s: %s %s %s\n%d %s", who, method, path, body, resp.StatusCode, text)
+		for _, name := range []string{"Retry-After", "Allow"} {
+			if value := resp.Header.Get(name); value != "" {
+				fmt.Fprintf(&out, " %s: %s", name, value)
+			}
+		}
+		fmt.Fprint(&out, "\n\n")
+	}
+	say("ada", "PUT", "/v1/control/sheet", `{"order_id":"first","base":0,"sheet":`+firstSheet+`}`)
+	say("ada", "GET", "/v1/control/sheet", "")
+	say("ada", "PATCH", "/v1/control/sheet", `{"base":1,"changes":[{"path":"weights.chat.lagos","value":50}]}`)
+	say("bola", "PATCH", "/v1/control/sheet", `{"base":1,"changes":[{"path":"weights.chat.lagos","value":55}]}`)
+	c.pending = true
+	say("bola", "PATCH", "/v1/control/sheet", `{"base":2,"changes":[{"path":"weights.chat.lagos","value":55}]}`)
+	say("bola", "PATCH", "/v1/control/sheet", `{"base":2,"changes":[{"path":"weights.chat.lagos","value":55}]}`)
+	for _, verb := range []string{"evacuate", "evacuate", "restore", "evacuate"} {
+		say("ada", "POST", "/v1/control/"+verb, `{"locality":"lagos/a"}`)
+	}
+	say("ada", "POST", "/v1/control/evacuate", `{"order_id":"again","locality":"lagos/b"}`)
+	say("ada", "POST", "/v1/control/evacuate", `{"order_id":"again","locality":"lagos/b"}`)
+	say("ada", "POST", "/v1/control/evacuate", `{"order_id":"again","locality":"lagos/c"}`)
+	say("ada", "POST", "/v1/control/members/remove", `{"names":["front-9"]}`)
+	say("ada", "GET", "/v1/control/history", "")
+	say("ada", "GET", "/v1/control/status", "")
+	say("ada", "GET", "/v1/control/tally?tenant=press", "")
+	say("ada", "GET", "/v1/control/explain/sw-1", "")
+	relayed := len(c.asked)
+
+	say("", "GET", "/v1/control/sheet", "")
+	say("eve", "GET", "/v1/control/sheet", "")
+	say("ada", "GET", "/v1/control/explain/nobody", "")
+	say("ada", "GET", "/v1/control/explain/a/b", "")
+	say("ada", "GET", "/v1/control/tally?tenants=press", "")
+	say("ada", "GET", "/v1/control/sheets", "")
+	say("ada", "POST", "/v1/control/sheet", "{}")
+	say("ada", "PUT", "/v1/control/sheet", `{"base":3,"sheet":{"services":{"chat":{"kind":"model"}},"weights":{"chat":{"lagos":-5}}}}`)
+	say("ada", "PUT", "/v1/control/sheet", `{"base":3,"sheet":{"services":{},"plans":{}}}`)
+	say("ada", "PUT", "/v1/control/sheet", `{"base":3,"sheet":`+firstSheet)
+	say("ada", "PUT", "/v1/control/sheet", `{"base":3,"sheet":`+firstSheet+strings.Repeat(" ", 600)+`}`)
+	say("ada", "PATCH", "/v1/control/sheet", `{"base":3,"changes":[{"path":"settings.log.levle","value":"debug"}]}`)
+	say("ada", "PATCH", "/v1/control/sheet", `{"base":3,"base":4,"changes":[]}`)
+	say("ada", "PATCH", "/v1/control/sheet", `{"changes":[]}`)
+	say("ada", "POST", "/v1/control/evacuate", `{"zone":"lagos/a"}`)
+	if len(c.asked) != relayed {
+		t.Errorf("%d calls that had to be declined here were relayed", len(c.asked)-relayed)
+	}
+	goldie.New(t).Assert(t, "exchange", out.Bytes())
+}
+
+func TestBounds(t *testing.T) {
+	Convey("Every call is declared whole, and once", t, func() {
+		seen := map[string]bool{}
+		for _, call := range Routes() {
+			So(seen[call.Method+call.Path], ShouldBeFalse)
+			seen[call.Method+call.Path] = true
+			So(call.Help, ShouldEndWith, ".")
+			So(call.Verb, ShouldNotBeEmpty)
+			So(call.handle, ShouldNotBeNil)
+		}
+	})
+	Convey("A body too large is declined, told or not how large it is", t, func() {
+		server := serve(t, &cores{}, Config{SheetMax: 100})
+		_, text := call(server, "ada", "PUT", "/v1/control/sheet", strings.Repeat(" ", 101))
+		So(text, ShouldContainSubstring, `"code":4004`)
+		req, _ := http.NewRequest("POST", server.URL+"/v1/control/evacuate", io.MultiReader(strings.NewReader("{"), strings.NewReader(strings.Repeat(" ", smallBody))))
+		req.Header.Set("Authorization", "Bearer ada's key")
+		resp, err := server.Client().Do(req)
+		So(err, ShouldBeNil)
+		defer resp.Body.Close()
+		So(resp.StatusCode, ShouldEqual, http.StatusRequestEntityTooLarge)
+		_, text = call(server, "ada", "GET", "/v1/control/sheet", "{}")
+		So(text, ShouldContainSubstring, `"code":1014`)
+	})
+	Convey("A slow sender is cut off within the bound of time", t, func() {
+		server := serve(t, &cores{}, Config{BodyTimeout: 50 * time.Millisecond})
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "PUT /v1/control/sheet HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ada's key\r\nContent-Length: 100\r\n\r\n{")
+		So(err, ShouldBeNil)
+		answer, err := io.ReadAll(conn)
+		So(err, ShouldBeNil)
+		So(string(answer), ShouldStartWith, "HTTP/1.1 408")
+		So(string(answer), ShouldContainSubstring, `"code":1012`)
+	})
+	Convey("An order that no core answers is pending under its id; a read says so", t, func() {
+		server := serve(t, &cores{silent: true}, Config{OrderWait: 30 * time.Millisecond})
+		_, text := call(server, "ada", "POST", "/v1/control/evacuate", `{"locality":"lagos"}`)
+		So(text, ShouldContainSubstring, `"code":4002`)
+		So(text, ShouldContainSubstring, `"order_id":"made-1"`)
+		_, text = call(server, "ada", "GET", "/v1/control/sheet", "")
+		So(text, ShouldContainSubstring, `"code":5001`)
+		_, text = call(server, "ada", "GET", "/v1/control/status", "")
+		So(text, ShouldContainSubstring, `"node":{"asked":"status"`)
+		So(text, ShouldContainSubstring, `"fleet_fault":{"code":5001`)
+	})
+	Convey("Orders over the bound are told to come back", t, func() {
+		c := &cores{silent: true}
+		api := New(Config{Operators: []string{"ada:" + sheet.HashKey("ada's key")}, OrdersMax: 1}, c, c, kernel.System(), events.Discard)
+		api.ordering <- struct{}{}
+		server := httptest.NewServer(api)
+		defer server.Close()
+		resp, text := call(server, "ada", "POST", "/v1/control/evacuate", `{"locality":"lagos"}`)
+		So(text, ShouldContainSubstring, `"code":2003`)
+		So(resp.Header.Get("Retry-After"), ShouldEqual, "1")
+	})
+	Convey("An operator's entry that the settings should have declined stops the start", t, func() {
+		So(func() { New(Config{Operators: []string{"ada:abc"}}, nil, nil, kernel.System(), events.Discard) }, ShouldPanic)
+	})
+}
--- a/internal/core/sheet/command.go
+++ b/internal/core/sheet/command.go
@@ -278,7 +278,7 @@
 	if order.OrderID != "" {
 		if earlier, known := s.Applied(order.OrderID); known {
 			if earlier.Digest != order.Digest {
-				return s.result(kernel.OrderIDReused, "order %s was a %s, accepted at epoch %d", clip(order.OrderID), earlier.Verb, earlier.Epoch), true
+				return s.result(kernel.OrderIDReused, "order %s was sent before to %s, and accepted at epoch %d", clip(order.OrderID), earlier.Verb, earlier.Epoch), true
 			}
 			return Result{Code: kernel.OK, Epoch: earlier.Epoch, SheetEpoch: earlier.SheetEpoch}, true
 		}
