--- a/internal/core/merge/merge.go
+++ b/internal/core/merge/merge.go
@@ -44,7 +44,8 @@
 }
 
 // Config bounds the age of sights. Fresh: how much older than the newest sight
-// of a server another one may be and still count (3 s when zero). Keep: after
+// of a server another one may be and still count (3 s when zero; never under
+// three KeepAlives). Keep: after
 // how long an outlived report, and a server that is gone, is dropped (30 s when
 // zero). Skew: how far ahead of this process a watcher's fleet time is believed
 // (500 ms when zero).
@@ -52,6 +53,16 @@
 	Fresh, Keep, Skew kernel.Duration
 }
 
+// KeepAlive returns how often a watcher repeats an unchanged sight when the
+// fleet has n servers: each second, and more seldom beyond 100 servers, so that
+// repeats stay at some hundreds a second. Changes are reported at once whatever
+// the size.
+func KeepAlive(n int) kernel.Duration {
+	return max(kernel.Second, kernel.Duration(n)*10*kernel.Millisecond)
+}
+
+func (c Config) fresh(n int) int64 { return max(c.Fresh, 3*KeepAlive(n)).Milliseconds() }
+
 func (c Config) orDefaults() Config {
 	if c.Fresh <= 0 {
 		c.Fresh = 3 * kernel.Second
@@ -129,7 +140,7 @@
 		return r.folded
 	}
 	next := maps.Clone(r.folded)
-	changed := false
+	changed, fresh := false, r.cfg.fresh(len(r.servers))
 	for name := range r.dirty {
 		e := r.servers[name]
 		if e == nil {
@@ -139,7 +150,7 @@
 			}
 			continue
 		}
-		status := fold(name, e.sightings, r.cfg.Fresh.Milliseconds())
+		status := fold(name, e.sightings, fresh)
 		if same(e.status, status) {
 			continue
 		}
--- /dev/null
+++ b/internal/core/merge/merge_test.go
@@ -0,0 +1,149 @@
+package merge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"stepwick/internal/wire"
+)
+
+const (
+	ready    = wire.ServerState_SERVER_STATE_READY
+	cold     = wire.ServerState_SERVER_STATE_COLD
+	draining = wire.ServerState_SERVER_STATE_DRAINING
+	leaving  = wire.ServerState_SERVER_STATE_LEAVING
+	gone     = wire.ServerState_SERVER_STATE_GONE
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func listed(watcher string, counter uint64, state wire.ServerState, at time.Duration) *wire.Report {
+	return &wire.Report{Watcher: Watcher(watcher, Listed), Server: "m1", Incarnation: 1, Counter: counter, AtMs: start.Add(at).UnixMilli(),
+		Status: &wire.ServerStatus{Name: "m1", Address: "127.0.0.1:1", Kind: "model", Services: []string{"chat"}, Region: "lagos", Zone: "a", State: state}}
+}
+
+func own(watcher string, counter uint64, status *wire.ServerStatus, at time.Duration) *wire.Report {
+	return &wire.Report{Watcher: Watcher(watcher, Own), Server: "m1", Incarnation: 1, Counter: counter, AtMs: start.Add(at).UnixMilli(), Status: status}
+}
+
+func folded(reports ...*wire.Report) *wire.ServerStatus {
+	r := New(Config{})
+	for _, report := range reports {
+		r.Merge(report, start.Add(time.Hour))
+	}
+	return r.Servers()["m1"]
+}
+
+func TestFold(t *testing.T) {
+	Convey("The fold of sights", t, func() {
+		Convey("lets a drain seen by one watcher bite at once", func() {
+			So(folded(listed("n1", 1, ready, 0), listed("n2", 1, draining, 0)).State, ShouldEqual, draining)
+			So(folded(listed("n1", 1, draining, 0), listed("n2", 1, ready, time.Second)).State, ShouldEqual, draining)
+		})
+		Convey("lets no dead watcher hide a drain", func() {
+			So(folded(listed("n1", 9, ready, 0), listed("n2", 1, draining, 5*time.Second)).State, ShouldEqual, draining)
+			So(folded(listed("n1", 9, draining, 0), listed("n2", 1, ready, 2900*time.Millisecond)).State, ShouldEqual, draining)
+		})
+		Convey("lets no dead watcher hold a drain", func() {
+			So(folded(listed("n1", 9, draining, 0), listed("n2", 4, ready, 3100*time.Millisecond)).State, ShouldEqual, ready)
+		})
+		Convey("keeps the last word when all watchers are gone", func() {
+			r := New(Config{})
+			r.Merge(listed("n1", 1, draining, 0), start)
+			r.Expire(start.Add(time.Hour))
+			So(r.Servers()["m1"].State, ShouldEqual, draining)
+		})
+		Convey("takes the worst of the list and the server's own word, and the newest load", func() {
+			s := folded(listed("n1", 1, ready, 0),
+				own("n1", 1, &wire.ServerStatus{State: ready, Reachable: true, Incarnation: 7, Slots: 16, Running: 3}, 0),
+				own("n2", 1, &wire.ServerStatus{State: cold, Reachable: true, Incarnation: 7, Slots: 16, Running: 5, Answered: 2}, time.Second))
+			So(s.State, ShouldEqual, cold)
+			So(s.Running, ShouldEqual, 5)
+			So(s.Reachable, ShouldBeTrue)
+			So(s.Address, ShouldEqual, "127.0.0.1:1")
+		})
+		Convey("takes a server as gone when all fresh watchers are refused, not when one is", func() {
+			refused := &wire.ServerStatus{Name: "m1", State: gone}
+			up := &wire.ServerStatus{State: ready, Reachable: true}
+			So(folded(listed("n1", 1, ready, 0), own("n1", 1, refused, 0), own("n2", 1, refused, 0)).State, ShouldEqual, gone)
+			s := folded(listed("n1", 1, ready, 0), own("n1", 1, refused, 0), own("n2", 1, up, 0))
+			So(s.State, ShouldEqual, ready)
+			So(s.Reachable, ShouldBeTrue)
+		})
+		Convey("takes a silent server as unreachable by a majority", func() {
+			silent := &wire.ServerStatus{Name: "m1"}
+			up := &wire.ServerStatus{State: ready, Reachable: true}
+			So(folded(listed("n1", 1, ready, 0), own("n1", 1, silent, 0), own("n2", 1, up, 0), own("n3", 1, up, 0)).Reachable, ShouldBeTrue)
+			So(folded(listed("n1", 1, ready, 0), own("n1", 1, silent, 0), own("n2", 1, silent, 0), own("n3", 1, up, 0)).Reachable, ShouldBeFalse)
+			So(folded(listed("n1", 1, ready, 0), own("n1", 1, up, 0), own("n2", 1, silent, 4*time.Second)).Reachable, ShouldBeFalse)
+		})
+		Convey("believes no watcher from the future", func() {
+			r := New(Config{})
+			r.Merge(listed("n1", 1, ready, time.Hour), start)
+			r.Merge(listed("n2", 1, draining, 0), start)
+			So(r.Servers()["m1"].State, ShouldEqual, draining)
+		})
+		Convey("forgets a server that has been gone for long, and no other", func() {
+			r := New(Config{})
+			r.Merge(listed("n1", 1, gone, 0), start)
+			r.Expire(start.Add(29 * time.Second))
+			So(r.Servers(), ShouldContainKey, "m1")
+			r.Expire(start.Add(31 * time.Second))
+			So(r.Servers(), ShouldNotContainKey, "m1")
+			So(r.Reports(), ShouldBeEmpty)
+		})
+		Convey("hands out the same map until something changes", func() {
+			r := New(Config{})
+			r.Merge(listed("n1", 1, ready, 0), start)
+			first := r.Servers()
+			r.Merge(listed("n1", 2, ready, time.Second), start.Add(time.Second))
+			So(r.Servers()["m1"], ShouldPointTo, first["m1"])
+			So(r.Merge(listed("n1", 2, draining, time.Second), start), ShouldBeFalse)
+		})
+	})
+}
+
+func drawReport(t *rapid.T) *wire.Report {
+	watcher := rapid.SampledFrom([]string{"n1", "n2", "n3"}).Draw(t, "watcher")
+	at := time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond
+	counter := rapid.Uint64Range(1, 5).Draw(t, "counter")
+	state := rapid.SampledFrom([]wire.ServerState{ready, cold, draining, leaving, gone}).Draw(t, "state")
+	if rapid.Bool().Draw(t, "list") {
+		return listed(watcher, counter, state, at)
+	}
+	return own(watcher, counter, &wire.ServerStatus{State: state, Reachable: state != gone, Running: uint32(counter)}, at)
+}
+
+func TestMergeCommutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := rapid.SliceOfN(rapid.Custom(drawReport), 1, 20).Draw(t, "reports")
+		unique := map[string]*wire.Report{}
+		for _, report := range drawn {
+			key := report.Watcher + string(rune('0'+report.Counter))
+			if unique[key] == nil {
+				unique[key] = report
+			}
+		}
+		var all []*wire.Report
+		for _, report := range unique {
+			all = append(all, report)
+		}
+		other := append(rapid.Permutation(all).Draw(t, "order"), all[0])
+		a, b := folded(all...), folded(other...)
+		if !same(a, b) {
+			t.Fatalf("orders fold differently: %v and %v", a, b)
+		}
+		r := New(Config{})
+		for _, report := range all {
+			r.Merge(proto.CloneOf(report), start.Add(time.Hour))
+		}
+		snapshot := folded(r.Reports()...)
+		if !same(a, snapshot) {
+			t.Fatalf("a snapshot folds differently: %v and %v", a, snapshot)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/plan/plan_test.go
@@ -0,0 +1,190 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/wire"
+)
+
+const (
+	ready    = wire.ServerState_SERVER_STATE_READY
+	cold     = wire.ServerState_SERVER_STATE_COLD
+	draining = wire.ServerState_SERVER_STATE_DRAINING
+	leaving  = wire.ServerState_SERVER_STATE_LEAVING
+	gone     = wire.ServerState_SERVER_STATE_GONE
+)
+
+func model(name, region, zone string, running uint32) *wire.ServerStatus {
+	return &wire.ServerStatus{Name: name, Kind: "model", Services: []string{"chat", "digest"}, Region: region, Zone: zone,
+		State: ready, Slots: 16, Running: running, Answered: 1000, Reachable: true, Incarnation: 1}
+}
+
+func stateOf(lagos, abeokuta float64) sheet.State {
+	return sheet.State{Epoch: 7, SheetEpoch: 7, Evacuated: map[string]uint64{}, Sheet: &sheet.Sheet{
+		Services: map[string]sheet.Service{"chat": {Kind: "model"}, "digest": {Kind: "model"}},
+		Weights:  map[string]map[string]float64{"chat": {"lagos": lagos, "abeokuta": abeokuta}, "digest": {"lagos": 1, "abeokuta": 1}}}}
+}
+
+func fleet(running uint32) map[string]*wire.ServerStatus {
+	servers := map[string]*wire.ServerStatus{}
+	for i := range 4 {
+		name := fmt.Sprintf("m%d", i)
+		servers[name] = model(name, []string{"lagos", "abeokuta"}[i%2], []string{"a", "b"}[i/2], running)
+	}
+	return servers
+}
+
+func shareOf(p *wire.Plan, service, from, to string) float64 {
+	for _, s := range p.Shares {
+		if s.Service == service && s.FromRegion == from && s.ToRegion == to {
+			return s.Share
+		}
+	}
+	return 0
+}
+
+func TestPlanUnderEvents(t *testing.T) {
+	Convey("A plan under a series of events", t, func() {
+		in := Input{State: stateOf(70, 30), Servers: fleet(2), Term: 3, Holder: "c1", Period: 5 * time.Second, Now: time.UnixMilli(1_000_000),
+			Fronts: []sheet.Member{{Name: "n1", Region: "lagos"}}}
+		var log strings.Builder
+		step := func(event string, change func()) {
+			change()
+			in.Now = in.Now.Add(time.Second)
+			cause, forced := Forced(in.Prior, in)
+			fmt.Fprintf(&log, "%s: ", event)
+			if !forced && !Due(in.Prior, in.Now) {
+				fmt.Fprintf(&log, "plan %d stands\n", in.Prior.Number)
+				return
+			}
+			if !forced {
+				cause = "period"
+			}
+			in.Number++
+			in.Cause = cause
+			in.Prior = Compute(in)
+			fmt.Fprintf(&log, "plan %d (%s)\n", in.Prior.Number, in.Prior.Cause)
+			for _, s := range in.Prior.Shares {
+				if s.FromRegion == "lagos" {
+					fmt.Fprintf(&log, "  %s to %s %.3f\n", s.Service, s.ToRegion, s.Share)
+				}
+			}
+			for _, c := range in.Prior.Caps {
+				fmt.Fprintf(&log, "  cap %s %d\n", c.Server, c.InFlight)
+			}
+		}
+		set := func(name string, change func(*wire.ServerStatus)) func() {
+			return func() {
+				next := map[string]*wire.ServerStatus{}
+				for key, s := range in.Servers {
+					next[key] = s
+				}
+				at := model(name, in.Servers[name].Region, in.Servers[name].Zone, 2)
+				change(at)
+				next[name] = at
+				in.Servers = next
+			}
+		}
+		step("the first servers", func() {})
+		step("load moves", set("m0", func(s *wire.ServerStatus) { s.Running = 9 }))
+		step("m1 drains", set("m1", func(s *wire.ServerStatus) { s.State = draining }))
+		step("m1 is back, cold", set("m1", func(s *wire.ServerStatus) { s.State, s.Incarnation, s.Answered = cold, 2, 0 }))
+		step("time passes", func() { in.Now = in.Now.Add(4 * time.Second) })
+		step("m1 has answered five", set("m1", func(s *wire.ServerStatus) { s.Incarnation, s.Answered = 2, 5 }))
+		step("m3 goes dark", set("m3", func(s *wire.ServerStatus) { s.Reachable = false }))
+		step("abeokuta is evacuated", func() { in.State.Evacuated = map[string]uint64{"abeokuta": 8}; in.State.Epoch = 8 })
+		step("the sheet moves", func() { in.State = stateOf(10, 90); in.State.Epoch, in.State.SheetEpoch = 9, 9 })
+		step("time passes", func() { in.Now = in.Now.Add(4 * time.Second) })
+		step("lagos is full", func() {
+			set("m0", func(s *wire.ServerStatus) { s.Running, s.Queued = 16, 30 })()
+			set("m3", func(s *wire.ServerStatus) {})()
+			in.Now = in.Now.Add(4 * time.Second)
+		})
+		goldie.New(t).Assert(t, "events", []byte(log.String()))
+	})
+}
+
+func TestShares(t *testing.T) {
+	Convey("Shares", t, func() {
+		in := Input{State: stateOf(70, 30), Servers: fleet(0)}
+		Convey("hold to the weights whatever the servers' number, from every region", func() {
+			delete(in.Servers, "m2")
+			p := Compute(in)
+			So(shareOf(p, "chat", "lagos", "lagos"), ShouldAlmostEqual, 0.7)
+			So(shareOf(p, "chat", "abeokuta", "lagos"), ShouldAlmostEqual, 0.7)
+		})
+		Convey("spill what a region has no room for", func() {
+			for _, s := range in.Servers {
+				s.Running = 14
+			}
+			p := Compute(in)
+			So(shareOf(p, "chat", "lagos", "lagos"), ShouldBeLessThan, 0.7)
+			So(shareOf(p, "chat", "lagos", "lagos"), ShouldBeGreaterThan, 0.5)
+		})
+		Convey("give a region without servers nothing", func() {
+			in.Servers["m0"].State, in.Servers["m2"].Reachable = leaving, false
+			So(shareOf(Compute(in), "chat", "lagos", "abeokuta"), ShouldEqual, 1)
+		})
+		Convey("are absent for a service that nobody can carry", func() {
+			in.State.Evacuated = map[string]uint64{"lagos": 1, "abeokuta/a": 1, "abeokuta/b": 2}
+			p := Compute(in)
+			So(p.Shares, ShouldBeEmpty)
+			So(p.Caps, ShouldBeEmpty)
+		})
+	})
+}
+
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Input{State: stateOf(rapid.Float64Range(0, 1e9).Draw(t, "lagos"), rapid.Float64Range(0.001, 10).Draw(t, "abeokuta")),
+			Servers: map[string]*wire.ServerStatus{}, Now: time.UnixMilli(5), Period: time.Second}
+		for i := range rapid.IntRange(0, 12).Draw(t, "servers") {
+			s := model(fmt.Sprintf("m%d", i), rapid.SampledFrom([]string{"lagos", "abeokuta"}).Draw(t, "region"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), rapid.Uint32Range(0, 60).Draw(t, "running"))
+			s.State = rapid.SampledFrom([]wire.ServerState{ready, ready, cold, draining, leaving, gone}).Draw(t, "state")
+			s.Reachable = rapid.IntRange(0, 5).Draw(t, "reachable") > 0
+			s.Answered = rapid.Uint64Range(0, 40).Draw(t, "answered")
+			in.Servers[s.Name] = s
+		}
+		if rapid.Bool().Draw(t, "evacuated") {
+			in.State.Evacuated = map[string]uint64{rapid.SampledFrom([]string{"lagos", "lagos/a", "abeokuta/b"}).Draw(t, "place"): 3}
+		}
+		p := Compute(in)
+		if again := Compute(in); fmt.Sprint(again) != fmt.Sprint(p) {
+			t.Fatal("equal inputs give unequal plans")
+		}
+		sums, usable := map[string]float64{}, map[string]bool{}
+		for _, c := range p.Caps {
+			s := in.Servers[c.Server]
+			if Excluded(in.State, s) != "" {
+				t.Fatalf("%s is %s and has a cap", c.Server, Excluded(in.State, s))
+			}
+			if c.InFlight == 0 || int(c.InFlight) > 20 || uint64(c.InFlight) > 2+s.Answered {
+				t.Fatalf("cap %d of %v", c.InFlight, s)
+			}
+			usable[s.Region] = true
+		}
+		for _, s := range p.Shares {
+			sums[s.Service+" "+s.FromRegion] += s.Share
+			if !usable[s.ToRegion] || !(s.Share > 0) {
+				t.Fatalf("%v goes to a region without servers", s)
+			}
+		}
+		for key, sum := range sums {
+			if math.Abs(sum-1) > 1e-9 {
+				t.Fatalf("shares of %s sum to %v", key, sum)
+			}
+		}
+		if _, forced := Forced(p, in); forced {
+			t.Fatal("a fresh plan is forced again by the same input")
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/route/pending_test.go
@@ -0,0 +1,224 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+func crowded(bound int) *Table {
+	servers := map[string]*wire.ServerStatus{"m0": model("m0", "lagos", "a")}
+	table := New(Config{Self: "n1", Region: "lagos", Zone: "a", PendingBound: bound})
+	table.Update(viewOf(servers), start)
+	for i := range 20 {
+		if table.Choose(ask(i), start).Server == "" {
+			panic("the server has room for 20")
+		}
+		table.Started("m0")
+	}
+	return table
+}
+
+func TestPending(t *testing.T) {
+	Convey("The pending requests", t, func() {
+		table := crowded(3)
+		late, soon := ask(100), ask(101)
+		soon.Deadline = start.Add(10 * time.Second)
+		So(table.Choose(late, start).Pending, ShouldBeTrue)
+		So(table.Enqueue(late, start), ShouldBeNil)
+		So(table.Enqueue(soon, start), ShouldBeNil)
+		Convey("leave by deadline, as room comes", func() {
+			_, ok := table.Next(start)
+			So(ok, ShouldBeFalse)
+			table.Finished("m0", Outcome{OK: true}, start)
+			ready, ok := table.Next(start)
+			So(ok, ShouldBeTrue)
+			So(ready.Request.ID, ShouldEqual, soon.ID)
+			So(ready.Choice.Server, ShouldEqual, "m0")
+			table.Started("m0")
+			_, ok = table.Next(start)
+			So(ok, ShouldBeFalse)
+		})
+		Convey("let no new request overtake", func() {
+			table.Finished("m0", Outcome{OK: true}, start)
+			So(table.Choose(ask(200), start).Pending, ShouldBeTrue)
+		})
+		Convey("are bounded", func() {
+			So(table.Enqueue(ask(102), start), ShouldBeNil)
+			c := table.Choose(ask(103), start)
+			So(c.Pending, ShouldBeFalse)
+			So(c.Fault.Code, ShouldEqual, kernel.PendingFull)
+			So(c.Fault.RetryAfter, ShouldBeGreaterThan, 0)
+			So(table.Enqueue(ask(103), start).Code, ShouldEqual, kernel.PendingFull)
+		})
+		Convey("end with their deadline", func() {
+			ready, ok := table.Next(start.Add(10 * time.Second))
+			So(ok, ShouldBeTrue)
+			So(ready.Request.ID, ShouldEqual, soon.ID)
+			So(ready.Choice.Fault.Code, ShouldEqual, kernel.DeadlinePassed)
+			wake, ok := table.Wake(late.Deadline.Add(-time.Millisecond))
+			So(ok, ShouldBeTrue)
+			So(wake, ShouldEqual, late.Deadline)
+		})
+		Convey("are declined at once when their servers are gone", func() {
+			table.Update(viewOf(map[string]*wire.ServerStatus{}), start)
+			ready, ok := table.Next(start)
+			So(ok, ShouldBeTrue)
+			So(ready.Choice.Fault.Code, ShouldEqual, kernel.NoServer)
+		})
+		Convey("forget a caller that is gone", func() {
+			So(table.Cancel(soon.ID), ShouldBeTrue)
+			So(table.Cancel(soon.ID), ShouldBeFalse)
+			So(table.Pending(), ShouldEqual, 1)
+		})
+		Convey("decline at once what would wait beyond its deadline", func() {
+			table = crowded(256)
+			for i := range 40 {
+				at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				table.Finished("m0", Outcome{OK: true}, at)
+				table.Started("m0")
+			}
+			now := start.Add(4 * time.Second)
+			for i := range 30 {
+				So(table.Enqueue(ask(300+i), now), ShouldBeNil)
+			}
+			hasty := ask(400)
+			hasty.Deadline = now.Add(50 * time.Millisecond)
+			So(table.Choose(hasty, now).Fault.Code, ShouldEqual, kernel.DeadlineTooShort)
+			calm := ask(401)
+			c := table.Choose(calm, now)
+			So(c.Pending, ShouldBeTrue)
+			So(c.Wait, ShouldBeBetween, time.Second, 6*time.Second)
+		})
+	})
+}
+
+func TestPendingOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := crowded(64)
+		waiting := map[string]kernel.Time{}
+		last := map[string]bool{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				req := ask(1000 + i)
+				req.Deadline = start.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "deadline")) * time.Second)
+				if table.Enqueue(req, start) == nil {
+					waiting[req.ID] = req.Deadline
+				}
+			case 2:
+				table.Finished("m0", Outcome{OK: true}, start)
+				ready, ok := table.Next(start)
+				if ok != (len(waiting) > 0) {
+					t.Fatalf("%d wait, next says %v", len(waiting), ok)
+				}
+				if !ok {
+					table.Started("m0")
+					continue
+				}
+				table.Started(ready.Choice.Server)
+				for id, deadline := range waiting {
+					if deadline.Before(ready.Request.Deadline) {
+						t.Fatalf("%s overtook %s", ready.Request.ID, id)
+					}
+				}
+				if last[ready.Request.ID] {
+					t.Fatalf("%s left twice", ready.Request.ID)
+				}
+				last[ready.Request.ID] = true
+				delete(waiting, ready.Request.ID)
+			case 3:
+				for id := range waiting {
+					if !table.Cancel(id) {
+						t.Fatalf("%s was lost", id)
+					}
+					delete(waiting, id)
+					break
+				}
+			}
+			if table.Pending() != len(waiting) || table.Pending() > 64 {
+				t.Fatalf("%d pending, %d wait", table.Pending(), len(waiting))
+			}
+		}
+	})
+}
+
+// TestCaps runs fronts that share servers which ramp, report, restart and come
+// back, and counts what is in flight: at a server that ramps, over all fronts,
+// never more than the ramp's start and one for each answer given.
+func TestCaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fronts := make([]string, rapid.IntRange(1, 12).Draw(t, "fronts"))
+		tables := make([]*Table, len(fronts))
+		for i := range fronts {
+			fronts[i] = fmt.Sprintf("n%d", i)
+			tables[i] = New(Config{Self: fronts[i], Region: "lagos", Strategy: rapid.SampledFrom([]Strategy{Affinity, LeastLoaded, RoundRobin}).Draw(t, "strategy")})
+		}
+		servers := fleet(4)
+		answered, running := map[string]uint64{}, map[string]int{}
+		type flight struct{ front, server string }
+		var flights []flight
+		for name := range servers {
+			servers = with(servers, name, func(s *wire.ServerStatus) { s.Answered = 0 })
+		}
+		publish := func() {
+			for name, s := range servers {
+				servers = with(servers, name, func(next *wire.ServerStatus) {
+					next.Incarnation, next.Answered, next.Running = s.Incarnation, answered[name], uint32(running[name])
+				})
+			}
+			v := viewOf(servers, fronts...)
+			for _, table := range tables {
+				table.Update(v, start)
+			}
+		}
+		publish()
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				at := rapid.IntRange(0, len(tables)-1).Draw(t, "front")
+				req := ask(rapid.IntRange(0, 9).Draw(t, "id"))
+				req.Prefix = uint64(rapid.IntRange(0, 3).Draw(t, "prefix"))
+				for range rapid.IntRange(1, 30).Draw(t, "crowd") {
+					c := tables[at].Choose(req, start)
+					if c.Server == "" {
+						break
+					}
+					tables[at].Started(c.Server)
+					running[c.Server]++
+					flights = append(flights, flight{fronts[at], c.Server})
+					if answered[c.Server] < 18 && running[c.Server] > 2+int(answered[c.Server]) {
+						t.Fatalf("%s has %d in flight after %d answers", c.Server, running[c.Server], answered[c.Server])
+					}
+					if running[c.Server] > 20*min(len(tables), 3) {
+						t.Fatalf("%s has %d in flight of 20", c.Server, running[c.Server])
+					}
+				}
+			case 3, 4:
+				for range rapid.IntRange(1, 10).Draw(t, "ends") {
+					if len(flights) == 0 {
+						break
+					}
+					i := rapid.IntRange(0, len(flights)-1).Draw(t, "which")
+					f := flights[i]
+					flights = append(flights[:i], flights[i+1:]...)
+					running[f.server]--
+					answered[f.server]++
+					for k, name := range fronts {
+						if name == f.front {
+							tables[k].Finished(f.server, Outcome{OK: true}, start)
+						}
+					}
+				}
+			case 5:
+				publish()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/route/route_test.go
@@ -0,0 +1,279 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/core/plan"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func model(name, region, zone string) *wire.ServerStatus {
+	return &wire.ServerStatus{Name: name, Address: "127.0.0.1:" + name, Kind: "model", Services: []string{"chat"}, Region: region, Zone: zone,
+		State: wire.ServerState_SERVER_STATE_READY, Slots: 16, Answered: 1000, Reachable: true, Incarnation: 1}
+}
+
+func fleet(n int) map[string]*wire.ServerStatus {
+	servers := map[string]*wire.ServerStatus{}
+	for i := range n {
+		s := model(fmt.Sprintf("m%d", i), []string{"lagos", "abeokuta"}[i%2], []string{"a", "b"}[i/2%2])
+		servers[s.Name] = s
+	}
+	return servers
+}
+
+func with(servers map[string]*wire.ServerStatus, name string, change func(*wire.ServerStatus)) map[string]*wire.ServerStatus {
+	next := map[string]*wire.ServerStatus{}
+	for key, s := range servers {
+		next[key] = s
+	}
+	s := model(name, servers[name].Region, servers[name].Zone)
+	change(s)
+	next[name] = s
+	return next
+}
+
+func viewOf(servers map[string]*wire.ServerStatus, fronts ...string) View {
+	state := sheet.State{Epoch: 7, SheetEpoch: 7, Sheet: &sheet.Sheet{Services: map[string]sheet.Service{"chat": {Kind: "model"}},
+		Weights: map[string]map[string]float64{"chat": {"lagos": 70, "abeokuta": 30}}}}
+	return View{State: state, Servers: servers, Fronts: fronts, Plan: plan.Compute(plan.Input{State: state, Servers: servers, Term: 1, Number: 1})}
+}
+
+func tableOf(v View) *Table {
+	t := New(Config{Self: "n1", Region: "lagos", Zone: "a"})
+	t.Update(v, start)
+	return t
+}
+
+func ask(i int) Request {
+	return Request{ID: fmt.Sprintf("r%d", i), Service: "chat", FromRegion: "lagos", Deadline: start.Add(30 * time.Second)}
+}
+
+func (t *Table) serve(req Request, now kernel.Time) Choice {
+	c := t.Choose(req, now)
+	if c.Server != "" {
+		t.Started(c.Server)
+		t.Finished(c.Server, Outcome{OK: true}, now)
+	}
+	return c
+}
+
+func TestShares(t *testing.T) {
+	Convey("The wheel", t, func() {
+		table := tableOf(viewOf(fleet(4)))
+		Convey("holds the plan's shares within one request over every span", func() {
+			var lagos []int
+			for i := range 400 {
+				region := table.serve(ask(i), start).Region
+				lagos = append(lagos, map[string]int{"lagos": 1}[region])
+			}
+			for from := range lagos {
+				sum := 0
+				for n, at := range lagos[from:] {
+					sum += at
+					if math.Abs(float64(sum)-0.7*float64(n+1)) > 1.5 {
+						t.Fatalf("%d of %d from %d on", sum, n+1, from)
+					}
+				}
+			}
+		})
+		Convey("sends a bound request home only, and declines it when home is empty", func() {
+			req := ask(1)
+			req.Home = "abeokuta"
+			for range 20 {
+				So(table.serve(req, start).Region, ShouldEqual, "abeokuta")
+			}
+			v := viewOf(fleet(4))
+			v.State.Epoch, v.State.Evacuated = 8, map[string]uint64{"abeokuta": 8}
+			table.Update(v, start)
+			So(table.Choose(req, start).Fault.Code, ShouldEqual, kernel.NoServer)
+			So(table.Choose(ask(2), start).Region, ShouldEqual, "lagos")
+		})
+		Convey("goes by a newer sheet at once although the plan is older", func() {
+			v := viewOf(fleet(4))
+			v.State.Epoch, v.State.SheetEpoch = 9, 9
+			v.State.Sheet = &sheet.Sheet{Services: v.State.Sheet.Services, Weights: map[string]map[string]float64{"chat": {"lagos": 0, "abeokuta": 1}}}
+			table.Update(v, start)
+			for i := range 20 {
+				So(table.serve(ask(i), start).Region, ShouldEqual, "abeokuta")
+			}
+		})
+	})
+}
+
+func TestExclusions(t *testing.T) {
+	Convey("A table", t, func() {
+		servers := fleet(4)
+		v := viewOf(servers)
+		table := tableOf(v)
+		Convey("sends nothing to what drains, leaves, is gone, dark or evacuated, under the old plan", func() {
+			changes := map[string]func(*wire.ServerStatus){
+				plan.Draining:    func(s *wire.ServerStatus) { s.State = wire.ServerState_SERVER_STATE_DRAINING },
+				plan.Leaving:     func(s *wire.ServerStatus) { s.State = wire.ServerState_SERVER_STATE_LEAVING },
+				plan.Gone:        func(s *wire.ServerStatus) { s.State = wire.ServerState_SERVER_STATE_GONE },
+				plan.Unreachable: func(s *wire.ServerStatus) { s.Reachable = false },
+			}
+			for why, change := range changes {
+				v.Servers = with(servers, "m0", change)
+				table.Update(v, start)
+				So(table.Servers()[0].Excluded, ShouldEqual, why)
+				for i := range 50 {
+					So(table.serve(ask(i), start).Server, ShouldNotEqual, "m0")
+				}
+			}
+			v.Servers, v.State.Epoch, v.State.Evacuated = servers, 8, map[string]uint64{"lagos/a": 8}
+			table.Update(v, start)
+			for i := range 50 {
+				So(table.serve(ask(i), start).Server, ShouldNotEqual, "m0")
+			}
+		})
+		Convey("declines with when to come back while it knows no plan, service or server", func() {
+			So(New(Config{Self: "n1"}).Choose(ask(1), start).Fault.Code, ShouldEqual, kernel.NoPlan)
+			req := ask(1)
+			req.Service = "none"
+			So(table.Choose(req, start).Fault.Code, ShouldEqual, kernel.UnknownService)
+			v.Servers = map[string]*wire.ServerStatus{}
+			table.Update(v, start)
+			fault := table.Choose(ask(1), start).Fault
+			So(fault.Code, ShouldEqual, kernel.NoServer)
+			So(fault.RetryAfter, ShouldBeGreaterThan, 0)
+		})
+		Convey("ejects a server that refuses and probes it with one request", func() {
+			req := ask(1)
+			req.Prefix, req.Home = 77, "lagos"
+			first := table.Choose(req, start).Server
+			table.Started(first)
+			table.Finished(first, Outcome{Refused: true, NothingWritten: true}, start)
+			second := table.Choose(req, start)
+			So(second.Server, ShouldNotEqual, first)
+			So(second.Candidates, ShouldContain, Candidate{first, second.Candidates[0].Score, Ejected})
+			later := start.Add(1100 * time.Millisecond)
+			So(table.Choose(req, later).Server, ShouldEqual, first)
+			table.Started(first)
+			So(table.Choose(req, later).Server, ShouldNotEqual, first)
+			table.Finished(first, Outcome{Timeout: true}, later)
+			So(table.Choose(req, later.Add(time.Second)).Server, ShouldNotEqual, first)
+			later = later.Add(2100 * time.Millisecond)
+			So(table.Choose(req, later).Server, ShouldEqual, first)
+			table.Started(first)
+			table.Finished(first, Outcome{OK: true}, later)
+			table.Started(first)
+			So(table.Choose(req, later).Server, ShouldEqual, first)
+			table.Started(first)
+			So(table.Choose(req, later).Server, ShouldNotEqual, first)
+		})
+		Convey("ejects a server after two timeouts in a row, not after one", func() {
+			table.Started("m0")
+			table.Finished("m0", Outcome{Timeout: true}, start)
+			So(table.Servers()[0].Ejected, ShouldBeFalse)
+			table.Started("m0")
+			table.Finished("m0", Outcome{Timeout: true}, start)
+			So(table.Servers()[0].Ejected, ShouldBeTrue)
+		})
+		Convey("bounds retries to a share of the requests and tries no server twice", func() {
+			retry := ask(1)
+			retry.Tried = []string{"m0"}
+			spent := 0
+			for table.Choose(retry, start).Fault == nil {
+				So(table.Choose(ask(spent), start).Server, ShouldNotEqual, "")
+				spent++
+				So(spent, ShouldBeLessThan, 100)
+			}
+			So(table.Choose(retry, start).Fault.Code, ShouldEqual, kernel.BudgetSpent)
+			for i := range 10 {
+				table.Choose(ask(i), start)
+			}
+			c := table.Choose(retry, start)
+			So(c.Server, ShouldNotEqual, "m0")
+			So(c.Server, ShouldNotEqual, "")
+		})
+	})
+}
+
+func TestAffinity(t *testing.T) {
+	Convey("Prefix affinity", t, func() {
+		servers := fleet(16)
+		v := viewOf(servers)
+		table := tableOf(v)
+		home := func(prefix uint64) string {
+			return table.serve(Request{ID: "x", Service: "chat", Home: "lagos", Prefix: mix(prefix + 1), Deadline: start.Add(time.Minute)}, start).Server
+		}
+		before := map[uint64]string{}
+		counts := map[string]int{}
+		for p := range uint64(800) {
+			before[p] = home(p)
+			counts[before[p]]++
+		}
+		Convey("spreads prefixes over the servers and keeps each at its server", func() {
+			So(len(counts), ShouldEqual, 8)
+			for _, n := range counts {
+				So(n, ShouldBeBetween, 60, 140)
+			}
+			for p := range uint64(800) {
+				So(home(p), ShouldEqual, before[p])
+			}
+		})
+		Convey("moves the prefixes of a lost server only", func() {
+			v.Servers = with(servers, "m0", func(s *wire.ServerStatus) { s.State = wire.ServerState_SERVER_STATE_GONE })
+			table.Update(v, start)
+			for p := range uint64(800) {
+				if before[p] != "m0" {
+					So(home(p), ShouldEqual, before[p])
+				}
+			}
+		})
+		Convey("spills a hot prefix once its server is loaded beyond the others", func() {
+			req := Request{ID: "x", Service: "chat", Home: "lagos", Prefix: 99, Deadline: start.Add(time.Minute)}
+			seen := map[string]int{}
+			for range 60 {
+				c := table.Choose(req, start)
+				table.Started(c.Server)
+				seen[c.Server]++
+			}
+			So(len(seen), ShouldBeGreaterThan, 2)
+			for _, n := range seen {
+				So(n, ShouldBeLessThanOrEqualTo, 20)
+			}
+		})
+		Convey("prefers the front's own zone for requests without a prefix", func() {
+			for i := range 100 {
+				So(servers[table.serve(ask(i), start).Server].Zone, ShouldEqual, "a")
+			}
+		})
+	})
+}
+
+func TestStrategies(t *testing.T) {
+	Convey("The baselines obey caps and exclusions too", t, func() {
+		for _, strategy := range []Strategy{RoundRobin, LeastLoaded} {
+			table := New(Config{Self: "n1", Region: "lagos", Strategy: strategy})
+			servers := with(fleet(6), "m0", func(s *wire.ServerStatus) { s.State = wire.ServerState_SERVER_STATE_DRAINING })
+			table.Update(viewOf(with(servers, "m2", func(s *wire.ServerStatus) { s.Answered = 0; s.Incarnation = 2 })), start)
+			seen := map[string]int{}
+			for i := range 62 {
+				req := ask(i)
+				req.Prefix = 5
+				c := table.Choose(req, start)
+				if c.Server == "" {
+					So(c.Pending, ShouldBeTrue)
+					continue
+				}
+				table.Started(c.Server)
+				seen[c.Server]++
+			}
+			So(seen["m0"], ShouldEqual, 0)
+			So(seen["m2"], ShouldEqual, 2)
+			So(seen["m4"], ShouldEqual, 20)
+			So(seen["m1"]+seen["m3"]+seen["m5"], ShouldEqual, 40)
+			So(len(seen), ShouldEqual, 5)
+		}
+	})
+}
--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -120,24 +120,27 @@
 
 func (s *server) ramping() bool { return s.cap < s.full }
 
-// lend moves the part that a front may use beyond its share of the cap: it
-// grows while the front wants more and the server says that it has room, and
-// shrinks when the server is full or the front wants no more.
+// lend moves the part that a front may use beyond its share of the cap. At each
+// status of a server with room, the fronts that are at their limit divide the
+// room in proportion to what they have in flight; the others give back half of
+// what they don't use. So the limits of all fronts add up to no more than three
+// caps, and to the cap itself while the server ramps.
 func (t *Table) lend(s *server) {
-	free := s.cap - int(s.status.Running+s.status.Queued)
+	share := t.share(s)
+	free := s.cap - s.own - s.others
 	switch {
 	case s.ramping():
 		s.extra = 0
-	case free <= 0:
-		s.extra /= 2
-	case s.wanted:
-		s.extra = min(s.extra+max(1, float64(free))/float64(len(t.fronts)), float64(s.cap))
+	case free > 0 && s.wanted && s.own >= t.limit(s, share):
+		s.extra = min(s.extra+float64(free)*float64(s.own)/float64(max(1, s.own+s.others)), float64(s.cap))
 	default:
-		s.extra *= 0.75
+		s.extra = max(float64(s.own-share), s.extra/2, 0)
 	}
 	s.wanted = false
 }
 
+func (t *Table) limit(s *server, share int) int { return min(share+int(s.extra), s.cap) }
+
 // share is the part of the cap that is this front's alone. The parts of all
 // fronts add up to the cap: what doesn't divide goes to the fronts that rank
 // first for the server.
@@ -185,7 +188,7 @@
 		return ""
 	}
 	s.wanted = true
-	if s.own < min(share+int(s.extra), s.cap) && s.own+s.others < s.cap {
+	if s.own < t.limit(s, share) && s.own+s.others < s.cap {
 		return ""
 	}
 	if share == 0 && s.own == 0 && s.extra < 1 {
@@ -280,7 +283,7 @@
 	all := make([]ServerView, 0, len(t.servers))
 	for _, s := range t.servers {
 		all = append(all, ServerView{Server: s.name, Excluded: s.excluded, Cap: s.cap, Full: s.full,
-			Part: min(t.share(s)+int(s.extra), s.cap), Own: s.own, Others: s.others, Ramping: s.ramping(), Ejected: s.ejected})
+			Part: t.limit(s, t.share(s)), Own: s.own, Others: s.others, Ramping: s.ramping(), Ejected: s.ejected})
 	}
 	slices.SortFunc(all, func(a, b ServerView) int { return cmp.Compare(a.Server, b.Server) })
 	return all
--- /dev/null
+++ b/internal/node/watch/watch.go
@@ -0,0 +1,436 @@
+// Package watch is a front's part in watching the servers: a few fronts of each
+// region read the platform's list, and a few fronts in each server's locality
+// ask it for its own status. What they see goes into the front's own view at
+// once and to every core.
+//
+// Who watches what follows from rendezvous hashing over the ready fronts, so it
+// needs no agreement; a front that isn't sure watches too, as a watcher too
+// many does no harm.
+package watch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"stepwick/internal/adapter/platform"
+	"stepwick/internal/core/merge"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+// Config is a front's place and pace. Incarnation is that of its process. Zero
+// values mean: ListEvery and StatusEvery 500 ms, SendTimeout 1 s, 3 fronts a
+// region for the list, 2 a server, 2 silent polls until a server counts as
+// silent, 32 polls at once.
+type Config struct {
+	Self         string
+	Region, Zone string
+	Incarnation  uint64
+	ListEvery    kernel.Duration
+	StatusEvery  kernel.Duration
+	SendTimeout  kernel.Duration
+	ListFronts   int
+	ServerFronts int
+	SilentAfter  int
+	Workers      int
+}
+
+func (c Config) orDefaults() Config {
+	c.ListEvery = cmp.Or(c.ListEvery, 500*kernel.Millisecond)
+	c.StatusEvery = cmp.Or(c.StatusEvery, 500*kernel.Millisecond)
+	c.SendTimeout = cmp.Or(c.SendTimeout, kernel.Second)
+	c.ListFronts = cmp.Or(c.ListFronts, 3)
+	c.ServerFronts = cmp.Or(c.ServerFronts, 2)
+	c.SilentAfter = cmp.Or(c.SilentAfter, 2)
+	c.Workers = cmp.Or(c.Workers, 32)
+	return c
+}
+
+// View is what the watcher needs to know: the folded servers and the fronts
+// that are ready. It must not be changed afterwards.
+type View struct {
+	Servers map[string]*wire.ServerStatus
+	Fronts  []*wire.Process
+}
+
+// Source reads the platform's list and the servers' status; platform.Client is one.
+type Source interface {
+	List(ctx kernel.Context) (platform.Listing, error)
+	Status(ctx kernel.Context, name, address string) (*wire.ServerStatus, platform.Reach, error)
+}
+
+// Watcher is a supervised service; its state belongs to the goroutine of Serve.
+type Watcher struct {
+	cfg      Config
+	source   Source
+	peers    port.Peers
+	clock    kernel.Clock
+	view     func() View
+	report   func(*wire.Report)
+	fleetNow func() kernel.Time
+	log      events.Log
+
+	counter uint64
+	results chan func()
+	busy    int
+	listing bool
+	failing bool
+	missing map[string]int
+	sights  map[sightKey]*sight
+	polls   map[string]*poll
+	waiting []string
+	outbox  map[string]*outbox
+	listAt  kernel.Time
+	pollAt  kernel.Time
+	size    int
+}
+
+type sightKey struct {
+	server string
+	kind   merge.Sight
+}
+
+type sight struct {
+	status *wire.ServerStatus
+	sent   kernel.Time
+	since  kernel.Time
+}
+
+type poll struct {
+	running bool
+	silent  int
+	reach   platform.Reach
+	bad     bool
+}
+
+type outbox struct {
+	reports map[string]*wire.Report
+	sending bool
+	retryAt kernel.Time
+}
+
+const (
+	tick       = 100 * kernel.Millisecond
+	goneFor    = 10 * kernel.Second
+	retryAfter = 200 * kernel.Millisecond
+	batchSize  = 512
+	rampSeen   = 64
+)
+
+// New returns a watcher. view gives the newest view, report takes a sight into
+// the front's own view, fleetNow is fleet time.
+func New(cfg Config, source Source, peers port.Peers, clock kernel.Clock, view func() View, report func(*wire.Report), fleetNow func() kernel.Time, log events.Log) *Watcher {
+	cfg = cfg.orDefaults()
+	return &Watcher{cfg: cfg, source: source, peers: peers, clock: clock, view: view, report: report, fleetNow: fleetNow,
+		log: log, results: make(chan func(), cfg.Workers+8), missing: map[string]int{},
+		sights: map[sightKey]*sight{}, polls: map[string]*poll{}, outbox: map[string]*outbox{}}
+}
+
+// Serve watches until ctx ends.
+func (w *Watcher) Serve(ctx kernel.Context) error {
+	ctx, cancel := kernel.WithCancel(ctx)
+	defer cancel()
+	w.busy, w.listing, w.waiting = 0, false, nil
+	for _, p := range w.polls {
+		p.running = false
+	}
+	for _, box := range w.outbox {
+		box.sending = false
+	}
+	w.results = make(chan func(), w.cfg.Workers+8)
+	ticker := w.clock.Ticker(tick)
+	defer ticker.Stop()
+	for {
+		w.step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C():
+		case done := <-w.results:
+			done()
+		}
+	}
+}
+
+// String names the service for its supervisor.
+func (w *Watcher) String() string { return "watch" }
+
+func (w *Watcher) step(ctx kernel.Context) {
+	now, v := w.clock.Now(), w.view()
+	w.size = len(v.Servers)
+	if !w.listing && !now.Before(w.listAt) && w.mine(v.Fronts, "", w.cfg.Region, "", w.cfg.ListFronts) {
+		w.listAt = now.Add(w.cfg.ListEvery)
+		w.pollList(ctx)
+	}
+	if !now.Before(w.pollAt) {
+		w.pollAt = now.Add(w.cfg.StatusEvery)
+		w.duePolls(v)
+	}
+	for len(w.waiting) > 0 && w.busy < w.cfg.Workers {
+		name := w.waiting[0]
+		w.waiting = w.waiting[1:]
+		if status := v.Servers[name]; status != nil {
+			w.pollServer(ctx, name, status.Address)
+		} else if p := w.polls[name]; p != nil {
+			p.running = false
+		}
+	}
+	w.send(ctx, now)
+}
+
+// work runs f off the owner and its result on it.
+func (w *Watcher) work(ctx kernel.Context, f func() func()) {
+	results := w.results
+	go func() {
+		done := f()
+		select {
+		case results <- done:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (w *Watcher) pollList(ctx kernel.Context) {
+	w.listing = true
+	at := w.fleetNow()
+	w.work(ctx, func() func() {
+		listing, err := w.source.List(ctx)
+		return func() {
+			w.listing = false
+			w.takeList(listing, err, at)
+		}
+	})
+}
+
+func (w *Watcher) takeList(listing platform.Listing, err error, at kernel.Time) {
+	known := w.view().Servers
+	if err == nil && len(listing.Servers) == 0 && len(known) > 0 {
+		w.failed("the list is empty although servers are known")
+		return
+	}
+	if err != nil {
+		w.failed(err.Error())
+		return
+	}
+	if w.failing {
+		w.failing = false
+		w.log.Emit(events.PlatformBack)
+	}
+	for _, name := range slices.Sorted(maps.Keys(listing.Bad)) {
+		w.log.Emit(events.PlatformBadList, "server", name, "why", listing.Bad[name])
+	}
+	listed := map[string]bool{}
+	for _, status := range listing.Servers {
+		listed[status.Name] = true
+		delete(w.missing, status.Name)
+		w.see(merge.Listed, status, at)
+	}
+	for name, status := range known {
+		if !listed[name] && listing.Bad[name] == "" {
+			w.unlisted(name, status, at)
+		}
+	}
+	for name := range w.missing {
+		if known[name] == nil {
+			delete(w.missing, name)
+		}
+	}
+}
+
+// unlisted takes a server as gone once two lists in a row lack it, and says so
+// for a while only, so that every process can forget it.
+func (w *Watcher) unlisted(name string, status *wire.ServerStatus, at kernel.Time) {
+	w.missing[name]++
+	if w.missing[name] < 2 {
+		return
+	}
+	gone := &wire.ServerStatus{Name: name, Address: status.Address, Kind: status.Kind, Services: status.Services,
+		Region: status.Region, Zone: status.Zone, State: wire.ServerState_SERVER_STATE_GONE}
+	if s := w.sights[sightKey{name, merge.Listed}]; s != nil && proto.Equal(s.status, gone) && w.clock.Now().Sub(s.since) > goneFor {
+		return
+	}
+	w.see(merge.Listed, gone, at)
+}
+
+func (w *Watcher) failed(why string) {
+	if !w.failing {
+		w.failing = true
+		w.log.Emit(events.PlatformSilent, "why", why)
+	}
+}
+
+func (w *Watcher) duePolls(v View) {
+	for _, name := range slices.Sorted(maps.Keys(v.Servers)) {
+		status := v.Servers[name]
+		if s := w.sights[sightKey{name, merge.Listed}]; s != nil && s.status.State == wire.ServerState_SERVER_STATE_GONE {
+			continue
+		}
+		if !w.mine(v.Fronts, name, status.Region, status.Zone, w.cfg.ServerFronts) {
+			delete(w.sights, sightKey{name, merge.Own})
+			continue
+		}
+		p := w.polls[name]
+		if p == nil {
+			p = &poll{}
+			w.polls[name] = p
+			w.log.Emit(events.WatchTaken, "server", name)
+		}
+		if !p.running {
+			p.running = true
+			w.waiting = append(w.waiting, name)
+		}
+	}
+	for name := range w.polls {
+		if v.Servers[name] == nil {
+			delete(w.polls, name)
+			delete(w.sights, sightKey{name, merge.Own})
+			delete(w.sights, sightKey{name, merge.Listed})
+		}
+	}
+}
+
+func (w *Watcher) pollServer(ctx kernel.Context, name, address string) {
+	w.busy++
+	at := w.fleetNow()
+	w.work(ctx, func() func() {
+		status, reach, err := w.source.Status(ctx, name, address)
+		return func() {
+			w.busy--
+			if p := w.polls[name]; p != nil {
+				p.running = false
+				w.takeStatus(p, name, status, reach, err, at)
+			}
+		}
+	})
+}
+
+func (w *Watcher) takeStatus(p *poll, name string, status *wire.ServerStatus, reach platform.Reach, err error, at kernel.Time) {
+	switch reach {
+	case platform.Answers:
+		p.silent = 0
+		w.see(merge.Own, status, at)
+	case platform.Refuses:
+		p.silent = 0
+		w.see(merge.Own, &wire.ServerStatus{Name: name, State: wire.ServerState_SERVER_STATE_GONE}, at)
+	default:
+		p.silent++
+		if p.silent < w.cfg.SilentAfter {
+			return
+		}
+		w.see(merge.Own, &wire.ServerStatus{Name: name}, at)
+	}
+	if p.reach != reach && reach == platform.Silent {
+		w.log.Emit(events.ServerSilent, "server", name, "why", errText(err))
+	}
+	p.reach = reach
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// see reports a sight that changed, or whose keep-alive is due. at is the fleet
+// time at which the question was asked.
+func (w *Watcher) see(kind merge.Sight, status *wire.ServerStatus, at kernel.Time) {
+	key, now := sightKey{status.Name, kind}, w.clock.Now()
+	s := w.sights[key]
+	if s == nil {
+		s = &sight{since: now}
+		w.sights[key] = s
+	} else if !urgent(s.status, status) && now.Sub(s.sent) < merge.KeepAlive(w.size) {
+		return
+	}
+	if s.status == nil || s.status.State != status.State {
+		s.since = now
+	}
+	s.status, s.sent = status, now
+	w.counter++
+	report := &wire.Report{Watcher: merge.Watcher(w.cfg.Self, kind), Server: status.Name, Incarnation: w.cfg.Incarnation,
+		Counter: w.counter, Status: status, AtMs: at.UnixMilli()}
+	w.report(report)
+	for _, p := range w.peers.Processes() {
+		if p.Core {
+			w.box(p.Name).reports[report.Watcher+" "+report.Server] = report
+		}
+	}
+}
+
+// urgent tells whether a sight differs in more than load. While a server ramps
+// its answers count as more, since its cap grows with them.
+func urgent(a, b *wire.ServerStatus) bool {
+	return a == nil || a.State != b.State || a.Reachable != b.Reachable || a.Incarnation != b.Incarnation || a.Slots != b.Slots ||
+		a.LeaveAtMs != b.LeaveAtMs || a.Address != b.Address || a.Region != b.Region || a.Zone != b.Zone || a.Kind != b.Kind ||
+		!slices.Equal(a.Services, b.Services) || a.Answered != b.Answered && a.Answered < rampSeen
+}
+
+func (w *Watcher) box(core string) *outbox {
+	box := w.outbox[core]
+	if box == nil {
+		box = &outbox{reports: map[string]*wire.Report{}}
+		w.outbox[core] = box
+	}
+	return box
+}
+
+// send hands what waits to every core, one batch under way at each. What was
+// not taken waits on, unless something newer has replaced it.
+func (w *Watcher) send(ctx kernel.Context, now kernel.Time) {
+	for _, p := range w.peers.Processes() {
+		if !p.Core {
+			continue
+		}
+		box := w.box(p.Name)
+		if box.sending || len(box.reports) == 0 || now.Before(box.retryAt) {
+			continue
+		}
+		batch := map[string]*wire.Report{}
+		for key, report := range box.reports {
+			if len(batch) == batchSize {
+				break
+			}
+			batch[key] = report
+			delete(box.reports, key)
+		}
+		box.sending = true
+		client := w.peers.Client(p.Address)
+		w.work(ctx, func() func() {
+			err := w.submit(ctx, client, batch)
+			return func() {
+				box.sending = false
+				if err == nil {
+					return
+				}
+				box.retryAt = w.clock.Now().Add(retryAfter)
+				for key, report := range batch {
+					if box.reports[key] == nil {
+						box.reports[key] = report
+					}
+				}
+			}
+		})
+	}
+}
+
+type submitter interface {
+	Submit(kernel.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
+}
+
+func (w *Watcher) submit(ctx kernel.Context, client submitter, batch map[string]*wire.Report) error {
+	ctx, cancel := kernel.WithTimeout(ctx, w.cfg.SendTimeout)
+	defer cancel()
+	request := &wire.SubmitRequest{From: w.cfg.Self}
+	for _, key := range slices.Sorted(maps.Keys(batch)) {
+		request.Reports = append(request.Reports, batch[key])
+	}
+	_, err := client.Submit(ctx, connect.NewRequest(request))
+	return err
+}
