Find the fleet by hellos of constant size, and follow grants, feed and peers

Cause: a process is told three seeds only, of any role; a front must know the cores, its peers and the newest epoch from there on. Ruled out: sending the whole directory with each hello, which grows with the fleet on every node. Measured: go test ./internal/adapter/internalrpc passes: 9 processes that know two others each find all within 8 virtual seconds; a wrong secret is declined, silence is told apart from a refusal.

--- /dev/null
+++ b/internal/adapter/internalrpc/directory.go
@@ -0,0 +1,222 @@
+package internalrpc
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	helloWhileAlone = 250 * kernel.Millisecond
+	helloInterval   = kernel.Second
+	helloTimeout    = 700 * kernel.Millisecond
+	helloFanout     = 3
+	helloSample     = 16
+	helloRecords    = 512
+	forgetAfter     = 10 * kernel.Minute
+)
+
+// Sight is what is known of a process and when it was last seen to live: by
+// the local clock, the instant at which its counter rose here.
+type Sight struct {
+	Process *wire.Process
+	Seen    kernel.Time
+}
+
+// Directory knows the processes of the fleet. It begins with the seeds'
+// addresses and learns the rest by exchanging hellos of constant size: oneself,
+// every core and a sample of the others. One goroutine owns it; readers load
+// an immutable table.
+type Directory struct {
+	clock   kernel.Clock
+	pool    *Pool
+	seeds   []string
+	self    func() *wire.Process
+	counter uint64
+	random  *rand.Rand
+	hellos  chan []*wire.Process
+	table   atomic.Pointer[map[string]Sight]
+}
+
+// NewDirectory returns a directory. Self gives the process's own record
+// without counter at each call; seeds are internal addresses, ip:port.
+func NewDirectory(pool *Pool, clock kernel.Clock, seeds []string, self func() *wire.Process) *Directory {
+	name := self().Name
+	d := &Directory{
+		clock: clock, pool: pool, seeds: seeds, self: self,
+		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
+		hellos: make(chan []*wire.Process, 64),
+	}
+	d.table.Store(&map[string]Sight{})
+	return d
+}
+
+// Process returns what is known of a process by its name.
+func (d *Directory) Process(name string) (*wire.Process, bool) {
+	s, ok := (*d.table.Load())[name]
+	return s.Process, ok
+}
+
+// Processes returns all known processes in the order of their names.
+func (d *Directory) Processes() []*wire.Process {
+	sights := d.Sights()
+	out := make([]*wire.Process, len(sights))
+	for i, s := range sights {
+		out[i] = s.Process
+	}
+	return out
+}
+
+// Sights returns all known processes with the time they were last seen.
+func (d *Directory) Sights() []Sight {
+	table := *d.table.Load()
+	out := make([]Sight, 0, len(table))
+	for _, s := range table {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Process.Name < out[j].Process.Name })
+	return out
+}
+
+// Client returns a client for an internal address.
+func (d *Directory) Client(address string) PeerClient { return d.pool.Client(address) }
+
+// Hello takes in the caller's record and its sample and answers with the same.
+func (d *Directory) Hello(ctx kernel.Context, req *wire.HelloRequest) (*wire.HelloResponse, error) {
+	if len(req.Known) > helloRecords {
+		return nil, kernel.Decline(kernel.BadField, "hello with %d records, at most %d", len(req.Known), helloRecords)
+	}
+	records := req.Known
+	if req.Self != nil {
+		records = append(records, req.Self)
+	}
+	select {
+	case d.hellos <- records:
+	default:
+	}
+	known := d.sample()
+	return &wire.HelloResponse{Self: d.self(), Known: known}, nil
+}
+
+func (d *Directory) sample() []*wire.Process {
+	var cores, others []*wire.Process
+	for _, p := range d.Processes() {
+		if p.Core {
+			cores = append(cores, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(cores, others[:min(len(others), helloSample)]...)
+}
+
+// Serve keeps the directory until the context ends.
+func (d *Directory) Serve(ctx kernel.Context) error {
+	d.merge([]*wire.Process{d.ownRecord()})
+	for {
+		wait := helloInterval
+		if len(*d.table.Load()) < 2 {
+			wait = helloWhileAlone
+		}
+		d.greet(ctx)
+		wake, stop := kernel.Timer(wait)
+	waiting:
+		for {
+			select {
+			case <-ctx.Done():
+				stop()
+				return ctx.Err()
+			case records := <-d.hellos:
+				d.merge(records)
+			case <-wake:
+				break waiting
+			}
+		}
+		d.merge([]*wire.Process{d.ownRecord()})
+	}
+}
+
+func (d *Directory) ownRecord() *wire.Process {
+	own := d.self()
+	d.counter++
+	own.Counter = d.counter
+	return own
+}
+
+func (d *Directory) greet(ctx kernel.Context) {
+	own, _ := d.Process(d.self().Name)
+	targets := map[string]bool{}
+	if len(d.seeds) > 0 {
+		targets[d.seeds[d.random.IntN(len(d.seeds))]] = true
+	}
+	if len(*d.table.Load()) < 2 {
+		for _, seed := range d.seeds {
+			targets[seed] = true
+		}
+	}
+	sights := d.Sights()
+	for i := 0; i < helloFanout && len(sights) > 0; i++ {
+		targets[sights[d.random.IntN(len(sights))].Process.Address] = true
+	}
+	delete(targets, own.Address)
+	known := d.sample()
+	for address := range targets {
+		go func() {
+			callCtx, cancel := kernel.WithTimeout(ctx, helloTimeout)
+			defer cancel()
+			resp, err := d.pool.Client(address).Hello(callCtx, connect.NewRequest(&wire.HelloRequest{Self: own, Known: known}))
+			if err != nil {
+				return
+			}
+			records := resp.Msg.Known
+			if resp.Msg.Self != nil {
+				records = append(records, resp.Msg.Self)
+			}
+			select {
+			case d.hellos <- records:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// merge keeps the record with the higher (incarnation, counter) of each name.
+func (d *Directory) merge(records []*wire.Process) {
+	now := d.clock.Now()
+	own := d.self()
+	old := *d.table.Load()
+	next := make(map[string]Sight, len(old)+1)
+	for name, s := range old {
+		if now.Sub(s.Seen) < forgetAfter || name == own.Name {
+			next[name] = s
+		}
+	}
+	for _, r := range records {
+		if r.Name == "" || r.Address == "" {
+			continue
+		}
+		if r.Name == own.Name && r.Incarnation != own.Incarnation {
+			continue
+		}
+		have, ok := next[r.Name]
+		if !ok || newer(r, have.Process) {
+			next[r.Name] = Sight{Process: proto.Clone(r).(*wire.Process), Seen: now}
+		}
+	}
+	d.table.Store(&next)
+}
+
+func newer(a, b *wire.Process) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Counter > b.Counter
+}
--- /dev/null
+++ b/internal/adapter/internalrpc/directory_test.go
@@ -0,0 +1,118 @@
+package internalrpc_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/adapter/internalrpc"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+	"stepwick/sim/memnet"
+)
+
+type helloOnly struct {
+	wireconnect.UnimplementedPeerHandler
+	directory *internalrpc.Directory
+}
+
+func (h helloOnly) Hello(ctx context.Context, req *connect.Request[wire.HelloRequest]) (*connect.Response[wire.HelloResponse], error) {
+	resp, err := h.directory.Hello(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// start runs process i of a fleet on its own host; its seeds are the two
+// processes before it, so no one is told of all.
+func start(ctx context.Context, net *memnet.Network, i int, secret string) *internalrpc.Directory {
+	host := fmt.Sprintf("127.0.1.%d", i)
+	own := &wire.Process{Name: fmt.Sprintf("n%d", i), Address: host + ":1", Core: i < 3, Front: true, Incarnation: 1}
+	var seeds []string
+	for j := max(0, i-2); j < i; j++ {
+		seeds = append(seeds, fmt.Sprintf("127.0.1.%d:1", j))
+	}
+	pool := internalrpc.NewPool(net.Dialer(host), own.Address, secret)
+	directory := internalrpc.NewDirectory(pool, kernel.System(), seeds, func() *wire.Process {
+		return &wire.Process{Name: own.Name, Address: own.Address, Core: own.Core, Front: true, Incarnation: 1}
+	})
+	listener, err := net.Listen(own.Address)
+	if err != nil {
+		panic(err)
+	}
+	server := internalrpc.Server(internalrpc.Handler(helloOnly{directory: directory}, secret))
+	go server.Serve(listener)
+	go directory.Serve(ctx)
+	context.AfterFunc(ctx, func() { server.Close(); pool.CloseIdle() })
+	return directory
+}
+
+func names(d *internalrpc.Directory) string {
+	var all []string
+	for _, p := range d.Processes() {
+		all = append(all, p.Name)
+	}
+	return strings.Join(all, " ")
+}
+
+func TestDirectory(t *testing.T) {
+	Convey("Processes that know only two others each find the whole fleet", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			net := memnet.New(ctx)
+			var fleet []*internalrpc.Directory
+			for i := range 9 {
+				fleet = append(fleet, start(ctx, net, i, "a fleet's secret"))
+			}
+			<-time.After(8 * time.Second)
+			for _, d := range fleet {
+				if got := names(d); got != "n0 n1 n2 n3 n4 n5 n6 n7 n8" {
+					t.Errorf("knows %q", got)
+				}
+			}
+			cancel()
+			<-time.After(5 * time.Second)
+			synctest.Wait()
+		})
+	})
+
+	Convey("Another secret is declined, and a host that is down refuses", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			net := memnet.New(ctx)
+			start(ctx, net, 0, "a fleet's secret")
+			stranger := internalrpc.NewPool(net.Dialer("127.0.1.9"), "127.0.1.9:1", "another secret")
+			call := func() error {
+				callCtx, done := context.WithTimeout(ctx, time.Second)
+				defer done()
+				_, err := stranger.Client("127.0.1.0:1").Hello(callCtx, connect.NewRequest(&wire.HelloRequest{}))
+				return err
+			}
+			if err := call(); err == nil || port.Refused(err) {
+				t.Errorf("a wrong secret gave %v", err)
+			}
+			net.Cut("127.0.1.0", "127.0.1.9", true)
+			if err := call(); err == nil || port.Refused(err) {
+				t.Errorf("silence gave %v", err)
+			}
+			net.Cut("127.0.1.0", "127.0.1.9", false)
+			net.Down("127.0.1.0")
+			if err := call(); !port.Refused(err) {
+				t.Errorf("a host that is down gave %v", err)
+			}
+			stranger.CloseIdle()
+			cancel()
+			<-time.After(5 * time.Second)
+			synctest.Wait()
+		})
+	})
+}
--- /dev/null
+++ b/internal/adapter/internalrpc/pool.go
@@ -0,0 +1,136 @@
+// Package internalrpc carries the peer protocol over HTTP/1.1: the pool of
+// clients, the server with the fleet's secret, and the directory of processes.
+package internalrpc
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire/wireconnect"
+)
+
+// PeerClient speaks to one process.
+type PeerClient = wireconnect.PeerClient
+
+const (
+	secretHeader = "Stepwick-Secret"
+	messageBound = 64 << 20
+	headerBound  = 16 << 10
+	idleTimeout  = 90 * kernel.Second
+)
+
+// Pool hands out clients by address. Calls to the process's own address stay
+// inside the process.
+type Pool struct {
+	http    *http.Client
+	secret  string
+	own     string
+	local   atomic.Pointer[wireconnect.PeerHandler]
+	clients atomic.Pointer[map[string]PeerClient]
+}
+
+// Dial opens a connection, as net.Dialer's DialContext does.
+type Dial = func(ctx kernel.Context, network, address string) (net.Conn, error)
+
+// NewPool returns a pool that dials by dial; own is the advertised internal
+// address of this process.
+func NewPool(dial Dial, own, secret string) *Pool {
+	p := &Pool{
+		secret: secret, own: own,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}},
+	}
+	p.clients.Store(&map[string]PeerClient{})
+	return p
+}
+
+// Bind makes calls to the process's own address go straight to its handler.
+func (p *Pool) Bind(local wireconnect.PeerHandler) { p.local.Store(&local) }
+
+// Client returns a client for an internal address; it never fails.
+func (p *Pool) Client(address string) PeerClient {
+	if local := p.local.Load(); local != nil && address == p.own {
+		return *local
+	}
+	for {
+		old := p.clients.Load()
+		if c, ok := (*old)[address]; ok {
+			return c
+		}
+		next := make(map[string]PeerClient, len(*old)+1)
+		for a, c := range *old {
+			next[a] = c
+		}
+		next[address] = wireconnect.NewPeerClient(p.http, "http://"+address,
+			connect.WithInterceptors(secretInterceptor(p.secret)),
+			connect.WithReadMaxBytes(messageBound))
+		if p.clients.CompareAndSwap(old, &next) {
+			return next[address]
+		}
+	}
+}
+
+// CloseIdle closes kept-alive connections that carry no call.
+func (p *Pool) CloseIdle() { p.http.CloseIdleConnections() }
+
+func secretInterceptor(secret string) connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx kernel.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set(secretHeader, secret)
+			return next(ctx, req)
+		}
+	})
+}
+
+// Handler serves the peer protocol to callers that know the fleet's secret;
+// others get kernel.BadSecret before their body is read.
+func Handler(peer wireconnect.PeerHandler, secret string) http.Handler {
+	path, inner := wireconnect.NewPeerHandler(peer, connect.WithReadMaxBytes(messageBound), connect.WithInterceptors(faultInterceptor()))
+	want := sha256.Sum256([]byte(secret))
+	mux := http.NewServeMux()
+	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
+		if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			kernel.ReplyFault(w, kernel.Decline(kernel.BadSecret, "the fleet's secret does not match"), "")
+			return
+		}
+		inner.ServeHTTP(w, r)
+	}))
+	return mux
+}
+
+// faultInterceptor turns faults into errors of the protocol that keep their
+// number.
+func faultInterceptor() connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx kernel.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			resp, err := next(ctx, req)
+			if err == nil {
+				return resp, nil
+			}
+			if connect.CodeOf(err) != connect.CodeUnknown {
+				return nil, err
+			}
+			return nil, connect.NewError(connect.CodeUnavailable, kernel.AsFault(err))
+		}
+	})
+}
+
+// Server returns an HTTP server for the internal listener with bounds on
+// headers and idle time.
+func Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: headerBound,
+		ReadHeaderTimeout: 5 * kernel.Second, ReadTimeout: 30 * kernel.Second, IdleTimeout: 2 * idleTimeout,
+	}
+}
--- a/internal/kernel/time.go
+++ b/internal/kernel/time.go
@@ -72,3 +72,15 @@
 	t := time.NewTimer(d)
 	return t.C, t.Stop
 }
+
+// Steady returns a clock whose wall reading keeps to the reading at its start
+// plus the true time elapsed, so that a later step of the machine's wall clock
+// does not show.
+func Steady(base Clock) Clock { return steadyClock{base, base.Now()} }
+
+type steadyClock struct {
+	Clock
+	start Time
+}
+
+func (c steadyClock) Now() Time { return c.start.Add(c.Clock.Now().Sub(c.start)) }
--- /dev/null
+++ b/internal/node/follow/follow.go
@@ -0,0 +1,536 @@
+package follow
+
+import (
+	"sort"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/core/merge"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+// Config holds a follower's settings. Durations are in the clock's time.
+type Config struct {
+	Self         func() *wire.Process // own record, a fresh one at each call
+	GrantTTL     kernel.Duration
+	RenewEvery   kernel.Duration
+	PingEvery    kernel.Duration
+	FeedWait     kernel.Duration
+	Sighted      func() []Sight  // processes known to the directory, by name
+	CoreStaleFor kernel.Duration // silence after which another core is followed
+}
+
+// Sight is a process and when it was last seen to live, by the clock.
+type Sight struct {
+	Process *wire.Process
+	Seen    kernel.Time
+}
+
+// How long a front counts as live after its last sign, which is a ping for a
+// member of the roster and a directory's sight for one that isn't on it yet.
+const (
+	pingFresh  = 1500 * kernel.Millisecond
+	sightFresh = 4 * kernel.Second
+)
+
+// Follower owns a front's control state. All fields below inbox belong to the
+// goroutine in Serve.
+type Follower struct {
+	config Config
+	name   string
+	peers  port.Peers
+	clock  kernel.Clock
+	log    events.Log
+
+	view    atomic.Pointer[View]
+	changed atomic.Pointer[chan struct{}]
+	lapse   atomic.Pointer[kernel.Time] // until when the node rules; zero time when it does not
+	offset  atomic.Int64                // fleet time less the clock, nanoseconds
+	pinged  atomic.Pointer[standing]
+
+	inbox chan func()
+	ctx   kernel.Context
+
+	holder   *grant.Holder
+	state    sheet.State
+	held     bool
+	reports  *merge.Reports
+	plan     *wire.Plan
+	offsets  map[string]kernel.Duration
+	renewing map[string]bool
+	pinging  map[string]bool
+	contact  map[string]kernel.Time // last answer of each peer
+	asked    map[string]kernel.Time // first ping of each peer that is still unanswered
+	again    map[string]bool
+	behind   map[string]uint64
+	fetching bool
+	feed     place
+	ruling   bool
+}
+
+type place struct {
+	core   string
+	feed   string
+	number uint64
+	heard  kernel.Time
+	open   bool
+}
+
+type standing struct {
+	epoch       uint64
+	unconfirmed bool
+}
+
+// New returns a follower that knows nothing yet.
+func New(config Config, peers port.Peers, clock kernel.Clock, log events.Log) *Follower {
+	f := &Follower{
+		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
+		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
+		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, again: map[string]bool{}, behind: map[string]uint64{},
+	}
+	first := make(chan struct{})
+	f.changed.Store(&first)
+	f.lapse.Store(&kernel.Time{})
+	f.pinged.Store(&standing{unconfirmed: true})
+	f.view.Store(&View{Index: sheet.State{}.Index(), Servers: map[string]*wire.ServerStatus{}})
+	return f
+}
+
+// View returns the newest view, never nil.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Changed returns a channel that is closed when a newer view is published.
+func (f *Follower) Changed() <-chan struct{} { return *f.changed.Load() }
+
+// Ruling tells, at this very moment, whether the node may decide by its view.
+// A process that was frozen and thawed finds its grants lapsed.
+func (f *Follower) Ruling() bool { return f.clock.Now().Before(*f.lapse.Load()) }
+
+// FleetNow returns the time agreed from the cores' clocks. It is proof against
+// steps of this machine's clock.
+func (f *Follower) FleetNow() kernel.Time {
+	return f.clock.Now().Add(kernel.Duration(f.offset.Load()))
+}
+
+// Report puts a watcher's own sight into the view at once.
+func (f *Follower) Report(report *wire.Report) {
+	f.post(func() {
+		if f.reports.Merge(report, f.FleetNow()) {
+			f.publish()
+		}
+	})
+}
+
+// Ping answers a peer with the epoch that this front has confirmed.
+func (f *Follower) Ping(ctx kernel.Context, req *wire.PingRequest) (*wire.PingResponse, error) {
+	if !req.Unconfirmed {
+		f.post(func() { f.holder.Known(req.Epoch); f.judge() })
+	}
+	s := f.pinged.Load()
+	return &wire.PingResponse{Name: f.name, Incarnation: f.config.Self().Incarnation, Epoch: s.epoch, Unconfirmed: s.unconfirmed}, nil
+}
+
+// Fetch answers a process that is behind with the whole state.
+func (f *Follower) Fetch(ctx kernel.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	state := f.View().State
+	if state.Epoch <= req.After {
+		return &wire.FetchResponse{Learned: state.Epoch}, nil
+	}
+	return &wire.FetchResponse{SnapshotEpoch: state.Epoch, Snapshot: state.Encode(), Learned: state.Epoch}, nil
+}
+
+func (f *Follower) post(step func()) {
+	select {
+	case f.inbox <- step:
+	default:
+		go func() { f.inbox <- step }()
+	}
+}
+
+// Serve runs the owner until the context ends.
+func (f *Follower) Serve(ctx kernel.Context) error {
+	f.ctx = ctx
+	renew, ping, fold := f.clock.Ticker(f.config.RenewEvery), f.clock.Ticker(f.config.PingEvery), f.clock.Ticker(f.config.RenewEvery)
+	defer renew.Stop()
+	defer ping.Stop()
+	defer fold.Stop()
+	f.renewAll()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case step := <-f.inbox:
+			step()
+		case <-renew.C():
+			f.renewAll()
+		case <-ping.C():
+			f.pingAll()
+		case <-fold.C():
+			f.reports.Expire(f.FleetNow())
+			f.publish()
+		}
+		f.follow()
+	}
+}
+
+func (f *Follower) cores() []*wire.Process {
+	var cores []*wire.Process
+	for _, p := range f.peers.Processes() {
+		if p.Core {
+			cores = append(cores, p)
+		}
+	}
+	return cores
+}
+
+// voters returns the names that a majority is counted over: those of the
+// formation, as any core tells them.
+func (f *Follower) voters() []string {
+	for _, p := range f.cores() {
+		if len(p.Voters) > 0 {
+			return p.Voters
+		}
+	}
+	return nil
+}
+
+func (f *Follower) renewAll() {
+	f.holder.SetCores(f.voters())
+	for _, core := range f.cores() {
+		f.renew(core)
+	}
+	f.judge()
+}
+
+// renew keeps one call per core in flight; a wish to renew meanwhile is kept
+// and met when the call returns.
+func (f *Follower) renew(core *wire.Process) {
+	if f.renewing[core.Name] {
+		f.again[core.Name] = true
+		return
+	}
+	f.renewing[core.Name] = true
+	sent := f.clock.Now()
+	req := &wire.RenewRequest{Self: f.config.Self(), Epoch: f.state.Epoch, Unconfirmed: f.holder.Unconfirmed()}
+	go func() {
+		ctx, cancel := kernel.WithTimeout(f.ctx, 2*f.config.RenewEvery)
+		defer cancel()
+		resp, err := f.peers.Client(core.Address).Renew(ctx, connect.NewRequest(req))
+		back := f.clock.Now()
+		f.post(func() {
+			f.renewing[core.Name] = false
+			if err == nil {
+				f.renewed(core, sent, back, req, resp.Msg)
+			}
+			if f.again[core.Name] {
+				f.again[core.Name] = false
+				f.renew(core)
+			}
+		})
+	}()
+}
+
+func (f *Follower) renewed(core *wire.Process, sent, back kernel.Time, req *wire.RenewRequest, resp *wire.RenewResponse) {
+	f.offsets[core.Name] = kernel.UnixMicro(resp.TimeUs).Sub(sent.Add(back.Sub(sent) / 2))
+	f.setOffset()
+	f.behind[core.Name] = resp.Learned
+	if resp.Learned > f.state.Epoch || !f.held {
+		f.fetch(core.Address)
+	}
+	wasUnconfirmed := f.holder.Unconfirmed()
+	if resp.Granted {
+		f.holder.Renewed(core.Name, sent, req.Epoch, resp.Learned)
+	} else if req.Unconfirmed {
+		f.holder.Asked(core.Name, resp.Learned)
+	}
+	if wasUnconfirmed && !f.holder.Unconfirmed() {
+		for _, p := range f.cores() {
+			f.renew(p)
+		}
+	}
+	f.judge()
+}
+
+func (f *Follower) setOffset() {
+	all := make([]kernel.Duration, 0, len(f.offsets))
+	for _, offset := range f.offsets {
+		all = append(all, offset)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	f.offset.Store(int64(all[(len(all)-1)/2]))
+}
+
+func (f *Follower) pingAll() {
+	own := f.config.Self()
+	s := f.pinged.Load()
+	for _, name := range rosterNames(f.state) {
+		peer, known := f.peers.Process(name)
+		if name == f.name || !known || f.pinging[name] {
+			continue
+		}
+		f.pinging[name] = true
+		sent := f.clock.Now()
+		if _, open := f.asked[name]; !open {
+			f.asked[name] = sent
+		}
+		go func() {
+			ctx, cancel := kernel.WithTimeout(f.ctx, f.config.PingEvery)
+			defer cancel()
+			resp, err := f.peers.Client(peer.Address).Ping(ctx, connect.NewRequest(&wire.PingRequest{
+				From: own.Name, Incarnation: own.Incarnation, Epoch: s.epoch, Unconfirmed: s.unconfirmed}))
+			f.post(func() {
+				f.pinging[name] = false
+				switch {
+				case err == nil && resp.Msg.Name == name:
+					f.contact[name] = f.clock.Now()
+					delete(f.asked, name)
+					f.heard(peer, sent, resp.Msg)
+				case err != nil && port.Refused(err):
+					delete(f.contact, name)
+					f.asked[name] = kernel.Time{}
+					f.holder.Refused(name, f.clock.Now())
+				}
+				f.judge()
+			})
+		}()
+	}
+	f.judge()
+}
+
+func (f *Follower) heard(peer *wire.Process, sent kernel.Time, resp *wire.PingResponse) {
+	f.holder.Heard(resp.Name, resp.Incarnation, sent, resp.Epoch, resp.Unconfirmed)
+	if resp.Epoch > f.state.Epoch && !resp.Unconfirmed {
+		f.fetch(peer.Address)
+	}
+}
+
+// judge publishes until when the node rules.
+func (f *Follower) judge() {
+	verdict := f.holder.Ruling(f.clock.Now())
+	until := kernel.Time{}
+	if verdict.Ruling {
+		until = verdict.Until
+	}
+	f.lapse.Store(&until)
+	f.pinged.Store(&standing{epoch: f.state.Epoch, unconfirmed: f.holder.Unconfirmed()})
+	if verdict.Ruling != f.ruling {
+		f.ruling = verdict.Ruling
+		if f.ruling {
+			f.log.Emit(events.RulingRegained, "by", verdict.By, "epoch", f.state.Epoch)
+		} else {
+			f.log.Emit(events.RulingLost, "epoch", f.state.Epoch)
+		}
+		f.publish()
+	}
+}
+
+// fetch closes a gap: changes after the held epoch, or a snapshot.
+func (f *Follower) fetch(address string) {
+	if f.fetching {
+		return
+	}
+	f.fetching = true
+	after := f.state.Epoch
+	if !f.held {
+		after = 0
+	}
+	go func() {
+		ctx, cancel := kernel.WithTimeout(f.ctx, 2*kernel.Second)
+		defer cancel()
+		resp, err := f.peers.Client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{After: after}))
+		f.post(func() {
+			f.fetching = false
+			if err != nil {
+				return
+			}
+			f.takeSnapshot(resp.Msg.SnapshotEpoch, resp.Msg.Snapshot)
+			for _, chosen := range resp.Msg.Chosen {
+				f.takeChosen(chosen)
+			}
+		})
+	}()
+}
+
+// takeSnapshot takes a whole state if it is newer than the held one.
+func (f *Follower) takeSnapshot(epoch uint64, data []byte) {
+	if len(data) == 0 || (f.held && epoch <= f.state.Epoch) {
+		return
+	}
+	state, err := sheet.DecodeState(data)
+	if err != nil {
+		f.log.Emit(events.SnapshotBad, "epoch", epoch, "error", err)
+		return
+	}
+	f.rule(state)
+}
+
+// takeChosen applies the next command; one that leaves a gap is fetched.
+func (f *Follower) takeChosen(chosen *wire.Chosen) {
+	if chosen.Epoch != f.state.Epoch+1 {
+		return
+	}
+	state, _ := f.state.Step(chosen.Epoch, chosen.Command)
+	f.rule(state)
+}
+
+// rule takes up a newer state: it is published before it is confirmed.
+func (f *Follower) rule(state sheet.State) {
+	f.state, f.held = state, true
+	f.holder.SetRoster(state.Roster, state.PriorRoster)
+	f.publish()
+	f.holder.Confirm(state.Epoch)
+	f.log.Emit(events.EpochLearned, "epoch", state.Epoch, "sheet_epoch", state.SheetEpoch)
+	f.judge()
+	for _, core := range f.cores() {
+		f.renew(core)
+	}
+}
+
+// follow keeps one long poll of the feed open, at a core that answers.
+func (f *Follower) follow() {
+	now := f.clock.Now()
+	if f.feed.open {
+		return
+	}
+	core, ok := f.choose(now)
+	if !ok {
+		return
+	}
+	f.feed.open = true
+	at := f.feed
+	req := &wire.FollowRequest{Who: f.name, Feed: at.feed, Place: at.number, WaitMs: uint32(f.config.FeedWait.Milliseconds()), Epoch: f.state.Epoch}
+	go func() {
+		ctx, cancel := kernel.WithTimeout(f.ctx, f.config.FeedWait+f.config.CoreStaleFor)
+		defer cancel()
+		resp, err := f.peers.Client(core.Address).Follow(ctx, connect.NewRequest(req))
+		if err != nil {
+			wait, stop := kernel.Timer(f.config.RenewEvery / 2)
+			select {
+			case <-wait:
+			case <-f.ctx.Done():
+				stop()
+			}
+		}
+		f.post(func() {
+			f.feed.open = false
+			if err != nil {
+				f.feed = place{}
+				f.log.Emit(events.FeedSwitched, "core", core.Name, "error", err)
+				return
+			}
+			f.takeFeed(core.Name, resp.Msg)
+		})
+	}()
+}
+
+// choose stays with the core that is followed; otherwise one of those that
+// renew comes next, in an order of this front's own so that fronts spread.
+func (f *Follower) choose(now kernel.Time) (*wire.Process, bool) {
+	if f.feed.core != "" {
+		if p, ok := f.peers.Process(f.feed.core); ok {
+			return p, true
+		}
+	}
+	cores := f.cores()
+	if len(cores) == 0 {
+		return nil, false
+	}
+	best := -1
+	for i, core := range cores {
+		if f.holder.RenewedAt(core.Name).IsZero() {
+			continue
+		}
+		if best < 0 || f.holder.RenewedAt(core.Name).After(f.holder.RenewedAt(cores[best].Name)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		best = int(now.UnixNano()/int64(f.config.RenewEvery)) % len(cores)
+	}
+	return cores[best], true
+}
+
+func (f *Follower) takeFeed(core string, resp *wire.FollowResponse) {
+	f.feed = place{core: core, feed: resp.Feed, number: resp.Place, heard: f.clock.Now()}
+	dirty := false
+	if s := resp.Snapshot; s != nil {
+		f.takeSnapshot(s.Epoch, s.State)
+		dirty = f.takePlan(s.Plan) || dirty
+		for _, report := range s.Reports {
+			dirty = f.reports.Merge(report, f.FleetNow()) || dirty
+		}
+	}
+	for _, change := range resp.Changes {
+		switch what := change.What.(type) {
+		case *wire.Change_Chosen:
+			f.takeChosen(what.Chosen)
+		case *wire.Change_Plan:
+			dirty = f.takePlan(what.Plan) || dirty
+		case *wire.Change_Report:
+			dirty = f.reports.Merge(what.Report, f.FleetNow()) || dirty
+		}
+	}
+	if resp.Learned > f.state.Epoch {
+		if p, ok := f.peers.Process(core); ok {
+			f.fetch(p.Address)
+		}
+	}
+	if dirty {
+		f.publish()
+	}
+}
+
+// fronts returns the live fronts that don't leave, in the order of their
+// names: ready ones and those that will be.
+func (f *Follower) fronts() []*wire.Process {
+	now := f.clock.Now()
+	var live []*wire.Process
+	for _, s := range f.config.Sighted() {
+		p := s.Process
+		if !p.Front || p.Leaving {
+			continue
+		}
+		asked, pinged := f.asked[p.Name]
+		switch {
+		case p.Name == f.name:
+		case pinged && now.Sub(asked) >= pingFresh && now.Sub(f.contact[p.Name]) >= pingFresh:
+			continue
+		case !pinged && now.Sub(f.contact[p.Name]) >= sightFresh && now.Sub(s.Seen) >= sightFresh:
+			continue
+		}
+		live = append(live, p)
+	}
+	return live
+}
+
+// takePlan drops a plan of a lower (term, number).
+func (f *Follower) takePlan(plan *wire.Plan) bool {
+	if plan == nil {
+		return false
+	}
+	if f.plan != nil && (plan.Term < f.plan.Term || (plan.Term == f.plan.Term && plan.Number <= f.plan.Number)) {
+		return false
+	}
+	f.plan = plan
+	return true
+}
+
+func (f *Follower) publish() {
+	old := f.view.Load()
+	view := &View{State: f.state, Index: old.Index.For(f.state), Plan: f.plan,
+		Servers: f.reports.Servers(), Verdict: f.holder.Ruling(f.clock.Now()),
+		Fronts: f.fronts(), Roster: old.Roster}
+	if old.State.Epoch != f.state.Epoch {
+		view.Roster = rosterNames(f.state)
+	}
+	f.view.Store(view)
+	next := make(chan struct{})
+	close(*f.changed.Swap(&next))
+}
