--- a/cmd/rig/demo.go
+++ b/cmd/rig/demo.go
@@ -16,28 +16,26 @@
 	"stepwick/cmd/rig/ledger"
 	"stepwick/cmd/rig/load"
 	"stepwick/cmd/rig/prove"
+	"stepwick/cmd/rig/report"
 )
 
 func demoCommand() *cobra.Command {
-	length, seed, keep := 15, uint64(1), ""
+	length, seed, keep, folder := 15, uint64(1), "", ""
 	c := &cobra.Command{Use: "demo", Short: "Serve the first deployment's load while operators submit changes",
-		RunE: func(cmd *cobra.Command, _ []string) error { return demo(cmd.Context(), length, seed, keep) }}
+		RunE: func(cmd *cobra.Command, _ []string) error { return demo(cmd.Context(), length, seed, keep, folder) }}
 	c.Flags().IntVar(&length, "seconds", length, "how long to serve")
 	c.Flags().Uint64Var(&seed, "seed", seed, "seed of the load")
 	c.Flags().StringVar(&keep, "keep", keep, "folder for the ledger and the nodes' logs")
+	c.Flags().StringVar(&folder, "report", folder, "folder for JSON lines and plots")
 	return c
 }
 
-func demo(ctx kernel.Context, length int, seed uint64, keep string) error {
-	dir, err := os.MkdirTemp("", "stepwick-build-")
-	if err != nil {
-		return errors.Wrap(err, "temp folder")
-	}
-	defer os.RemoveAll(dir)
-	binary, err := fleet.Build(dir)
+func demo(ctx kernel.Context, length int, seed uint64, keep, folder string) error {
+	binary, remove, err := built()
 	if err != nil {
 		return err
 	}
+	defer remove()
 	s, err := prove.Open(ctx, prove.Options{Spec: fleet.First(), Tenants: load.FirstTenants(), Binary: binary, Seed: seed, Seconds: length, Keep: keep, Out: os.Stdout, Table: true})
 	if err != nil {
 		return err
@@ -46,7 +44,12 @@
 	epochs := s.Epochs(5 * kernel.Second)
 	l := s.Close()
 	found := judge.Find(&l)
-	prove.Print(os.Stdout, "demo", found)
+	prove.Report(os.Stdout, "demo", found)
+	if folder != "" {
+		if err := report.Write(folder, "demo", &l, found); err != nil {
+			return err
+		}
+	}
 	for _, t := range troubles {
 		fmt.Println("TROUBLE", t)
 	}
--- a/cmd/rig/fleet/fleet.go
+++ b/cmd/rig/fleet/fleet.go
@@ -210,6 +210,9 @@
 		Region: place.Region, Zone: place.Zone, State: state})
 }
 
+// Address is where nodes reach a server: that of its relay.
+func (f *Fleet) Address(server string) string { return f.relays[server].Address }
+
 // Place tells where a node or server stands.
 func (f *Fleet) Place(name string) Place { return f.places[name] }
 
--- a/cmd/rig/load/caller.go
+++ b/cmd/rig/load/caller.go
@@ -342,12 +342,12 @@
 	var req *http.Request
 	switch t.Kind {
 	case "stream":
-		body, _ := json.Marshal(map[string]any{"service": t.Service, "prefix": fmt.Sprintf("%s prefix %d", t.Name, call.Prefix), "session": "token=" + token,
-			"prefix_tokens": t.PrefixTokens, "session_tokens": t.SessionTokens, "max_tokens": t.MaxTokens, "deadline_ms": left.Milliseconds(), "region": call.Place.Region})
+		fields := map[string]any{"service": t.Service, "prefix": fmt.Sprintf("%s prefix %d", t.Name, call.Prefix), "session": "token=" + token,
+			"prefix_tokens": t.PrefixTokens, "session_tokens": t.SessionTokens, "max_tokens": t.MaxTokens, "deadline_ms": left.Milliseconds(), "region": call.Place.Region}
 		if t.Home != "" {
-			body, _ = json.Marshal(map[string]any{"service": t.Service, "prefix": fmt.Sprintf("%s prefix %d", t.Name, call.Prefix), "session": "token=" + token,
-				"prefix_tokens": t.PrefixTokens, "session_tokens": t.SessionTokens, "max_tokens": t.MaxTokens, "deadline_ms": left.Milliseconds(), "region": call.Place.Region, "home": t.Home})
+			fields["home"] = t.Home
 		}
+		body, _ := json.Marshal(fields)
 		req, _ = http.NewRequest(http.MethodPost, "http://"+address+"/v1/prompt", bytes.NewReader(body))
 		req.Header.Set("Content-Type", "application/json")
 	case "post":
@@ -364,6 +364,24 @@
 	return a
 }
 
+// Direct sends a call to a server itself, by the servers' protocol and over
+// kept-alive connections, and leaves it out of the ledger's attempts.
+func (c *Crowd) Direct(call Call, address string) ledger.Attempt {
+	t := call.Tenant
+	a := ledger.Attempt{Token: fmt.Sprintf("d%d-%d", c.seed, c.serial.Add(1)), Kind: t.Kind, Tenant: t.Name, Service: t.Service, Sent: c.Book.Now()}
+	a.Deadline = a.Sent + t.Deadline
+	req, _ := http.NewRequest(http.MethodGet, "http://"+address+"/map?token="+a.Token, nil)
+	if t.Kind == "stream" {
+		body, _ := json.Marshal(map[string]any{"id": a.Token, "service": t.Service, "prefix": fmt.Sprintf("%s prefix %d", t.Name, call.Prefix), "session": "token=" + a.Token,
+			"prefix_tokens": t.PrefixTokens, "session_tokens": t.SessionTokens, "max_tokens": t.MaxTokens})
+		req, _ = http.NewRequest(http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body))
+	}
+	req.Header.Set("Stepwick-Request-Id", a.Token)
+	c.perform(&a, req, address, t.Deadline, 0.5)
+	a.Done = c.Book.Now()
+	return a
+}
+
 func (c *Crowd) perform(a *ledger.Attempt, req *http.Request, address string, most kernel.Duration, draw float64) {
 	l, err := c.lines.take(address)
 	if err != nil {
--- a/cmd/rig/load/operator.go
+++ b/cmd/rig/load/operator.go
@@ -74,6 +74,15 @@
 	return &Control{Fleet: f, Book: f.Book, prefix: fmt.Sprintf("o%d", seed), Wait: 8 * kernel.Second}
 }
 
+// Settings makes an order that sets run-time settings.
+func (c *Control) Settings(operator string, base uint64, values map[string]string) *Order {
+	var more []map[string]any
+	for name, value := range values {
+		more = append(more, map[string]any{"path": "settings." + name, "value": value})
+	}
+	return c.Change(operator, base, more...)
+}
+
 // NextKey gives a probe key number that no sheet had.
 func (c *Control) NextKey() int { return int(c.key.Add(1)) }
 
--- /dev/null
+++ b/cmd/rig/measure.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"stepwick/internal/kernel"
+
+	"stepwick/cmd/rig/fleet"
+	"stepwick/cmd/rig/judge"
+	"stepwick/cmd/rig/ledger"
+	"stepwick/cmd/rig/load"
+	"stepwick/cmd/rig/prove"
+)
+
+// longPrompts are tenants whose prefixes do not all fit into one server's cache.
+func longPrompts() []load.Tenant {
+	plenty := ledger.Allowance{Rate: 1e7, Burst: 1e7}
+	return []load.Tenant{
+		{Name: "press", Key: "key-of-press", Service: "digest", Kind: "stream", PerSecond: 60, Prefixes: 60, PrefixTokens: 3000, SessionTokens: 150, MaxTokens: 48, Deadline: 8 * kernel.Second, Allowance: plenty},
+		{Name: "helpdesk", Key: "key-of-helpdesk", Service: "helpline", Kind: "stream", PerSecond: 50, Prefixes: 40, PrefixTokens: 2000, SessionTokens: 200, MaxTokens: 40, Deadline: 8 * kernel.Second, Allowance: plenty},
+	}
+}
+
+func built() (binary string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "stepwick-build-")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "temp folder")
+	}
+	if binary, err = fleet.Build(dir); err != nil {
+		os.RemoveAll(dir)
+		return "", nil, err
+	}
+	return binary, func() { os.RemoveAll(dir) }, nil
+}
+
+func routeCommand() *cobra.Command {
+	length, seed, factor := 20, uint64(1), 1.0
+	strategies := []string{"affinity", "round_robin", "least_loaded"}
+	c := &cobra.Command{Use: "route", Short: "Compare prefix affinity with the baselines on long prompts with shared prefixes",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			binary, remove, err := built()
+			if err != nil {
+				return err
+			}
+			defer remove()
+			for _, strategy := range strategies {
+				s, err := prove.Open(cmd.Context(), prove.Options{Spec: fleet.First(), Tenants: longPrompts(), Binary: binary, Seed: seed, Seconds: length, Out: os.Stdout,
+					Sheet: map[string]string{"route.strategy": strategy}})
+				if err != nil {
+					return err
+				}
+				s.Crowd.Scale("", factor)
+				s.Wait(5 * kernel.Second)
+				from := s.Book.Now()
+				s.Wait(kernel.Duration(length) * kernel.Second)
+				l := s.Close()
+				found := judge.Find(&l)
+				prove.Report(os.Stdout, strategy, found)
+				sum := prove.Sum(&l, from)
+				sum.Violations = len(found)
+				line, _ := json.Marshal(struct {
+					Strategy string `json:"strategy"`
+					prove.Summary
+				}{strategy, sum})
+				fmt.Println(string(line))
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&length, "seconds", length, "how long to measure each strategy, after 5 s")
+	c.Flags().Uint64Var(&seed, "seed", seed, "seed of the load, the same for each")
+	c.Flags().Float64Var(&factor, "load", factor, "load as a factor of 110 prompts a second")
+	c.Flags().StringSliceVar(&strategies, "strategies", strategies, "strategies to compare")
+	return c
+}
+
+func costCommand() *cobra.Command {
+	count := 400
+	c := &cobra.Command{Use: "cost", Short: "Measure what a front adds to a request against calling the server itself",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			binary, remove, err := built()
+			if err != nil {
+				return err
+			}
+			defer remove()
+			s, err := prove.Open(cmd.Context(), prove.Options{Spec: fleet.First(), Tenants: load.FirstTenants(), Binary: binary, Seed: 1, Out: os.Stdout})
+			if err != nil {
+				return err
+			}
+			s.Crowd.Scale("", 0)
+			s.Wait(6 * kernel.Second)
+			for _, t := range load.FirstTenants() {
+				if t.Kind == "post" {
+					continue
+				}
+				line, _ := json.Marshal(cost(s, t, count))
+				fmt.Println(string(line))
+			}
+			s.Close()
+			return nil
+		}}
+	c.Flags().IntVar(&count, "requests", count, "requests of each kind, one after another, direct and through a front in turns")
+	return c
+}
+
+type costs struct {
+	Tenant     string  `json:"tenant"`
+	Kind       string  `json:"kind"`
+	Requests   int     `json:"requests"`
+	DirectP50  float64 `json:"direct_p50_ms"`
+	DirectP95  float64 `json:"direct_p95_ms"`
+	ThroughP50 float64 `json:"through_front_p50_ms"`
+	ThroughP95 float64 `json:"through_front_p95_ms"`
+	AddedP50   float64 `json:"added_p50_ms"`
+	Failed     int     `json:"failed"`
+}
+
+// cost measures to the first byte of the answer; both ways pass one relay.
+func cost(s *prove.Stage, t load.Tenant, count int) costs {
+	direct, through := hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
+	c := costs{Tenant: t.Name, Kind: t.Kind, Requests: count}
+	server := "model1"
+	if t.Kind != "stream" {
+		server = "web1"
+	}
+	for i := range count {
+		call := load.Call{Tenant: t, Place: s.Fleet.Place(server), Prefix: 1, Draw: .5, Front: s.Fleet.Nodes[3].Caller, Pick: uint64(i)}
+		for _, way := range []*hdrhistogram.Histogram{direct, through} {
+			var a ledger.Attempt
+			if way == direct {
+				a = s.Crowd.Direct(call, s.Fleet.Address(server))
+			} else {
+				a = s.Crowd.Call(s.Context(), call)
+			}
+			if a.End != ledger.Served {
+				c.Failed++
+				continue
+			}
+			_ = way.RecordValue((a.First - a.Sent).Microseconds())
+		}
+	}
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	c.DirectP50, c.DirectP95, c.ThroughP50, c.ThroughP95 = ms(direct, 50), ms(direct, 95), ms(through, 50), ms(through, 95)
+	c.AddedP50 = c.ThroughP50 - c.DirectP50
+	return c
+}
--- a/cmd/rig/prove/stage.go
+++ b/cmd/rig/prove/stage.go
@@ -33,7 +33,8 @@
 	Seconds int
 	Keep    string // folder that gets the ledger and the nodes' logs; empty: none
 	Out     io.Writer
-	Table   bool // a line each second
+	Table   bool              // a line each second
+	Sheet   map[string]string // run-time settings of the first sheet
 }
 
 // Stage is a fleet that serves, with callers and operators.
@@ -94,7 +95,9 @@
 	ctx, cancel := kernel.WithTimeout(s.ctx, 40*kernel.Second)
 	defer cancel()
 	key := s.Control.NextKey()
-	order := s.Control.Put("ade", 0, load.FirstSheet(s.Fleet, s.Tenants, key), key)
+	sheet := load.FirstSheet(s.Fleet, s.Tenants, key)
+	sheet.Settings = s.Sheet
+	order := s.Control.Put("ade", 0, sheet, key)
 	if told := s.Control.Push(ctx, order, s.Fleet.Nodes); !told.Won() {
 		return errors.Errorf("the first sheet was not accepted: status %d code %d %s; node logs:\n%s", told.Status, told.Code, told.Detail, s.tails())
 	}
@@ -322,8 +325,8 @@
 	return float64(part*1000/whole) / 1000
 }
 
-// Print writes violations, at most a few of each judge in full.
-func Print(out io.Writer, name string, found []judge.Violation) {
+// Report writes violations, at most a few of each judge in full.
+func Report(out io.Writer, name string, found []judge.Violation) {
 	by := map[string]int{}
 	for _, v := range found {
 		by[v.Judge]++
--- a/cmd/rig/prove_command.go
+++ b/cmd/rig/prove_command.go
@@ -15,6 +15,7 @@
 	"stepwick/cmd/rig/judge"
 	"stepwick/cmd/rig/load"
 	"stepwick/cmd/rig/prove"
+	"stepwick/cmd/rig/report"
 )
 
 func proveCommand() *cobra.Command {
@@ -25,6 +26,7 @@
 		seeds   int
 		length  int
 		keep    string
+		folder  string
 		binary  string
 		verbose bool
 	)
@@ -53,7 +55,7 @@
 					chosen = append(chosen, p)
 				}
 			}
-			return proveAll(cmd.Context(), chosen, seed, seeds, length, keep, binary, verbose)
+			return proveAll(cmd.Context(), chosen, seed, seeds, length, run{keep, folder, binary, verbose})
 		}}
 	c.Flags().BoolVar(&list, "list", false, "list the cases")
 	c.Flags().StringSliceVar(&names, "case", nil, "cases to run (all for every one); without it the seed draws a mix")
@@ -61,11 +63,18 @@
 	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, from --seed on")
 	c.Flags().IntVar(&length, "seconds", 0, "length of a case; 0 for its usual one")
 	c.Flags().StringVar(&keep, "keep", "", "folder for ledgers and the nodes' logs")
+	c.Flags().StringVar(&folder, "report", "", "folder for JSON lines and plots")
 	c.Flags().StringVar(&binary, "binary", "", "a stepwick program that is built already")
 	c.Flags().BoolVar(&verbose, "table", false, "print a line each second")
 	return c
 }
 
+// run is what is kept and shown of each case.
+type run struct {
+	keep, folder, binary string
+	table                bool
+}
+
 type verdict struct {
 	Case       string             `json:"case"`
 	Seed       uint64             `json:"seed"`
@@ -78,16 +87,14 @@
 	Worst      map[string]float64 `json:"worst_span,omitempty"`
 }
 
-func proveAll(ctx kernel.Context, chosen []prove.Case, seed uint64, seeds, length int, keep, binary string, table bool) error {
-	if binary == "" {
-		dir, err := os.MkdirTemp("", "stepwick-build-")
+func proveAll(ctx kernel.Context, chosen []prove.Case, seed uint64, seeds, length int, r run) error {
+	if r.binary == "" {
+		binary, remove, err := built()
 		if err != nil {
-			return errors.Wrap(err, "temp folder")
-		}
-		defer os.RemoveAll(dir)
-		if binary, err = fleet.Build(dir); err != nil {
 			return err
 		}
+		defer remove()
+		r.binary = binary
 	}
 	cases, violations := 0, 0
 	for i := range seeds {
@@ -96,7 +103,7 @@
 				return ctx.Err()
 			}
 			cases++
-			v := proveOne(ctx, p, seed+uint64(i), length, keep, binary, table)
+			v := proveOne(ctx, p, seed+uint64(i), length, r)
 			violations += v.Violations
 			line, _ := json.Marshal(v)
 			fmt.Println(string(line))
@@ -112,13 +119,13 @@
 
 // proveOne runs one case. A case that could not do its work, such as an order
 // that was never accepted, counts as a violation too.
-func proveOne(ctx kernel.Context, p prove.Case, seed uint64, length int, keep, binary string, table bool) verdict {
-	o := prove.Options{Spec: fleet.First(), Tenants: load.FirstTenants(), Binary: binary, Seed: seed, Seconds: p.Seconds, Out: os.Stdout, Table: table}
+func proveOne(ctx kernel.Context, p prove.Case, seed uint64, length int, r run) verdict {
+	o := prove.Options{Spec: fleet.First(), Tenants: load.FirstTenants(), Binary: r.binary, Seed: seed, Seconds: p.Seconds, Out: os.Stdout, Table: r.table}
 	if length > 0 {
 		o.Seconds = length
 	}
-	if keep != "" {
-		o.Keep = filepath.Join(keep, fmt.Sprintf("%s-%d", p.Name, seed))
+	if r.keep != "" {
+		o.Keep = filepath.Join(r.keep, fmt.Sprintf("%s-%d", p.Name, seed))
 	}
 	if p.Fleet != nil {
 		p.Fleet(&o)
@@ -134,7 +141,13 @@
 	err = p.Run(s)
 	l := s.Close()
 	found := judge.Find(&l)
-	prove.Print(os.Stdout, p.Name, found)
+	prove.Report(os.Stdout, p.Name, found)
+	if r.folder != "" {
+		name := fmt.Sprintf("%s-%d", p.Name, seed)
+		if err := report.Write(filepath.Join(r.folder, name), name, &l, found); err != nil {
+			fmt.Fprintln(os.Stderr, "rig:", err)
+		}
+	}
 	sum := prove.Sum(&l, s.Began)
 	v.Violations, v.Served, v.Declined, v.Failed, v.Orders = len(found), sum.Served, sum.Declined, sum.Failed, sum.Orders
 	if p.Group == 7 {
