--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -225,5 +225,8 @@
 "fleet_fault":{"code":5005,"name":"core_unreachable","detail":"3 of 3 cores known, none could be reached","retry":"same"}}`
 	s.run("status")
 	s.run("status", "-o", "json")
+	s.run("status", "--wait", "1s", "-o", "json")
+	fleet.bodies["status"] = strings.NewReplacer(`"in_force":false`, `"in_force":true`, `"ready":false`, `"ready":true`).Replace(statusBody)
+	s.run("status", "--wait", "1s")
 	check("views", s)
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -40,17 +39,9 @@
 		Settled  bool   `json:"settled"`
 		Grants   int    `json:"grants"`
 	} `json:"cores"`
-	Members []struct {
-		Name      string `json:"name"`
-		Locality  string `json:"locality"`
-		Core      bool   `json:"core"`
-		Front     bool   `json:"front"`
-		Confirmed bool   `json:"confirmed"`
-		Granted   bool   `json:"granted"`
-		Gone      bool   `json:"gone"`
-	} `json:"members"`
-	Duties map[string]sheet.Duty `json:"duties"`
-	Plan   *struct {
+	Members []member              `json:"members"`
+	Duties  map[string]sheet.Duty `json:"duties"`
+	Plan    *struct {
 		Term   uint64 `json:"term"`
 		Number uint64 `json:"number"`
 		Epoch  uint64 `json:"epoch"`
@@ -60,6 +51,16 @@
 	} `json:"plan"`
 }
 
+type member struct {
+	Name      string `json:"name"`
+	Locality  string `json:"locality"`
+	Core      bool   `json:"core"`
+	Front     bool   `json:"front"`
+	Confirmed bool   `json:"confirmed"`
+	Granted   bool   `json:"granted"`
+	Gone      bool   `json:"gone"`
+}
+
 type nodeStatus struct {
 	Name        string            `json:"name"`
 	Locality    string            `json:"locality"`
@@ -87,35 +88,87 @@
 func (a *App) status() *cobra.Command {
 	l := &link{app: a}
 	var format string
+	var wait kernel.Duration
 	command := &cobra.Command{
 		Use:   "status",
 		Short: "Show nodes, epochs, grants, roster, servers, plan and evacuations",
 		Long: `Show the fleet as one core sees it (cores, roster, grants, epochs, duties,
 evacuations, plan) and as the asked node sees it (processes, servers, whether it
 rules). It is no read-back: use "sheet get" for that. A tenant's spend is under
-"stepwick tally".`,
-		Example: "  stepwick status\n  stepwick status --node 10.0.0.2:8080 -o json",
+"stepwick tally".
+
+With --wait it asks again until the newest epoch is in force, there is a plan, and
+every member of the roster has its grant and is ready; if that isn't so by then,
+it prints what it saw and ends with the exit code for "try later".`,
+		Example: "  stepwick status\n  stepwick status --wait 30s\n  stepwick status --node 10.0.0.2:8080 -o json",
 		Args:    cobra.NoArgs, ValidArgsFunction: noArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			body, err := l.get(command.Context(), controlPath+"status", nil)
-			if err != nil {
+			until := a.Clock.Now().Add(wait)
+			for {
+				var s status
+				body, err := l.get(command.Context(), controlPath+"status", &s)
+				lacks := "no node answers"
+				if err == nil {
+					lacks = s.lacks()
+				}
+				if wait > 0 && lacks != "" && a.Clock.Now().Before(until) {
+					select {
+					case <-a.Clock.After(resendAfter):
+						continue
+					case <-command.Context().Done():
+						return command.Context().Err()
+					}
+				}
+				if err != nil {
+					return err
+				}
+				if format == "json" {
+					err = a.printBody(body)
+				} else {
+					err = a.printStatus(&s)
+				}
+				if err == nil && wait > 0 && lacks != "" {
+					return kernel.Decline(kernel.NotRuling, "after %s: %s", wait, lacks)
+				}
 				return err
 			}
-			if format == "json" {
-				return a.printBody(body)
-			}
-			var s status
-			if err := json.Unmarshal(body, &s); err != nil {
-				return kernel.Decline(kernel.BadAnswer, "%v", err)
-			}
-			return a.printStatus(&s)
 		},
 	}
 	l.register(command.Flags())
+	command.Flags().DurationVar(&wait, "wait", 0, "wait so long for all of the fleet to be ready")
 	output(command, &format, "table", "table", "json")
 	return command
 }
 
+// lacks says what keeps the fleet from being whole; "" when nothing does.
+func (s *status) lacks() string {
+	switch {
+	case s.Fleet == nil || s.Node == nil:
+		return "no core answers"
+	case !s.Fleet.InForce:
+		return fmt.Sprintf("epoch %d is not in force: %s", s.Fleet.Epoch, s.Fleet.Waiting)
+	case s.Fleet.Plan == nil:
+		return "there is no plan yet"
+	case !s.Fleet.RosterSettled || len(s.Fleet.Members) == 0:
+		return "the roster is changing"
+	}
+	ready := map[string]bool{}
+	for _, p := range s.Node.Processes {
+		ready[p.Name] = p.Ready
+	}
+	for _, m := range s.Fleet.Members {
+		if !m.Granted || m.Front && !ready[m.Name] {
+			return m.Name + " is not ready"
+		}
+	}
+	for _, p := range s.Node.Processes {
+		if p.Ready && !slices.ContainsFunc(s.Fleet.Members, func(m member) bool { return m.Name == p.Name }) {
+			return p.Name + " is not on the roster yet"
+		}
+	}
+	return ""
+}
+
 func (a *App) printStatus(s *status) error {
 	if s.Fleet != nil {
 		if err := a.printFleet(s.Fleet, s.Node); err != nil {
