Agree each epoch by its own ballot among cores with a log on disk

Acceptor, proposer, formation and recovery are values that give records and an answer; the replica appends the records, folds them and answers once they are synced. A core enters a formation by recovery from all others, in a first formation as after a wipe, so there is one path. A first life is kept on disk before it is announced: without that, three cores entering at once discard each other's answers for ever. Ruled out: promising one ballot twice (a core that crashed before its own promise was synced could open it again); waiting for the sync of the proposer's own disk (a slow disk would delay the others). Measured: go test ./internal/node/replica passes (three cores in virtual time: formation, race, minority, restarts, wipes, slow and full disk). The model check and the log's crash tests are not in yet.

--- /dev/null
+++ b/internal/core/ballot/acceptor.go
@@ -0,0 +1,155 @@
+package ballot
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// fetchBytes bounds the commands of one answer to a Fetch.
+const fetchBytes = 4 << 20
+
+// Prepare decides on a ballot's opening. A ballot is promised once: the same
+// one again is declined, so that a core that forgot its own unsynced ballot
+// in a crash cannot open it a second time.
+func (s State) Prepare(req *wire.PrepareRequest) ([]Record, *wire.PrepareResponse) {
+	resp := &wire.PrepareResponse{Core: s.Self, Learned: s.Learned(), Lives: maps.Clone(s.Lives)}
+	if code := s.votesIn(req.Formation); code != kernel.OK {
+		resp.Decline = uint32(code)
+		return nil, resp
+	}
+	if req.Slot <= s.Learned() {
+		resp.ChosenValue, resp.Chosen = s.Command(req.Slot)
+		if !resp.Chosen {
+			resp.Decline = uint32(kernel.EpochBehind)
+		}
+		return nil, resp
+	}
+	vote, asked := s.Votes[req.Slot], Of(req.Ballot)
+	if !vote.Promised.Below(asked) {
+		resp.PromisedBallot = vote.Promised.Wire()
+		return nil, resp
+	}
+	resp.Promised, resp.PromisedBallot = true, asked.Wire()
+	resp.AcceptedBallot, resp.AcceptedValue = vote.Accepted.Wire(), vote.Value
+	return []Record{Promised{Slot: req.Slot, Ballot: asked}}, resp
+}
+
+// Accept decides on a value. It is declined below the promise, and when it
+// rests on the promise of a core whose disk is known to be lost since.
+func (s State) Accept(req *wire.AcceptRequest) ([]Record, *wire.AcceptResponse) {
+	resp := &wire.AcceptResponse{Core: s.Self, Learned: s.Learned(), Lives: maps.Clone(s.Lives)}
+	if code := s.votesIn(req.Formation); code != kernel.OK {
+		resp.Decline = uint32(code)
+		return nil, resp
+	}
+	if req.Slot <= s.Learned() {
+		resp.ChosenValue, resp.Chosen = s.Command(req.Slot)
+		if !resp.Chosen {
+			resp.Decline = uint32(kernel.EpochBehind)
+		}
+		return nil, resp
+	}
+	for core, life := range req.PromisedLives {
+		if s.Lives[core] > life {
+			resp.Decline = uint32(kernel.CoreAmnesiac)
+			return nil, resp
+		}
+	}
+	vote, asked := s.Votes[req.Slot], Of(req.Ballot)
+	resp.PromisedBallot = vote.Promised.Wire()
+	switch {
+	case asked.Below(vote.Promised):
+		return nil, resp
+	case asked == vote.Accepted && !bytes.Equal(vote.Value, req.Value):
+		resp.Decline = uint32(kernel.Internal)
+		return nil, resp
+	case asked == vote.Accepted:
+		resp.Accepted = true
+		return nil, resp
+	}
+	resp.Accepted, resp.PromisedBallot = true, asked.Wire()
+	return []Record{Accepted{Slot: req.Slot, Ballot: asked, Value: req.Value}}, resp
+}
+
+// Learn takes chosen epochs in. Behind tells that epochs before them are
+// missing here, to be fetched from the sender.
+func (s State) Learn(req *wire.LearnRequest) (records []Record, resp *wire.LearnResponse, behind bool) {
+	if s.votesIn(req.Formation) != kernel.OK {
+		return nil, &wire.LearnResponse{Learned: s.Learned()}, false
+	}
+	next := s.Learned() + 1
+	for _, chosen := range req.Chosen {
+		switch {
+		case chosen.Epoch > next:
+			behind = true
+		case chosen.Epoch == next:
+			vote := s.Votes[next]
+			same := !vote.Accepted.Zero() && bytes.Equal(vote.Value, chosen.Command)
+			records = append(records, Learned{Epoch: next, Command: chosen.Command, AsAccepted: same})
+			next++
+		}
+	}
+	return records, &wire.LearnResponse{Learned: next - 1}, behind
+}
+
+// Read tells how far the core has learned and accepted.
+func (s State) Read(req *wire.ReadRequest) *wire.ReadResponse {
+	resp := &wire.ReadResponse{Core: s.Self, Learned: s.Learned(), Highest: s.Highest()}
+	if code := s.votesIn(req.Formation); code != kernel.OK {
+		resp.Decline = uint32(code)
+	}
+	return resp
+}
+
+// Fetch gives epochs after a place, after a snapshot where those are no longer
+// kept singly. The answer is bounded; Learned above its last epoch says there
+// is more.
+func (s State) Fetch(req *wire.FetchRequest) (*wire.FetchResponse, *kernel.Fault) {
+	if code := s.votesIn(req.Formation); code != kernel.OK {
+		return nil, kernel.Decline(code, "core %s", s.Self)
+	}
+	resp := &wire.FetchResponse{Learned: s.Learned()}
+	after := req.After
+	if after < s.SnapshotEpoch {
+		resp.SnapshotEpoch, resp.Snapshot = s.SnapshotEpoch, s.Snapshot
+		after = s.SnapshotEpoch
+	}
+	if after >= s.Learned() {
+		return resp, nil
+	}
+	size := 0
+	for _, chosen := range s.Chosen[after-s.SnapshotEpoch:] {
+		if size += len(chosen.Command); size > fetchBytes && len(resp.Chosen) > 0 {
+			break
+		}
+		resp.Chosen = append(resp.Chosen, chosen)
+	}
+	return resp, nil
+}
+
+// Fetched turns a Fetch's answer into records.
+func (s State) Fetched(resp *wire.FetchResponse) []Record {
+	if s.Life() == 0 {
+		return nil
+	}
+	var records []Record
+	if resp.SnapshotEpoch > s.Learned() {
+		records = append(records, Installed{Epoch: resp.SnapshotEpoch, Snapshot: resp.Snapshot})
+		s = records[0].Fold(s)
+	}
+	more, _, _ := s.Learn(&wire.LearnRequest{Formation: s.Formation, Chosen: resp.Chosen})
+	return append(records, more...)
+}
+
+// Found decides on an invitation into a first formation.
+func (s State) Found(req *wire.FoundRequest) ([]Record, *wire.FoundResponse) {
+	if s.Formation == "" && slices.Contains(req.Voters, s.Self) {
+		join := Joined{Formation: req.Formation, Voters: req.Voters}
+		return []Record{join}, &wire.FoundResponse{Joined: true, Formation: req.Formation, Standing: join.Fold(s).Standing()}
+	}
+	return nil, &wire.FoundResponse{Joined: s.Formation == req.Formation, Formation: s.Formation, Standing: s.Standing()}
+}
--- /dev/null
+++ b/internal/core/ballot/recovery.go
@@ -0,0 +1,139 @@
+package ballot
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Recover answers a core that enters the formation with an empty disk. The new
+// life must be synced before the answer leaves. A core that has not entered
+// answers too: with its first life if its disk proves that it never voted, and
+// else with its own life at zero, which tells the asker not to count it.
+func (s State) Recover(req *wire.RecoverRequest) ([]Record, *wire.RecoverResponse) {
+	resp := &wire.RecoverResponse{Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives()}
+	decline := func(code kernel.Code) ([]Record, *wire.RecoverResponse) {
+		resp.Decline = uint32(code)
+		return nil, resp
+	}
+	switch {
+	case s.Formation == "":
+		return decline(kernel.CoreBlank)
+	case req.Probe:
+		resp.Ok = true
+		return nil, resp
+	case req.Formation != s.Formation:
+		return decline(kernel.WrongFormation)
+	case req.Core == s.Self || !slices.Contains(s.Voters, req.Core):
+		return decline(kernel.NotCore)
+	case req.Life < s.Lives[req.Core] || req.Life == 0:
+		return decline(kernel.EpochBehind)
+	}
+	lived := Lived{Core: req.Core, Life: req.Life}
+	if s.Lives[req.Core] == req.Life {
+		return nil, s.message()
+	}
+	return []Record{lived}, lived.Fold(s).message()
+}
+
+// NextLife returns the life with which to recover, from a probe of all other
+// voters. Without all of them it says whom it waits for. The first life is to
+// be kept in a Lived record before it is announced.
+func (s State) NextLife(probes map[string]*wire.RecoverResponse) (life uint64, waiting string) {
+	for _, name := range s.Others() {
+		probe := probes[name]
+		if probe == nil || !probe.Ok || probe.Formation != s.Formation {
+			return 0, name
+		}
+		life = max(life, probe.Lives[s.Self])
+	}
+	if s.Announced > 0 && life <= s.Announced {
+		return s.Announced, ""
+	}
+	return life + 1, ""
+}
+
+// Enter merges the answers of all other voters to a Recover into the one record
+// by which this core enters. It waits, and says for whom, while an answer is
+// missing or is of a core that lost its disk and has not itself recovered since.
+func (s State) Enter(life uint64, answers map[string]*wire.RecoverResponse) (record Record, waiting string) {
+	known := maps.Clone(s.Lives)
+	if known == nil {
+		known = map[string]uint64{}
+	}
+	for _, name := range s.Others() {
+		answer := answers[name]
+		if answer == nil || !answer.Ok || answer.Formation != s.Formation {
+			return nil, name
+		}
+		raise(known, answer.Lives)
+	}
+	if known[s.Self] > life {
+		return nil, s.Self
+	}
+	entered := Entered{Lives: known, SnapshotEpoch: s.SnapshotEpoch, Snapshot: s.Snapshot, Chosen: s.Chosen, Votes: map[uint64]Vote{}}
+	learned := s.Learned()
+	for _, name := range s.Others() {
+		answer := answers[name]
+		if answer.Lives[name] < known[name] {
+			return nil, fmt.Sprintf("%s (lost its disk too)", name)
+		}
+		if top := answer.SnapshotEpoch + uint64(len(answer.Chosen)); top > learned {
+			learned = top
+			entered.SnapshotEpoch, entered.Snapshot, entered.Chosen = answer.SnapshotEpoch, answer.Snapshot, answer.Chosen
+		}
+		for _, vote := range answer.Votes {
+			entered.Votes[vote.Slot] = entered.Votes[vote.Slot].merge(voteOf(vote))
+		}
+	}
+	known[s.Self] = life
+	return entered, ""
+}
+
+// Rejoin decides whether a core that has not entered should join the formation
+// of a probe's answer: a blank core any that names it; one that waits in
+// another formation only if that one has been entered and its own has not, or,
+// with neither entered, if its id is the lower.
+func (s State) Rejoin(probe *wire.RecoverResponse) (Record, bool) {
+	if s.Life() != 0 || probe.Formation == "" || probe.Formation == s.Formation || !slices.Contains(probe.Voters, s.Self) {
+		return nil, false
+	}
+	if s.Formation != "" {
+		here, there := len(s.Lives) > 0, len(probe.Lives) > 0
+		if here || !there && probe.Formation > s.Formation {
+			return nil, false
+		}
+	}
+	return Joined{Formation: probe.Formation, Voters: probe.Voters}, true
+}
+
+// Establish decides on a first formation: of the given number of voters, all
+// present, all blank, and by the lowest name. Present holds the answers to a
+// probe of every other core that is known; a missing answer is nil. The
+// snapshot is the highest agreed state that anyone still holds, if any.
+func (s State) Establish(id string, count int, present map[string]*wire.RecoverResponse, epoch uint64, snapshot []byte) (Record, bool) {
+	if s.Formation != "" {
+		return nil, false
+	}
+	names := append(slices.Collect(maps.Keys(present)), s.Self)
+	slices.Sort(names)
+	if len(names) < count || names[0] != s.Self {
+		return nil, false
+	}
+	for _, answer := range present {
+		if answer == nil || kernel.Code(answer.Decline) != kernel.CoreBlank {
+			return nil, false
+		}
+	}
+	return Joined{Formation: id, Voters: names[:count], SnapshotEpoch: epoch, Snapshot: snapshot}, true
+}
+
+// raise keeps the higher life of each core.
+func raise(known, other map[string]uint64) {
+	for core, life := range other {
+		known[core] = max(known[core], life)
+	}
+}
--- /dev/null
+++ b/internal/core/ballot/state.go
@@ -0,0 +1,187 @@
+package ballot
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// State is all that one core holds of the agreement. It is immutable: folding
+// a record copies what it changes and shares the rest.
+type State struct {
+	Self      string
+	Formation string   // empty on a blank core
+	Voters    []string // sorted names
+	// Lives holds the disk lives of all voters as known here; a core's own is
+	// zero until it has entered the formation by recovery from all others.
+	Lives map[string]uint64
+	// Announced is a core's first life, kept before it is announced and before
+	// it has entered: this disk proves that the core has never voted.
+	Announced     uint64
+	SnapshotEpoch uint64
+	Snapshot      []byte         // the agreed state at SnapshotEpoch; opaque here
+	Chosen        []*wire.Chosen // all epochs after SnapshotEpoch that are learned
+	Votes         map[uint64]Vote
+}
+
+// Blank returns the state of a core with an empty disk.
+func Blank(self string) State { return State{Self: self} }
+
+// Learned is the highest epoch up to which all are known to be chosen.
+func (s State) Learned() uint64 { return s.SnapshotEpoch + uint64(len(s.Chosen)) }
+
+// Life is the core's own disk life; zero until it has entered.
+func (s State) Life() uint64 { return s.Lives[s.Self] }
+
+// Standing is Blank, Amnesiac or Voting; a full disk is not known here.
+func (s State) Standing() wire.Standing {
+	switch {
+	case s.Formation == "":
+		return wire.Standing_STANDING_BLANK
+	case s.Life() == 0:
+		return wire.Standing_STANDING_AMNESIAC
+	}
+	return wire.Standing_STANDING_VOTING
+}
+
+// Majority is the least number of voters of which any two sets share one.
+func (s State) Majority() int { return len(s.Voters)/2 + 1 }
+
+// Others returns the voters besides the core itself.
+func (s State) Others() []string {
+	return slices.DeleteFunc(slices.Clone(s.Voters), func(name string) bool { return name == s.Self })
+}
+
+// Command returns the chosen command of an epoch that is learned and not yet
+// folded into the snapshot.
+func (s State) Command(epoch uint64) ([]byte, bool) {
+	if epoch <= s.SnapshotEpoch || epoch > s.Learned() {
+		return nil, false
+	}
+	return s.Chosen[epoch-s.SnapshotEpoch-1].Command, true
+}
+
+// Highest is the highest slot in which anything is accepted or learned.
+func (s State) Highest() uint64 {
+	top := s.Learned()
+	for slot, vote := range s.Votes {
+		if !vote.Accepted.Zero() && slot > top {
+			top = slot
+		}
+	}
+	return top
+}
+
+// NextNumber is a ballot number above all that the core has promised in a slot.
+func (s State) NextNumber(slot uint64) uint64 { return s.Votes[slot].Promised.Number + 1 }
+
+// Compacted returns the state with a snapshot at an epoch that is already
+// learned; what came before it is dropped.
+func (s State) Compacted(epoch uint64, snapshot []byte) State {
+	if epoch <= s.SnapshotEpoch || epoch > s.Learned() {
+		return s
+	}
+	s.Chosen = slices.Clone(s.Chosen[epoch-s.SnapshotEpoch:])
+	s.SnapshotEpoch, s.Snapshot = epoch, snapshot
+	return s
+}
+
+func (s State) openVotes() []*wire.SlotVote {
+	slots := slices.Sorted(maps.Keys(s.Votes))
+	votes := make([]*wire.SlotVote, 0, len(slots))
+	for _, slot := range slots {
+		votes = append(votes, s.Votes[slot].wire(slot))
+	}
+	return votes
+}
+
+func (s State) withVote(slot uint64, vote Vote) State {
+	votes := make(map[uint64]Vote, len(s.Votes)+1)
+	maps.Copy(votes, s.Votes)
+	votes[slot] = vote
+	s.Votes = votes
+	return s
+}
+
+// closed drops the votes of slots that are learned.
+func (s State) closed() State {
+	learned := s.Learned()
+	open := make(map[uint64]Vote, len(s.Votes))
+	for slot, vote := range s.Votes {
+		if slot > learned {
+			open[slot] = vote
+		}
+	}
+	s.Votes = open
+	return s
+}
+
+// lives returns what the core tells of disk lives, its own included.
+func (s State) lives() map[string]uint64 {
+	lives := make(map[string]uint64, len(s.Lives)+1)
+	maps.Copy(lives, s.Lives)
+	if s.Announced > lives[s.Self] {
+		lives[s.Self] = s.Announced
+	}
+	return lives
+}
+
+func (s State) message() *wire.RecoverResponse {
+	return &wire.RecoverResponse{Ok: true, Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives(),
+		SnapshotEpoch: s.SnapshotEpoch, Snapshot: s.Snapshot, Chosen: s.Chosen, Votes: s.openVotes()}
+}
+
+// Encode returns the whole state of a core that has entered, as kept in a
+// snapshot of its log.
+func (s State) Encode() []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.message())
+	if err != nil {
+		panic(errors.Wrap(err, "a ballot state holds no value that cannot be encoded"))
+	}
+	return data
+}
+
+// Decode reads what Encode wrote.
+func Decode(data []byte) (State, error) {
+	var m wire.RecoverResponse
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return State{}, errors.Wrap(err, "ballot state")
+	}
+	s := State{Self: m.Core, Formation: m.Formation, Voters: m.Voters, Lives: m.Lives, SnapshotEpoch: m.SnapshotEpoch,
+		Snapshot: m.Snapshot, Chosen: m.Chosen, Votes: make(map[uint64]Vote, len(m.Votes))}
+	for _, vote := range m.Votes {
+		s.Votes[vote.Slot] = voteOf(vote)
+	}
+	if err := contiguous(s.SnapshotEpoch, s.Chosen); err != nil {
+		return State{}, err
+	}
+	return s, nil
+}
+
+func contiguous(after uint64, chosen []*wire.Chosen) error {
+	for i, c := range chosen {
+		if c.Epoch != after+uint64(i)+1 {
+			return errors.Errorf("epoch %d where %d was due", c.Epoch, after+uint64(i)+1)
+		}
+	}
+	return nil
+}
+
+// votesIn returns OK when the core may vote in the formation.
+func (s State) votesIn(formation string) kernel.Code {
+	switch {
+	case s.Formation == "":
+		return kernel.CoreBlank
+	case formation != s.Formation:
+		return kernel.WrongFormation
+	case s.Life() == 0:
+		return kernel.CoreAmnesiac
+	}
+	return kernel.OK
+}
--- /dev/null
+++ b/internal/node/replica/owner.go
@@ -0,0 +1,376 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/core/ballot"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	inboxBound   = 256
+	recentEpochs = 256
+	recentBytes  = 32 << 20
+	slowSync     = 500 * kernel.Millisecond
+)
+
+// owner holds the core's state and answers for it. Its state may be ahead of
+// the disk; what leaves waits until all that was appended before is synced.
+type owner struct {
+	r       *Replica
+	log     Log
+	inbox   chan func(*owner)
+	gone    chan struct{}
+	state   ballot.State
+	sheet   sheet.State
+	results []sheet.Result // of the last epochs
+	recent  []*wire.Chosen // of the last epochs
+	waiters []waiter       // in the order of their places
+	synced  uint64
+	full    bool // no room for an ordinary record
+	stuck   bool // no room for an epoch that was chosen
+	waiting string
+
+	records      int // since the last snapshot
+	bytes        int64
+	compacting   bool
+	lastAppend   kernel.Time
+	slowReported bool
+}
+
+type waiter struct {
+	place uint64
+	then  func(error)
+}
+
+func (r *Replica) start() (*owner, error) {
+	log, replay, err := r.open()
+	if err != nil {
+		return nil, errors.Wrap(err, "open the log")
+	}
+	o := &owner{r: r, log: log, inbox: make(chan func(*owner), inboxBound), gone: make(chan struct{}), synced: log.Place()}
+	if err := o.replay(replay); err != nil {
+		_ = log.Close()
+		return nil, err
+	}
+	o.full = log.Full()
+	r.events.Emit(events.LogOpened, "core", r.cfg.Self, "segments", replay.Segments, "records", len(replay.Records), "epoch", o.state.Learned())
+	if replay.CutBytes > 0 {
+		r.events.Emit(events.TornTailCut, "core", r.cfg.Self, "segment", replay.CutSegment, "bytes", replay.CutBytes)
+	}
+	if replay.BadSnapshot != "" {
+		r.events.Emit(events.SnapshotBad, "core", r.cfg.Self, "snapshot", replay.BadSnapshot)
+	}
+	o.publish()
+	return o, nil
+}
+
+func (o *owner) replay(replay Replay) error {
+	o.state = ballot.Blank(o.r.cfg.Self)
+	if replay.Snapshot != nil {
+		state, err := ballot.Decode(replay.Snapshot)
+		if err != nil {
+			return errors.Wrap(err, "the log's snapshot")
+		}
+		if state.Self != o.r.cfg.Self {
+			return kernel.Decline(kernel.WrongFormation, "the data folder is core %s's", state.Self)
+		}
+		o.state = state
+	}
+	state, err := ballot.Replay(o.state, replay.Records)
+	if err != nil {
+		return err
+	}
+	o.state, o.records = state, len(replay.Records)
+	for _, record := range replay.Records {
+		o.bytes += int64(len(record))
+	}
+	return o.rebuild()
+}
+
+// rebuild works the sheet's state out from the snapshot and what follows it.
+func (o *owner) rebuild() error {
+	o.sheet, o.results, o.recent = sheet.State{}, nil, nil
+	if o.state.SnapshotEpoch > 0 {
+		state, err := sheet.DecodeState(o.state.Snapshot)
+		if err != nil {
+			return errors.Wrapf(err, "the snapshot of epoch %d", o.state.SnapshotEpoch)
+		}
+		if state.Epoch != o.state.SnapshotEpoch {
+			return errors.Errorf("a snapshot of epoch %d under %d", state.Epoch, o.state.SnapshotEpoch)
+		}
+		o.sheet = state
+	}
+	for _, chosen := range o.state.Chosen {
+		o.apply(chosen)
+	}
+	return nil
+}
+
+func (o *owner) apply(chosen *wire.Chosen) {
+	next, result := o.sheet.Step(chosen.Epoch, chosen.Command)
+	if result.Code == kernel.Internal {
+		o.r.events.Emit(events.CommandBad, "epoch", chosen.Epoch, "detail", result.Detail)
+	}
+	o.sheet = next
+	o.results = append(o.results, result)
+	o.recent = append(o.recent, chosen)
+	size, keep := 0, len(o.recent)
+	for keep > 0 && len(o.recent)-keep < recentEpochs {
+		if size += len(o.recent[keep-1].Command); size > recentBytes && keep < len(o.recent) {
+			break
+		}
+		keep--
+	}
+	if keep > 0 {
+		o.results, o.recent = slices.Clone(o.results[keep:]), slices.Clone(o.recent[keep:])
+	}
+}
+
+// result returns an epoch's outcome while it is kept.
+func (o *owner) result(epoch uint64) (sheet.Result, bool) {
+	back := o.sheet.Epoch - epoch
+	if epoch > o.sheet.Epoch || back >= uint64(len(o.results)) {
+		return sheet.Result{}, false
+	}
+	return o.results[uint64(len(o.results))-1-back], true
+}
+
+func (o *owner) run(ctx kernel.Context) error {
+	ticker := o.r.clock.Ticker(o.r.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.log.Dead():
+			err := o.log.Err()
+			for _, w := range o.waiters {
+				w.then(err)
+			}
+			return err
+		case question := <-o.inbox:
+			question(o)
+		case place := <-o.log.Synced():
+			o.release(place)
+		case <-ticker.C():
+			o.look()
+		}
+	}
+}
+
+// decided commits records and answers once they are synced; without room for
+// them, or any other reason not to keep them, it declines.
+func decided[T any](o *owner, records []ballot.Record, use use, resp T, decline func(kernel.Code) T, reply func(T, error)) {
+	if err := o.commit(records, use); err != nil {
+		if decline == nil {
+			reply(resp, err)
+			return
+		}
+		reply(decline(kernel.AsFault(err).Code), nil)
+		return
+	}
+	o.whenSynced(func(err error) { reply(resp, err) })
+}
+
+// use is what records are for: a full disk keeps no votes, but it takes up what
+// was chosen as soon as there is room, and new disk lives from its reserve.
+type use int
+
+const (
+	toVote use = iota
+	toLearn
+	toLive
+)
+
+// commit appends records and folds them, or does neither.
+func (o *owner) commit(records []ballot.Record, use use) error {
+	if len(records) == 0 {
+		return nil
+	}
+	if use == toVote && (o.full || o.stuck) {
+		return kernel.Decline(kernel.DiskFull, "only the reserve is left")
+	}
+	encoded := make([][]byte, len(records))
+	for i, record := range records {
+		encoded[i] = ballot.EncodeRecord(record)
+	}
+	if _, err := o.log.Append(encoded, use == toLive); err != nil {
+		if kernel.AsFault(err).Code == kernel.DiskFull {
+			o.room(use == toLearn)
+			o.compact()
+		}
+		return err
+	}
+	if use == toLearn && o.stuck {
+		o.room(false)
+	}
+	o.lastAppend = o.r.clock.Now()
+	before := o.state
+	for i, record := range records {
+		o.state = record.Fold(o.state)
+		o.records++
+		o.bytes += int64(len(encoded[i]))
+	}
+	if err := o.follow(before); err != nil {
+		return err
+	}
+	if o.records >= o.r.cfg.SnapshotRecords || o.bytes >= o.r.cfg.SnapshotBytes {
+		o.compact()
+	}
+	return nil
+}
+
+// follow brings the sheet's state to the ballot state's learned epoch.
+func (o *owner) follow(before ballot.State) error {
+	same := before.Learned() == o.state.Learned()
+	if same && before.Formation == o.state.Formation && before.Life() == o.state.Life() {
+		return nil
+	}
+	if !same && before.Formation == o.state.Formation && before.SnapshotEpoch == o.state.SnapshotEpoch && before.Life() == o.state.Life() {
+		for _, chosen := range o.state.Chosen[o.sheet.Epoch-o.state.SnapshotEpoch:] {
+			o.apply(chosen)
+		}
+	} else if err := o.rebuild(); err != nil {
+		return err
+	}
+	view := o.view()
+	o.whenSynced(func(err error) {
+		if err == nil {
+			o.r.publish(o.standing(view))
+		}
+	})
+	return nil
+}
+
+func (o *owner) whenSynced(then func(error)) {
+	if o.log.Place() <= o.synced {
+		then(nil)
+		return
+	}
+	o.waiters = append(o.waiters, waiter{place: o.log.Place(), then: then})
+}
+
+func (o *owner) release(place uint64) {
+	o.synced = place
+	o.slowReported = false
+	for len(o.waiters) > 0 && o.waiters[0].place <= place {
+		then := o.waiters[0].then
+		o.waiters = o.waiters[1:]
+		then(nil)
+	}
+}
+
+func (o *owner) view() view {
+	return view{state: o.sheet, recent: slices.Clip(o.recent), formation: o.state.Formation, voters: o.state.Voters, standing: o.state.Standing()}
+}
+
+// standing puts the present state of the disk into a view.
+func (o *owner) standing(v view) view {
+	v.waiting = o.waiting
+	if v.standing == wire.Standing_STANDING_VOTING {
+		v.waiting = ""
+		if o.full || o.stuck {
+			v.standing, v.waiting = wire.Standing_STANDING_DISK_FULL, "only the reserve is left on the disk"
+		}
+	}
+	return v
+}
+
+func (o *owner) publish() { o.r.publish(o.standing(o.view())) }
+
+// republish changes only what is not the disk's: it keeps the published epoch.
+func (o *owner) republish() {
+	v := *o.r.view.Load()
+	v.standing = o.state.Standing()
+	if o.log.Place() > o.synced && v.formation != o.state.Formation {
+		return
+	}
+	o.r.publish(o.standing(v))
+}
+
+// room looks at what room there is and publishes a change.
+func (o *owner) room(stuck bool) {
+	before := o.full || o.stuck
+	o.full, o.stuck = o.log.Full(), stuck
+	now := o.full || o.stuck
+	if now == before {
+		return
+	}
+	if now {
+		o.r.events.Emit(events.DiskFull, "core", o.r.cfg.Self)
+	} else {
+		o.r.events.Emit(events.DiskRoom, "core", o.r.cfg.Self)
+	}
+	o.republish()
+}
+
+// look is the owner's regular look at its disk.
+func (o *owner) look() {
+	o.room(o.stuck)
+	if o.full || o.stuck {
+		o.compact()
+	}
+	if !o.slowReported && o.log.Place() > o.synced && o.r.clock.Now().Sub(o.lastAppend) > slowSync {
+		o.slowReported = true
+		o.r.events.Emit(events.DiskSlow, "core", o.r.cfg.Self, "waiting", o.log.Place()-o.synced)
+	}
+}
+
+// compact encodes the sheet's state off the owner, then has the whole state
+// written beside the log in the log's place.
+func (o *owner) compact() {
+	if o.compacting || o.records == 0 || o.state.Life() == 0 {
+		return
+	}
+	o.compacting = true
+	epoch, state := o.state.Learned(), o.sheet
+	go func() {
+		var data []byte
+		if epoch > 0 {
+			data = state.Encode()
+		}
+		o.tell(func(o *owner) { o.snapshot(epoch, data) })
+	}()
+}
+
+func (o *owner) snapshot(epoch uint64, data []byte) {
+	o.state = o.state.Compacted(epoch, data)
+	records, bytes := o.records, o.bytes
+	done := o.log.Snapshot(o.state.Encode())
+	o.records, o.bytes = 0, 0
+	go func() {
+		var err error
+		select {
+		case err = <-done:
+		case <-o.gone:
+			return
+		}
+		o.tell(func(o *owner) {
+			o.compacting = false
+			if err != nil {
+				o.records, o.bytes = o.records+records, o.bytes+bytes
+				return
+			}
+			o.r.events.Emit(events.SnapshotWritten, "core", o.r.cfg.Self, "epoch", epoch, "bytes", len(data))
+		})
+	}()
+}
+
+func (o *owner) tell(f func(*owner)) {
+	select {
+	case o.inbox <- f:
+	case <-o.gone:
+	}
+}
+
+func (o *owner) noteFormation(from string, decline uint32) {
+	if kernel.Code(decline) == kernel.WrongFormation {
+		o.r.events.Emit(events.WrongFormation, "core", o.r.cfg.Self, "from", from, "formation", o.state.Formation)
+	}
+}
--- /dev/null
+++ b/internal/node/replica/propose.go
@@ -0,0 +1,259 @@
+package replica
+
+import (
+	"math/rand/v2"
+
+	"stepwick/internal/core/ballot"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+const (
+	firstBackoff = 10 * kernel.Millisecond
+	lastBackoff  = 400 * kernel.Millisecond
+	pauseUnheard = 50 * kernel.Millisecond
+)
+
+// proposal is a command to be agreed or, without one, a target up to which all
+// slots are to be finished.
+type proposal struct {
+	ctx     kernel.Context
+	command []byte
+	match   func([]byte) bool
+	target  uint64
+	done    chan outcome
+}
+
+type outcome struct {
+	epoch  uint64
+	result sheet.Result
+	err    error
+}
+
+// conduct runs this core's proposals one after another, so that they do not
+// contend with each other.
+func (r *Replica) conduct(ctx kernel.Context) {
+	random := r.random(1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-r.proposals:
+			bound, cancel := kernel.WithCancel(p.ctx)
+			stop := kernel.AfterFunc(ctx, cancel)
+			p.done <- r.agree(bound, ctx, p, random)
+			stop()
+			cancel()
+		}
+	}
+}
+
+// agree tries slot after slot until the proposal's end is met.
+func (r *Replica) agree(ctx, alive kernel.Context, p proposal, random *rand.Rand) outcome {
+	var begun, seen uint64
+	first, sent, losses := true, false, 0
+	code, detail := kernel.NoMajority, "no ballot was held"
+	for ctx.Err() == nil {
+		state, err := r.whole(ctx)
+		if err != nil {
+			return outcome{err: err}
+		}
+		learned := state.Learned()
+		if first {
+			begun, first = learned, false
+		}
+		if out, over := r.met(ctx, p, begun, learned); over {
+			return out
+		}
+		slot := learned + 1
+		command := p.command
+		if command == nil {
+			command = sheet.Encode(sheet.Noop{})
+		}
+		sent = true
+		ended, step, heard := r.ballot(ctx, state, slot, max(state.NextNumber(slot), seen+1), command)
+		switch {
+		case step.Chosen:
+			if err := r.learn(ctx, alive, slot, step.Value); err != nil {
+				return outcome{err: err}
+			}
+			losses, seen = 0, 0
+			continue
+		case step.Behind != "" || ended.Learned >= slot:
+			from := step.Behind
+			if from == "" {
+				from = ended.Tip
+			}
+			if r.catchUp(ctx, from) == nil {
+				losses, seen = 0, 0
+				continue
+			}
+		}
+		seen = max(seen, ended.Seen.Number)
+		code, detail = kernel.OutcomePending, "other cores' ballots came between"
+		wait := firstBackoff << min(losses, 6)
+		if heard < state.Majority() {
+			code, detail = kernel.NoMajority, "no majority of the cores answers"
+			wait = max(wait, pauseUnheard)
+		} else {
+			r.events.Emit(events.BallotContended, "slot", slot, "number", seen)
+		}
+		losses++
+		wait = min(wait, lastBackoff)
+		select {
+		case <-r.clock.After(wait/4 + kernel.Duration(random.Int64N(int64(wait)))):
+		case <-ctx.Done():
+		}
+	}
+	if !sent {
+		return outcome{err: kernel.Decline(kernel.NoMajority, "no ballot was held")}
+	}
+	return outcome{err: kernel.Decline(code, "%s", detail)}
+}
+
+// met tells whether a proposal has come to its end by what was learned since it
+// began.
+func (r *Replica) met(ctx kernel.Context, p proposal, begun, learned uint64) (outcome, bool) {
+	if p.command == nil {
+		return outcome{epoch: learned}, learned >= p.target
+	}
+	found, err := ask(ctx, r, func(o *owner, reply func(outcome, error)) {
+		for epoch := begun + 1; epoch <= o.sheet.Epoch; epoch++ {
+			result, kept := o.result(epoch)
+			if kept && p.match(o.recent[len(o.recent)-1-int(o.sheet.Epoch-epoch)].Command) {
+				reply(outcome{epoch: epoch, result: result}, nil)
+				return
+			}
+		}
+		reply(outcome{}, nil)
+	})
+	if err != nil {
+		return outcome{err: err}, true
+	}
+	return found, found.epoch != 0
+}
+
+type answer struct {
+	core     string
+	phase    ballot.Phase
+	prepared *wire.PrepareResponse
+	accepted *wire.AcceptResponse
+}
+
+// ballot holds one ballot. Voters are called at once and none is waited for
+// beyond a majority; late answers still reach the proposer while it runs.
+func (r *Replica) ballot(ctx kernel.Context, state ballot.State, slot, number uint64, own []byte) (ended ballot.Proposer, step ballot.Step, heard int) {
+	p, prepare := ballot.Propose(state, slot, number, own)
+	answers := make(chan answer, 2*len(p.Voters))
+	for _, core := range p.Voters {
+		go func() {
+			callCtx, cancel := kernel.WithTimeout(ctx, r.cfg.CallTimeout)
+			defer cancel()
+			resp, _ := call(callCtx, r, core, prepare, r.Prepare, wireconnect.PeerClient.Prepare)
+			answers <- answer{core: core, phase: ballot.Preparing, prepared: resp}
+		}()
+	}
+	answered := map[string]bool{}
+	for {
+		var a answer
+		select {
+		case a = <-answers:
+		case <-ctx.Done():
+			return p, ballot.Step{}, len(answered)
+		}
+		step = ballot.Step{}
+		switch {
+		case a.prepared != nil:
+			answered[a.core] = true
+			p, step = p.Promise(a.prepared)
+		case a.accepted != nil:
+			p, step = p.Accepted(a.accepted)
+		case a.phase == p.Phase:
+			p, step = p.Failed(a.core)
+		}
+		if step.Accept != nil {
+			r.sendAccept(ctx, p.Voters, step.Accept, answers)
+		}
+		if p.Phase == ballot.Ended {
+			return p, step, len(answered)
+		}
+	}
+}
+
+func (r *Replica) sendAccept(ctx kernel.Context, voters []string, req *wire.AcceptRequest, answers chan<- answer) {
+	for _, core := range voters {
+		go func() {
+			callCtx, cancel := kernel.WithTimeout(ctx, r.cfg.CallTimeout)
+			defer cancel()
+			resp, _ := call(callCtx, r, core, req, r.Accept, wireconnect.PeerClient.Accept)
+			answers <- answer{core: core, phase: ballot.Accepting, accepted: resp}
+		}()
+	}
+}
+
+// learn takes a chosen value in here and tells the other voters, for which the
+// replica stays alive longer than the proposal.
+func (r *Replica) learn(ctx, alive kernel.Context, slot uint64, value []byte) error {
+	chosen := []*wire.Chosen{{Epoch: slot, Command: value}}
+	state, err := ask(ctx, r, func(o *owner, reply func(ballot.State, error)) {
+		records, _, _ := o.state.Learn(&wire.LearnRequest{Formation: o.state.Formation, Chosen: chosen})
+		err := o.commit(records, toLearn)
+		reply(o.state, err)
+	})
+	if state.Formation != "" {
+		r.tellAll(alive, state, &wire.LearnRequest{Formation: state.Formation, From: r.cfg.Self, Chosen: chosen})
+	}
+	return err
+}
+
+func (r *Replica) tellAll(alive kernel.Context, state ballot.State, req *wire.LearnRequest) {
+	for _, core := range state.Others() {
+		go func() {
+			ctx, cancel := kernel.WithTimeout(alive, r.cfg.EntryTimeout)
+			defer cancel()
+			_, _ = call(ctx, r, core, req, r.Learn, wireconnect.PeerClient.Learn)
+		}()
+	}
+}
+
+// finish has every slot up to the target chosen, by the values found accepted.
+func (r *Replica) finish(ctx kernel.Context, target uint64) error {
+	done := make(chan outcome, 1)
+	select {
+	case r.proposals <- proposal{ctx: ctx, target: target, done: done}:
+	case <-ctx.Done():
+		return kernel.Decline(kernel.NoMajority, "proposals wait for a majority")
+	}
+	select {
+	case out := <-done:
+		if out.err == nil {
+			r.events.Emit(events.BallotFinished, "slot", target)
+		}
+		return out.err
+	case <-ctx.Done():
+		return kernel.Decline(kernel.NoMajority, "slot %d could not be finished in time", target)
+	}
+}
+
+// whole returns the core's state, ahead of the disk, if it votes.
+func (r *Replica) whole(ctx kernel.Context) (ballot.State, error) {
+	return ask(ctx, r, func(o *owner, reply func(ballot.State, error)) {
+		v := o.standing(view{standing: o.state.Standing()})
+		if code := standingCode(v.standing); code != kernel.OK {
+			reply(ballot.State{}, kernel.Decline(code, "core %s: %s", o.r.cfg.Self, v.waiting))
+			return
+		}
+		reply(o.state, nil)
+	})
+}
+
+func (r *Replica) stateNow(ctx kernel.Context) (ballot.State, error) {
+	return ask(ctx, r, func(o *owner, reply func(ballot.State, error)) { reply(o.state, nil) })
+}
+
+func (r *Replica) sheetNow(ctx kernel.Context) (sheet.State, error) {
+	return ask(ctx, r, func(o *owner, reply func(sheet.State, error)) { reply(o.sheet, nil) })
+}
--- /dev/null
+++ b/internal/node/replica/replica_test.go
@@ -0,0 +1,343 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/adapter/disklog"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+// fleet joins replicas by direct calls. Cut links and stopped cores don't answer.
+type fleet struct {
+	t     testing.TB
+	root  string
+	cores map[string]*Replica
+	stop  map[string]func()
+	cut   map[string]*atomic.Bool
+	disk  map[string]disklog.Config
+	cfg   Config
+}
+
+func newFleet(t testing.TB, names ...string) *fleet {
+	f := &fleet{t: t, root: t.TempDir(), cores: map[string]*Replica{}, stop: map[string]func(){}, cut: map[string]*atomic.Bool{}, disk: map[string]disklog.Config{}}
+	for _, name := range names {
+		f.cut[name] = &atomic.Bool{}
+		f.cores[name] = nil
+		f.disk[name] = disklog.Config{Folder: filepath.Join(f.root, name)}
+	}
+	return f
+}
+
+func (f *fleet) start(names ...string) {
+	for _, name := range names {
+		cfg := f.cfg
+		cfg.Self = name
+		r := New(cfg, OnDisk(f.disk[name]), peers{f, name}, kernel.System(), events.Discard)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { _ = r.Serve(ctx); close(done) }()
+		f.cores[name] = r
+		f.stop[name] = func() { cancel(); <-done; f.cores[name] = nil }
+	}
+}
+
+func (f *fleet) wipe(name string) {
+	f.stop[name]()
+	if err := os.RemoveAll(filepath.Join(f.root, name)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// until lets virtual time pass in steps until the condition holds.
+func (f *fleet) until(limit time.Duration, met func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); <-time.After(20 * time.Millisecond) {
+		if met() {
+			return true
+		}
+	}
+	return met()
+}
+
+func (f *fleet) voting(names ...string) func() bool {
+	return func() bool {
+		for _, name := range names {
+			if f.cores[name].Standing() != wire.Standing_STANDING_VOTING {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) at(epoch uint64, names ...string) func() bool {
+	return func() bool {
+		for _, name := range names {
+			if f.cores[name].Current().Epoch < epoch {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) stopAll() {
+	for name, stop := range f.stop {
+		if f.cores[name] != nil {
+			stop()
+		}
+	}
+}
+
+type peers struct {
+	f    *fleet
+	self string
+}
+
+func (p peers) Process(name string) (*wire.Process, bool) {
+	_, known := p.f.cores[name]
+	return &wire.Process{Name: name, Address: name, Core: true}, known
+}
+
+func (p peers) Processes() (all []*wire.Process) {
+	for _, name := range []string{"a", "b", "c"} {
+		if process, known := p.Process(name); known {
+			all = append(all, process)
+		}
+	}
+	return all
+}
+
+func (p peers) Client(address string) wireconnect.PeerClient {
+	return client{f: p.f, from: p.self, to: address}
+}
+
+type client struct {
+	wireconnect.PeerClient
+	f        *fleet
+	from, to string
+}
+
+func reach[Q, A any](c client, ctx context.Context, req *connect.Request[Q], handler func(*Replica) func(kernel.Context, *Q) (*A, error)) (*connect.Response[A], error) {
+	if c.f.cut[c.from].Load() || c.f.cut[c.to].Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	to := c.f.cores[c.to]
+	if to == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	resp, err := handler(to)(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func (c client) Found(ctx context.Context, q *connect.Request[wire.FoundRequest]) (*connect.Response[wire.FoundResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.FoundRequest) (*wire.FoundResponse, error) { return r.Found })
+}
+func (c client) Prepare(ctx context.Context, q *connect.Request[wire.PrepareRequest]) (*connect.Response[wire.PrepareResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.PrepareRequest) (*wire.PrepareResponse, error) {
+		return r.Prepare
+	})
+}
+func (c client) Accept(ctx context.Context, q *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.AcceptRequest) (*wire.AcceptResponse, error) {
+		return r.Accept
+	})
+}
+func (c client) Learn(ctx context.Context, q *connect.Request[wire.LearnRequest]) (*connect.Response[wire.LearnResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.LearnRequest) (*wire.LearnResponse, error) { return r.Learn })
+}
+func (c client) Recover(ctx context.Context, q *connect.Request[wire.RecoverRequest]) (*connect.Response[wire.RecoverResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.RecoverRequest) (*wire.RecoverResponse, error) {
+		return r.Recover
+	})
+}
+func (c client) Read(ctx context.Context, q *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.ReadRequest) (*wire.ReadResponse, error) { return r.Read })
+}
+func (c client) Fetch(ctx context.Context, q *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.FetchRequest) (*wire.FetchResponse, error) { return r.Fetch })
+}
+
+func evacuate(id string) []byte {
+	return sheet.Encode(sheet.Evacuate{Order: sheet.Order{OrderID: id, Operator: "ada"}, Locality: "lagos/a"})
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+const firstSheetJSON = `{"services":{"chat":{"kind":"model"}},"weights":{"chat":{"lagos":1}},"tenants":{}}`
+
+// inBubble runs one scenario in virtual time, with the cores not yet started.
+func inBubble(t *testing.T, what string, test func(f *fleet)) {
+	t.Run(what, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "a", "b", "c")
+			defer f.stopAll()
+			Convey(what, t, func() { test(f) })
+		})
+	})
+}
+
+func (f *fleet) form() {
+	f.start("a", "b", "c")
+	So(f.until(60*time.Second, f.voting("a", "b", "c")), ShouldBeTrue)
+}
+
+func TestThreeCoresAgree(t *testing.T) {
+	inBubble(t, "Three blank cores form, agree and read back", func(f *fleet) {
+		f.start("a", "b")
+		So(f.until(2*time.Second, f.voting("a")), ShouldBeFalse)
+		f.start("c")
+		So(f.until(5*time.Second, f.voting("a", "b", "c")), ShouldBeTrue)
+		So(f.cores["a"].Formation(), ShouldEqual, f.cores["c"].Formation())
+		So(f.cores["b"].Voters(), ShouldResemble, []string{"a", "b", "c"})
+
+		epoch, result, err := f.cores["b"].Propose(within(time.Second), evacuate("one"))
+		So(err, ShouldBeNil)
+		So(epoch, ShouldEqual, 1)
+		So(result.Code, ShouldEqual, kernel.OK)
+		state, err := f.cores["c"].ReadMajority(within(time.Second))
+		So(err, ShouldBeNil)
+		So(state.Epoch, ShouldEqual, 1)
+		So(f.until(time.Second, f.at(1, "a", "b", "c")), ShouldBeTrue)
+		chosen, whole := f.cores["a"].Learned(0)
+		So(whole, ShouldBeTrue)
+		So(len(chosen), ShouldEqual, 1)
+	})
+	inBubble(t, "An order sent through three cores at once is accepted once", func(f *fleet) {
+		f.form()
+		results := make(chan sheet.Result, 3)
+		for _, name := range []string{"a", "b", "c"} {
+			go func() {
+				_, result, err := f.cores[name].Propose(within(5*time.Second), evacuate("two"))
+				if err != nil {
+					result.Code = kernel.AsFault(err).Code
+				}
+				results <- result
+			}()
+		}
+		first := <-results
+		So(first.Code, ShouldEqual, kernel.OK)
+		So(<-results, ShouldResemble, first)
+		So(<-results, ShouldResemble, first)
+	})
+	inBubble(t, "A minority says so, reads and proposals alike, and catches up later", func(f *fleet) {
+		f.form()
+		f.cut["a"].Store(true)
+		_, _, err := f.cores["a"].Propose(within(time.Second), evacuate("three"))
+		So(kernel.AsFault(err).Code, ShouldBeIn, kernel.NoMajority, kernel.OutcomePending)
+		_, err = f.cores["a"].ReadMajority(within(time.Second))
+		So(kernel.AsFault(err).Code, ShouldEqual, kernel.NoMajority)
+		epoch, _, err := f.cores["b"].Propose(within(time.Second), evacuate("four"))
+		So(err, ShouldBeNil)
+		f.cut["a"].Store(false)
+		So(f.until(2*time.Second, f.at(epoch, "a")), ShouldBeTrue)
+	})
+	inBubble(t, "The first sheet is offered once, by whichever core has it", func(f *fleet) {
+		f.cfg.FirstSheet = []byte(firstSheetJSON)
+		f.form()
+		So(f.until(5*time.Second, f.at(1, "a", "b", "c")), ShouldBeTrue)
+		<-time.After(3 * time.Second)
+		So(f.cores["a"].Current().SheetEpoch, ShouldBeGreaterThan, 0)
+		So(len(f.cores["a"].Current().History), ShouldEqual, 1)
+	})
+}
+
+func (f *fleet) orders(through string, from, count int) int {
+	for n := range count {
+		_, result, err := f.cores[through].Propose(within(5*time.Second), evacuate(fmt.Sprint(from+n)))
+		So(err, ShouldBeNil)
+		So(result.Code, ShouldEqual, kernel.OK)
+	}
+	return from + count
+}
+
+func TestRestartsAndWipes(t *testing.T) {
+	inBubble(t, "Hundreds of orders outlive restarts and wipes of one core after another; two lost disks are said", func(f *fleet) {
+		f.cfg.SnapshotRecords = 64
+		f.form()
+		count := f.orders("a", 0, 100)
+		for i, name := range []string{"b", "c", "a"} {
+			f.stop[name]()
+			count = f.orders([]string{"a", "b", "c"}[i], count, 40)
+			f.start(name)
+			So(f.until(5*time.Second, f.voting(name)), ShouldBeTrue)
+		}
+		for i, name := range []string{"a", "b", "c"} {
+			through := []string{"b", "c", "a"}[i]
+			count = f.orders(through, count, 10)
+			f.wipe(name)
+			count = f.orders(through, count, 10)
+			f.start(name)
+			So(f.until(5*time.Second, f.voting(name)), ShouldBeTrue)
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			state, err := f.cores[name].ReadMajority(within(time.Second))
+			So(err, ShouldBeNil)
+			So(len(state.History), ShouldEqual, count)
+		}
+		f.wipe("a")
+		f.wipe("b")
+		f.start("a", "b")
+		So(f.until(5*time.Second, func() bool { return f.voting("a")() || f.voting("b")() }), ShouldBeFalse)
+		So(f.cores["a"].Ready().Code, ShouldEqual, kernel.CoreAmnesiac)
+		_, err := f.cores["c"].ReadMajority(within(time.Second))
+		So(kernel.AsFault(err).Code, ShouldEqual, kernel.NoMajority)
+	})
+}
+
+func TestSlowAndFullDisks(t *testing.T) {
+	inBubble(t, "A slow disk delays nobody else", func(f *fleet) {
+		slow := f.disk["c"]
+		slow.SyncDelay = 2 * time.Second
+		f.disk["c"] = slow
+		f.form()
+		begun := time.Now()
+		count := f.orders("a", 0, 10)
+		So(time.Since(begun), ShouldBeLessThan, 500*time.Millisecond)
+		count = f.orders("c", count, 1)
+		So(f.until(20*time.Second, f.at(uint64(count), "a", "b", "c")), ShouldBeTrue)
+	})
+	inBubble(t, "A full disk declines to vote, says so, and the others carry on", func(f *fleet) {
+		small := f.disk["b"]
+		small.Quota = 64 << 10
+		f.disk["b"] = small
+		f.cfg.SnapshotRecords = 1 << 30
+		f.form()
+		large := func(i int) []byte {
+			return sheet.Encode(sheet.PutSheet{Order: sheet.Order{OrderID: fmt.Sprint(i), Base: uint64(i)},
+				Sheet: &sheet.Sheet{Settings: map[string]string{"log.level": string(bytes.Repeat([]byte("x"), 30<<10))}}})
+		}
+		for i := range 8 {
+			_, _, err := f.cores["a"].Propose(within(5*time.Second), large(i))
+			So(err, ShouldBeNil)
+		}
+		So(f.until(time.Second, f.at(8, "a", "c")), ShouldBeTrue)
+		So(f.cores["b"].Standing(), ShouldEqual, wire.Standing_STANDING_DISK_FULL)
+		f.stop["c"]()
+		_, _, err := f.cores["a"].Propose(within(time.Second), large(8))
+		So(kernel.AsFault(err).Code, ShouldBeIn, kernel.NoMajority, kernel.OutcomePending)
+	})
+}
