--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/platform/platform.go
@@ -26,6 +26,7 @@
 type Config struct {
 	URL         string
 	Bind        string
+	Dial        func(ctx kernel.Context, network, address string) (net.Conn, error)
 	Timeout     kernel.Duration
 	ListLimit   int64
 	StatusLimit int64
@@ -52,7 +53,10 @@
 	if ip := net.ParseIP(cfg.Bind); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1,
+	if cfg.Dial == nil {
+		cfg.Dial = dialer.DialContext
+	}
+	transport := &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 1,
 		IdleConnTimeout: 30 * kernel.Second, MaxResponseHeaderBytes: 16 << 10, DisableCompression: true}
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
--- /dev/null
+++ b/internal/adapter/platform/platform_test.go
@@ -0,0 +1,124 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const goodEntry = `{"name":"m1","address":"127.0.0.1:9001","kind":"model","services":["digest","chat","chat"],"region":"lagos","zone":"a","state":"ready","leave_at_ms":0}`
+
+func TestLists(t *testing.T) {
+	cases := []struct{ name, body string }{
+		{"one good entry", `{"servers":[` + goodEntry + `]}`},
+		{"no servers", `{"servers":[]}`},
+		{"an unknown field", `{"servers":[{"name":"w1","address":"[::1]:80","kind":"web","services":[],"region":"lagos","zone":"","state":"cold","rack":7}],"page":1}`},
+		{"bad entries beside a good one", `{"servers":[` + goodEntry + `,
+			{"name":"m2","address":"nowhere","kind":"model","services":["chat"],"region":"lagos","zone":"a","state":"ready"},
+			{"name":"m3","address":"127.0.0.1:1","kind":"gpu","services":["chat"],"region":"lagos","zone":"a","state":"ready"},
+			{"name":"m4","address":"127.0.0.1:1","kind":"model","services":["chat"],"region":"lagos","zone":"a","state":"gone"},
+			{"name":"m5","address":"127.0.0.1:1","kind":"model","services":["chat"],"region":"","zone":"a","state":"ready"},
+			{"name":"m6","address":"127.0.0.1:1","kind":"model","services":[""],"region":"lagos","zone":"a","state":"ready"},
+			{"name":"m7","address":"127.0.0.1:1","kind":"model","services":[],"region":"lagos","zone":"a","state":"leaving","leave_at_ms":-1}]}`},
+		{"a server listed twice", `{"servers":[` + goodEntry + `,` + goodEntry + `]}`},
+		{"an entry without a name", `{"servers":[{"address":"127.0.0.1:1"}]}`},
+		{"no list", `{}`},
+		{"null", `null`},
+		{"a list cut short", `{"servers":[` + goodEntry},
+		{"a second value", `{"servers":[]}{"servers":[]}`},
+		{"a number for a name", `{"servers":[{"name":7}]}`},
+	}
+	var log strings.Builder
+	for _, c := range cases {
+		listing, err := ParseList([]byte(c.body))
+		fmt.Fprintf(&log, "%s: error %v\n", c.name, err)
+		for _, s := range listing.Servers {
+			fmt.Fprintf(&log, "  %s %s %s %v %s/%s %s\n", s.Name, s.Address, s.Kind, s.Services, s.Region, s.Zone, s.State)
+		}
+		for _, name := range []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7"} {
+			if why := listing.Bad[name]; why != "" {
+				fmt.Fprintf(&log, "  bad %s: %s\n", name, why)
+			}
+		}
+	}
+	goldie.New(t).Assert(t, "lists", []byte(log.String()))
+}
+
+func TestStatus(t *testing.T) {
+	Convey("A server's status", t, func() {
+		body, code := "", http.StatusOK
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(code)
+			_, _ = w.Write([]byte(body))
+		}))
+		defer server.Close()
+		address := server.Listener.Addr().String()
+		client := New(Config{URL: server.URL, StatusLimit: 512, ListLimit: 512, Bind: "127.0.0.1"})
+		ctx := context.Background()
+		good := `{"server":"m1","incarnation":1790000000000000000,"state":"cold","slots":16,"running":3,"queued":1,"tokens_per_second":900.5,"prefill_per_second":4000,"kv_used":0.25,"answered":12}`
+		Convey("is read whole", func() {
+			body = good
+			status, reach, err := client.Status(ctx, "m1", address)
+			So(err, ShouldBeNil)
+			So(reach, ShouldEqual, Answers)
+			So(status.Incarnation, ShouldEqual, uint64(1790000000000000000))
+			So(status.Slots, ShouldEqual, 16)
+			So(status.KvUsed, ShouldEqual, 0.25)
+			So(status.Reachable, ShouldBeTrue)
+		})
+		Convey("is not taken when it is not whole, not this server's, or out of bounds", func() {
+			for _, bad := range []string{"", good[:50], good + good, strings.Replace(good, "m1", "m2", 1), strings.Replace(good, "0.25", "1.5", 1),
+				strings.Replace(good, `"running":3`, `"running":-3`, 1), strings.Replace(good, "cold", "warm", 1), good + strings.Repeat(" ", 600)} {
+				body = bad
+				status, reach, err := client.Status(ctx, "m1", address)
+				So(err, ShouldNotBeNil)
+				So(status, ShouldBeNil)
+				So(reach, ShouldEqual, Silent)
+			}
+		})
+		Convey("may be missing: the server answers, without figures", func() {
+			code = http.StatusNotFound
+			status, reach, err := client.Status(ctx, "m1", address)
+			So(err, ShouldBeNil)
+			So(reach, ShouldEqual, Answers)
+			So(status.Slots, ShouldEqual, 0)
+			code = http.StatusInternalServerError
+			_, reach, _ = client.Status(ctx, "m1", address)
+			So(reach, ShouldEqual, Silent)
+		})
+		Convey("tells a refusal from silence", func() {
+			closed, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			So(closed.Close(), ShouldBeNil)
+			_, reach, _ := client.Status(ctx, "m1", closed.Addr().String())
+			So(reach, ShouldEqual, Refuses)
+			mute, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer mute.Close()
+			hasty := New(Config{URL: server.URL, Timeout: 50 * time.Millisecond})
+			_, reach, err = hasty.Status(ctx, "m1", mute.Addr().String())
+			So(reach, ShouldEqual, Silent)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("and the list are bounded", func() {
+			body = `{"servers":[` + goodEntry + `]}`
+			listing, err := client.List(ctx)
+			So(err, ShouldBeNil)
+			So(len(listing.Servers), ShouldEqual, 1)
+			body += strings.Repeat(" ", 600)
+			_, err = client.List(ctx)
+			So(err, ShouldNotBeNil)
+			code = http.StatusFound
+			_, err = client.List(ctx)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
