--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"encoding/json"
+	"sort"
+
+	"connectrpc.com/connect"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+const (
+	hedgeAfter  = 1500 * kernel.Millisecond
+	orderMargin = 500 * kernel.Millisecond
+)
+
+// relay hands operators' calls to a core. An order has an id and is accepted
+// once, so it may go to a second core while the first is silent.
+type relay struct {
+	name  string
+	peers port.Peers
+}
+
+type relayed struct {
+	resp *wire.OrderResponse
+	err  error
+	core string
+}
+
+// Order asks one core after another: at once when one cannot vote or refuses
+// the connection, after a while when it is silent. The first answer that
+// settles the call is passed on. If none comes although the call may have
+// reached a core, the outcome is pending.
+func (r *relay) Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
+	cores := r.cores()
+	if len(cores) == 0 {
+		return nil, kernel.Decline(kernel.CoreUnreachable, "no core is known yet").After(kernel.Second)
+	}
+	answers := make(chan relayed, len(cores))
+	ask := func(core *wire.Process) {
+		resp, err := r.peers.Client(core.Address).Order(ctx, connect.NewRequest(req))
+		if err != nil {
+			answers <- relayed{err: err, core: core.Name}
+			return
+		}
+		answers <- relayed{resp: resp.Msg, core: core.Name}
+	}
+	next, open, reached := 0, 0, false
+	send := func() {
+		if next < len(cores) {
+			go ask(cores[next])
+			next++
+			open++
+		}
+	}
+	send()
+	var last *wire.OrderResponse
+	for open > 0 {
+		hedge, stop := kernel.Timer(hedgeAfter)
+		select {
+		case <-ctx.Done():
+			stop()
+			return pending(req, last)
+		case <-hedge:
+			send()
+		case got := <-answers:
+			stop()
+			open--
+			if got.err == nil && settles(kernel.Code(got.resp.Code)) {
+				return got.resp, nil
+			}
+			if got.err == nil {
+				last = got.resp
+			}
+			reached = reached || (got.err != nil && !port.Refused(got.err) && kernel.AsFault(got.err).Code == kernel.Internal)
+			send()
+		}
+	}
+	if last == nil && !reached {
+		return nil, kernel.Decline(kernel.CoreUnreachable, "%d of %d cores known, none could be reached", len(cores), len(cores)).After(kernel.Second)
+	}
+	return pending(req, last)
+}
+
+// settles tells whether a core's answer ends the call; other cores may do
+// better than one that cannot vote.
+func settles(code kernel.Code) bool {
+	switch code {
+	case kernel.CoreAmnesiac, kernel.CoreBlank, kernel.DiskFull, kernel.NoMajority, kernel.NotCore, kernel.CoreUnreachable:
+		return false
+	}
+	return true
+}
+
+func pending(req *wire.OrderRequest, last *wire.OrderResponse) (*wire.OrderResponse, error) {
+	if last != nil {
+		return last, nil
+	}
+	if readOnly(req.Verb) {
+		return nil, kernel.Decline(kernel.NoMajority, "no core answered in time").After(kernel.Second)
+	}
+	return nil, kernel.Decline(kernel.OutcomePending, "no core answered in time; send the order again with its id").After(kernel.Second)
+}
+
+func readOnly(verb string) bool { return verb == "get" || verb == "history" || verb == "status" }
+
+// cores returns the known cores: this process first, then those that vote.
+func (r *relay) cores() []*wire.Process {
+	var cores []*wire.Process
+	for _, p := range r.peers.Processes() {
+		if p.Core {
+			cores = append(cores, p)
+		}
+	}
+	rank := func(p *wire.Process) int {
+		switch {
+		case p.Standing != wire.Standing_STANDING_VOTING:
+			return 2
+		case p.Name != r.name:
+			return 1
+		}
+		return 0
+	}
+	sort.SliceStable(cores, func(i, j int) bool { return rank(cores[i]) < rank(cores[j]) })
+	return cores
+}
+
+// inspector answers questions about this process, or finds the process that
+// can.
+type inspector struct {
+	name   string
+	peers  port.Peers
+	orders *relay
+	own    map[string]func(argument string) (any, bool)
+}
+
+// local answers from this process alone.
+func (i *inspector) local(ctx kernel.Context, req *wire.InspectRequest) (*wire.InspectResponse, error) {
+	ask, ok := i.own[req.What]
+	if !ok {
+		return &wire.InspectResponse{Code: uint32(kernel.UnknownPath)}, nil
+	}
+	found, ok := ask(req.Argument)
+	if !ok {
+		return &wire.InspectResponse{Code: uint32(kernel.NotFound)}, nil
+	}
+	body, err := json.Marshal(found)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.InspectResponse{Code: uint32(kernel.OK), Body: body}, nil
+}
+
+// Inspect answers from this process or, where it keeps nothing under the
+// name, from the first other one that does.
+func (i *inspector) Inspect(ctx kernel.Context, what, argument string) (kernel.Code, []byte) {
+	req := &wire.InspectRequest{What: what, Argument: argument}
+	own, err := i.local(ctx, req)
+	if err != nil {
+		return kernel.Internal, nil
+	}
+	if code := kernel.Code(own.Code); code != kernel.NotFound || what != "explain" {
+		return code, own.Body
+	}
+	ctx, cancel := kernel.WithTimeout(ctx, kernel.Second)
+	defer cancel()
+	var others []*wire.Process
+	for _, p := range i.peers.Processes() {
+		if p.Name != i.name {
+			others = append(others, p)
+		}
+	}
+	found := make(chan []byte, len(others))
+	for _, p := range others {
+		go func() {
+			resp, err := i.peers.Client(p.Address).Inspect(ctx, connect.NewRequest(req))
+			if err != nil || kernel.Code(resp.Msg.Code) != kernel.OK {
+				found <- nil
+				return
+			}
+			found <- resp.Msg.Body
+		}()
+	}
+	for range others {
+		if body := <-found; body != nil {
+			return kernel.OK, body
+		}
+	}
+	return kernel.NotFound, nil
+}
