Read sheets in one pass without tokens, and check of a patch only what it touches

Cause: at 14,000 tenants a put cost about 0.3 s to read (a million allocations by the token reader), and a patch 22 to 56 ms on this shared machine, nearly all of it for checking tenants that had not changed. Change: a scanner over JSON known to be valid; a patch checks its own tenants and their keys against all others. Ruled out: building places of values lazily over the token reader, which brought nothing.

--- a/internal/core/sheet/parse.go
+++ b/internal/core/sheet/parse.go
@@ -3,9 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
-	"io"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -85,134 +84,181 @@
 	return nil
 }
 
+// scan checks that data is one JSON value of the wanted shape, with no name
+// unknown or given twice.
 func scan(data []byte, want *shape, code kernel.Code) *kernel.Fault {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.UseNumber()
-	s := scanner{tokens: d}
-	if fault := s.value(want, code, "", 0); fault != nil {
-		return fault
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return kernel.Decline(kernel.BadJSON, "more follows after the value")
+	if !json.Valid(data) {
+		var raw json.RawMessage
+		err := json.Unmarshal(data, &raw)
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			return kernel.Decline(kernel.BadJSON, "at byte %d: %v", syntax.Offset, err)
+		}
+		return kernel.Decline(kernel.BadJSON, "%v", err)
 	}
-	return nil
+	s := scanner{data: data}
+	return s.value(want, code, nil, 0)
 }
 
-type scanner struct{ tokens *json.Decoder }
+// scanner walks data that is known to be valid JSON.
+type scanner struct {
+	data []byte
+	at   int
+}
 
-func (s scanner) next() (json.Token, *kernel.Fault) {
-	token, err := s.tokens.Token()
-	if err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+func (s *scanner) next() byte {
+	for {
+		switch c := s.data[s.at]; c {
+		case ' ', '\t', '\n', '\r', ',', ':':
+			s.at++
+		default:
+			return c
 		}
-		return nil, kernel.Decline(kernel.BadJSON, "at byte %d: %v", s.tokens.InputOffset(), err)
 	}
-	return token, nil
 }
 
-func (s scanner) value(want *shape, code kernel.Code, path string, depth int) *kernel.Fault {
-	token, fault := s.next()
-	if fault != nil {
-		return fault
+func (s *scanner) skip() []byte {
+	from := s.at
+	if s.data[s.at] == '"' {
+		for s.at++; s.data[s.at] != '"'; s.at++ {
+			if s.data[s.at] == '\\' {
+				s.at++
+			}
+		}
+		s.at++
+		return s.data[from:s.at]
 	}
+	for s.at < len(s.data) && strings.IndexByte(" \t\n\r,]}", s.data[s.at]) < 0 {
+		s.at++
+	}
+	return s.data[from:s.at]
+}
+
+func (s *scanner) name() string {
+	quoted := s.skip()
+	if bytes.IndexByte(quoted, '\\') < 0 {
+		return string(quoted[1 : len(quoted)-1])
+	}
+	var name string
+	_ = json.Unmarshal(quoted, &name)
+	return name
+}
+
+func (s *scanner) value(want *shape, code kernel.Code, path *place, depth int) *kernel.Fault {
+	first := s.next()
 	if want.code != kernel.OK {
 		code = want.code
 	}
 	if depth > maxDepth {
-		return kernel.Decline(code, "%sit is nested too deep", at(path))
+		return kernel.Decline(code, "%sit is nested too deep", path)
 	}
-	got := kindOf(token)
-	fits := got == want.kind || want.kind == isRecord && got == isTable || want.kind == isAny && token != nil
+	got, known := kindOf(first)
+	fits := known && (got == want.kind || want.kind == isRecord && got == isTable || want.kind == isAny)
 	if !fits {
-		return kernel.Decline(code, "%swant %s, not %s", at(path), kindNames[want.kind], describe(token))
+		return kernel.Decline(code, "%swant %s, not %s", path, kindNames[want.kind], s.describe(got, known))
 	}
 	switch got {
 	case isTable:
 		return s.object(want, code, path, depth)
 	case isList:
-		each := want.each
-		if want.kind == isAny {
-			each = whole
-		}
-		for i := 0; s.tokens.More(); i++ {
-			if fault := s.value(each, code, join(path, strconv.Itoa(i)), depth+1); fault != nil {
-				return fault
-			}
-		}
-		_, fault = s.next()
-		return fault
+		return s.list(want, code, path, depth)
 	}
+	s.skip()
 	return nil
 }
 
-func (s scanner) object(want *shape, code kernel.Code, path string, depth int) *kernel.Fault {
-	seen := make(map[string]struct{})
-	for s.tokens.More() {
-		token, fault := s.next()
-		if fault != nil {
+func (s *scanner) list(want *shape, code kernel.Code, path *place, depth int) *kernel.Fault {
+	each := want.each
+	if want.kind == isAny {
+		each = whole
+	}
+	s.at++
+	for i := 0; s.next() != ']'; i++ {
+		if fault := s.value(each, code, &place{in: path, number: i}, depth+1); fault != nil {
 			return fault
 		}
-		name, _ := token.(string)
-		place := join(path, name)
-		if _, twice := seen[name]; twice {
-			return kernel.Decline(code, "%sgiven twice", at(place))
+	}
+	s.at++
+	return nil
+}
+
+func (s *scanner) object(want *shape, code kernel.Code, path *place, depth int) *kernel.Fault {
+	seen := make(map[string]struct{})
+	s.at++
+	for s.next() != '}' {
+		here := place{in: path, name: s.name(), named: true}
+		if _, twice := seen[here.name]; twice {
+			return kernel.Decline(code, "%sgiven twice", &here)
 		}
-		seen[name] = struct{}{}
+		seen[here.name] = struct{}{}
 		inner := want.each
 		switch want.kind {
 		case isRecord:
-			if inner = want.fields[name]; inner == nil {
-				return kernel.Decline(kernel.UnknownField, "%sno such field", at(place))
+			if inner = want.fields[here.name]; inner == nil {
+				return kernel.Decline(kernel.UnknownField, "%sno such field", &here)
 			}
 		case isAny:
 			inner = whole
 		}
-		if fault := s.value(inner, code, place, depth+1); fault != nil {
+		if fault := s.value(inner, code, &here, depth+1); fault != nil {
 			return fault
 		}
 	}
-	_, fault := s.next()
-	return fault
-}
-
-func kindOf(token json.Token) kind {
-	switch t := token.(type) {
-	case string:
-		return isText
-	case json.Number:
-		return isNumber
-	case bool:
-		return isBool
-	case json.Delim:
-		if t == '[' {
-			return isList
-		}
-		return isTable
-	}
-	return -1
+	s.at++
+	return nil
 }
 
-func describe(token json.Token) string {
-	if token == nil {
+func (s *scanner) describe(got kind, known bool) string {
+	switch {
+	case !known:
 		return "null"
-	}
-	if got := kindOf(token); got == isList || got == isTable {
+	case got == isList || got == isTable:
 		return kindNames[got]
+	case got == isText:
+		return clip(s.name())
 	}
-	return clip(fmt.Sprintf("%v", token))
+	return clip(string(s.skip()))
 }
 
-func at(path string) string {
-	if path == "" {
+func kindOf(first byte) (k kind, known bool) {
+	switch first {
+	case '"':
+		return isText, true
+	case '[':
+		return isList, true
+	case '{':
+		return isTable, true
+	case 't', 'f':
+		return isBool, true
+	case 'n':
+		return isAny, false
+	}
+	return isNumber, true
+}
+
+// place is where in a body a value stands; its text ends in ": " unless it is
+// nil, the whole.
+type place struct {
+	in     *place
+	name   string
+	named  bool
+	number int
+}
+
+func (p *place) String() string {
+	if p == nil {
 		return ""
 	}
-	return path + ": "
+	name := clip(p.name)
+	if !p.named {
+		name = strconv.Itoa(p.number)
+	}
+	return strings.TrimSuffix(p.in.String(), ": ") + dotted(p.in, name) + ": "
 }
 
-func join(path, name string) string {
-	if path == "" {
-		return clip(name)
+func dotted(in *place, name string) string {
+	if in == nil {
+		return name
 	}
-	return path + "." + clip(name)
+	return "." + name
 }
--- a/internal/core/sheet/patch.go
+++ b/internal/core/sheet/patch.go
@@ -124,28 +124,17 @@
 	return cellPath{table, row, column}, nil
 }
 
-// Patch returns the sheet with the changes made in their order, and checked. It
-// copies the tables and rows that change, each once, and shares the rest. A nil
-// sheet is empty.
+// Patch returns a sound sheet with the changes made in their order, and
+// checked. It copies the tables and rows that change, each once, and shares the
+// rest; tenants that don't change aren't checked anew. A nil sheet is empty.
 func (s *Sheet) Patch(changes []Change) (*Sheet, *kernel.Fault) {
-	patched, fault := s.edit(changes)
-	if fault != nil {
-		return nil, fault
-	}
-	if fault := patched.Check(); fault != nil {
-		return nil, fault
-	}
-	return patched, nil
-}
-
-func (s *Sheet) edit(changes []Change) (*Sheet, *kernel.Fault) {
 	if len(changes) == 0 {
 		return nil, kernel.Decline(kernel.InvalidChange, "no changes")
 	}
 	if len(changes) > MaxChanges {
 		return nil, kernel.Decline(kernel.InvalidChange, "%d changes; the bound is %d", len(changes), MaxChanges)
 	}
-	e := editor{rows: make(map[string]bool), seen: make(map[string]bool, len(changes))}
+	e := editor{rows: make(map[string]bool), tenants: make(map[string]bool), seen: make(map[string]bool, len(changes))}
 	if s != nil {
 		e.sheet = *s
 	}
@@ -158,14 +147,19 @@
 	if fault := broken.fault(kernel.InvalidChange); fault != nil {
 		return nil, fault
 	}
+	if fault := e.sheet.check(sortedNames(e.tenants)); fault != nil {
+		return nil, fault
+	}
 	return &e.sheet, nil
 }
 
 type editor struct {
 	sheet  Sheet
 	tables [4]bool
-	rows   map[string]bool
-	seen   map[string]bool
+	// rows are the weights' rows that are the editor's own; tenants those set.
+	rows    map[string]bool
+	tenants map[string]bool
+	seen    map[string]bool
 }
 
 func (e *editor) make(change Change) (why string) {
@@ -275,6 +269,7 @@
 	own(e, 2, &e.sheet.Tenants)
 	if c.column == "" && change.Delete {
 		delete(e.sheet.Tenants, c.row)
+		delete(e.tenants, c.row)
 		return ""
 	}
 	why := ""
@@ -308,7 +303,7 @@
 		}
 	}
 	if why == "" {
-		e.sheet.Tenants[c.row] = tenant
+		e.sheet.Tenants[c.row], e.tenants[c.row] = tenant, true
 	}
 	return why
 }
--- a/internal/core/sheet/sheet.go
+++ b/internal/core/sheet/sheet.go
@@ -128,6 +128,12 @@
 	if s == nil {
 		return kernel.Decline(kernel.InvalidSheet, "no sheet")
 	}
+	return s.check(sortedNames(s.Tenants))
+}
+
+// check is Check for a sheet whose tenants other than those named are known to
+// be sound among themselves.
+func (s *Sheet) check(tenants []string) *kernel.Fault {
 	if size := s.Size(); size > MaxBytes {
 		return kernel.Decline(kernel.SheetTooLarge, "about %d bytes; the bound is %d", size, MaxBytes)
 	}
@@ -138,7 +144,7 @@
 	var broken rules
 	s.checkServices(&broken)
 	s.checkWeights(&broken)
-	s.checkTenants(&broken)
+	s.checkTenants(&broken, tenants)
 	s.checkSettings(&broken)
 	return broken.fault(kernel.InvalidSheet)
 }
@@ -195,9 +201,9 @@
 	}
 }
 
-func (s *Sheet) checkTenants(broken *rules) {
-	owners := make(map[string]string, len(s.Tenants))
-	for _, name := range sortedNames(s.Tenants) {
+func (s *Sheet) checkTenants(broken *rules, names []string) {
+	owners := make(map[string]string, len(names))
+	for _, name := range names {
 		tenant := s.Tenants[name]
 		if !ValidName(name) {
 			broken.add("tenants: %s is no name", strconv.Quote(clip(name)))
@@ -227,6 +233,27 @@
 			owners[hash] = name
 		}
 	}
+	if len(names) < len(s.Tenants) {
+		s.checkOthers(broken, names, owners)
+	}
+}
+
+func (s *Sheet) checkOthers(broken *rules, names []string, owners map[string]string) {
+	taken := make(map[string]string)
+	for other, tenant := range s.Tenants {
+		for _, hash := range tenant.KeyHashes {
+			if owner, both := owners[hash]; both && owner != other {
+				taken[hash] = other
+			}
+		}
+	}
+	for _, name := range names {
+		for _, hash := range s.Tenants[name].KeyHashes {
+			if other, both := taken[hash]; both {
+				broken.add("tenants.%s.keys: %s… is already a key of %s", name, hash[:8], other)
+			}
+		}
+	}
 }
 
 func (s *Sheet) checkSettings(broken *rules) {
