Take callers' requests through admission, routing, call and finish

Cause: the node had no traffic side. Each request is decided by the view in force: ruling, key, service, allowance, then the route; ruling and key are asked again after any wait, at the first byte to a server and at each event. Running calls end with their key, or 2 s after the node lost ruling, or at the end of the grace; a process thawed past a deadline passes nothing on. Prompts are tried elsewhere only while nothing has reached the caller, one-shots only while nothing was written.

--- /dev/null
+++ b/internal/node/front/bench_test.go
@@ -0,0 +1,146 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepwick/internal/adapter/clientapi"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/node/spend"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+type nobody struct{}
+
+func (nobody) Process(string) (*wire.Process, bool) { return nil, false }
+func (nobody) Processes() []*wire.Process           { return nil }
+func (nobody) Client(string) wireconnect.PeerClient { return nil }
+
+var _ port.Peers = nobody{}
+
+// benchFront is a front with a real tally and routing table, for a sheet of
+// five tenants, and a plan over model servers and one web server.
+func benchFront(b *testing.B, models int, web string) *Front {
+	state := sheet.State{Epoch: 1, Sheet: &sheet.Sheet{
+		Services: map[string]sheet.Service{"chat": {Kind: "model"}, "orders": {Kind: "web", PlainTokens: 5}}, Tenants: map[string]sheet.Tenant{}}}
+	for i := range 5 {
+		state.Sheet.Tenants[fmt.Sprint("t", i)] = sheet.Tenant{Rate: 1e11, Burst: 1e11, KeyHashes: []string{sheet.HashKey(fmt.Sprint("k", i))}}
+	}
+	view := &follow.View{State: state, Index: state.Index(), Servers: map[string]*wire.ServerStatus{}, Plan: &wire.Plan{Term: 1, Number: 1}}
+	for _, service := range []string{"chat", "orders"} {
+		view.Plan.Shares = append(view.Plan.Shares, &wire.Share{Service: service, FromRegion: "lagos", ToRegion: "lagos", Share: 1})
+	}
+	for i := range models + 1 {
+		status := &wire.ServerStatus{Name: fmt.Sprint("m", i), Address: "127.0.0.1:1", Kind: "model", Services: []string{"chat"}, Region: "lagos", Zone: "a",
+			State: wire.ServerState_SERVER_STATE_READY, Reachable: true, Slots: 1 << 15, Answered: 1 << 20}
+		if i == models {
+			status.Name, status.Address, status.Kind, status.Services = "w", web, "web", []string{"orders"}
+		}
+		view.Servers[status.Name] = status
+		view.Plan.Caps = append(view.Plan.Caps, &wire.Cap{Server: status.Name, InFlight: 1 << 15})
+	}
+	views := &fakeViews{}
+	views.view.Store(view)
+	never := make(chan struct{})
+	views.changed.Store(&never)
+	views.ruling.Store(true)
+	registry := prometheus.NewRegistry()
+	purse, err := spend.New(spend.Config{Self: "n1", Incarnation: 1, Metrics: registry}, nobody{}, kernel.System(), time.Now, func() []string { return []string{"n1"} }, events.Discard)
+	if err != nil {
+		b.Fatal(err)
+	}
+	front, err := New(Config{Name: "n1", Region: "lagos", Zone: "a"}, views, purse, kernel.System(), events.Discard, registry)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 2)
+	go func() { served <- purse.Serve(ctx) }()
+	go func() { served <- front.Serve(ctx) }()
+	b.Cleanup(func() { cancel(); <-served; <-served })
+	return front
+}
+
+// BenchmarkDecision is the decision path of one prompt: admission by key,
+// service and tally, then the route, with the explain journal.
+func BenchmarkDecision(b *testing.B) {
+	for _, models := range []int{18, 200} {
+		b.Run(strconv.Itoa(models)+" servers", func(b *testing.B) {
+			front := benchFront(b, models, "127.0.0.1:1")
+			ctx := context.Background()
+			head := clientapi.Head{ID: "r1", Key: "k3", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for prefix := uint64(1); pb.Next(); prefix++ {
+					c := front.newCall(&head, "chat", "", "")
+					c.request.Prefix = prefix%400 + 1
+					if fault := c.admit(ctx, sheet.KindModel, 100); fault != nil {
+						b.Error(fault)
+						return
+					}
+					s, _, fault := c.seat(ctx)
+					if fault != nil {
+						b.Error(fault)
+						return
+					}
+					front.router.giveUp(s, outcomeOf(nil))
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkOneShot compares a one-shot through the front with the same call to
+// the stand-in itself, both on a caller's kept-alive connection.
+func BenchmarkOneShot(b *testing.B) {
+	standIn := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Stepwick-Request-Id", r.Header.Get("Stepwick-Request-Id"))
+		io.WriteString(w, "ok")
+	})}
+	listen := func() net.Listener {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		return listener
+	}
+	direct, through := listen(), listen()
+	go standIn.Serve(direct)
+	defer standIn.Close()
+	front := benchFront(b, 18, direct.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go front.Listen(ctx, through)
+	targets := map[string]string{"direct": "http://" + direct.Addr().String() + "/x", "through the front": "http://" + through.Addr().String() + "/v1/call/orders/x"}
+	for name, target := range targets {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				request, _ := http.NewRequest("GET", target, nil)
+				request.Header.Set("Authorization", "Bearer k1")
+				answer, err := http.DefaultClient.Do(request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				body, _ := io.ReadAll(answer.Body)
+				answer.Body.Close()
+				if string(body) != "ok" {
+					b.Fatal(answer.Status, string(body))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/front/front.go
@@ -0,0 +1,180 @@
+// Package front is the traffic side of a node. A request's way has the stages
+// parse, admit, route, call and finish, joined by bounded queues: clientapi
+// parses within its bound of requests, the tally's owner admits, the routing
+// table's owner routes, a reader of the server's connection calls, and the
+// caller's own goroutine finishes.
+package front
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/thejerf/suture/v4"
+
+	"stepwick/internal/adapter/backend"
+	"stepwick/internal/adapter/clientapi"
+	"stepwick/internal/core/route"
+	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+)
+
+// Config holds a front's place and bounds. Zero values take the defaults named.
+type Config struct {
+	Name    string
+	Address string // advertised to callers, ip:port
+	Region  string
+	Zone    string
+
+	Limits      clientapi.Limits
+	Backend     backend.Config
+	Route       route.Config    // its place is taken from the fields above
+	PlainTokens float64         // of a one-shot whose service names none; default 50
+	Events      int             // events buffered between a server and a slow caller; default 64
+	CutAfter    kernel.Duration // from the loss of ruling to the cut of running calls; default 2s
+
+	Control http.Handler // answers below /v1/control/; may be nil
+	Metrics http.Handler // answers /metrics; may be nil
+}
+
+// Views is where a front reads the control state that it decides by.
+type Views interface {
+	View() *follow.View
+	Changed() <-chan struct{}
+	Ruling() bool
+}
+
+// Admitter decides by the shared tally whether a tenant may spend tokens.
+type Admitter interface {
+	Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision
+}
+
+// Front serves callers.
+type Front struct {
+	config  Config
+	views   Views
+	admit   Admitter
+	clock   kernel.Clock
+	log     events.Log
+	api     *clientapi.API
+	client  *backend.Client
+	router  *router
+	keeper  *keeper
+	scribe  *scribe
+	metrics *metrics
+	leaving atomic.Bool
+	ended   chan struct{}
+	once    sync.Once
+}
+
+// New returns a front. It takes no traffic before Serve runs.
+func New(config Config, views Views, admit Admitter, clock kernel.Clock, log events.Log, registry prometheus.Registerer) (*Front, error) {
+	if config.PlainTokens <= 0 {
+		config.PlainTokens = 50
+	}
+	if config.Events <= 0 {
+		config.Events = 64
+	}
+	if config.CutAfter <= 0 {
+		config.CutAfter = 2 * kernel.Second
+	}
+	config.Route.Self, config.Route.Region, config.Route.Zone = config.Name, config.Region, config.Zone
+	client, err := backend.New(config.Backend)
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := newMetrics(registry)
+	if err != nil {
+		return nil, errors.Wrap(err, "register the front's metrics")
+	}
+	f := &Front{config: config, views: views, admit: admit, clock: clock, log: log, client: client, metrics: metrics, ended: make(chan struct{})}
+	f.scribe = newScribe()
+	f.keeper = newKeeper(views, clock, config.CutAfter, f.ended)
+	f.router = newRouter(route.New(config.Route), config.Name, views, clock, log, f.ended)
+	mounts := map[string]http.Handler{}
+	if config.Control != nil {
+		mounts["/v1/control/"] = config.Control
+	}
+	if config.Metrics != nil {
+		mounts["/metrics"] = config.Metrics
+	}
+	f.api = clientapi.New(config.Limits, f, clock, mounts)
+	return f, nil
+}
+
+// Serve runs the front's owners until the context ends; after that the front
+// is of no more use.
+func (f *Front) Serve(ctx kernel.Context) error {
+	defer func() {
+		if ctx.Err() != nil {
+			f.once.Do(func() { close(f.ended) })
+		}
+	}()
+	supervisor := suture.New("front", suture.Spec{EventHook: func(event suture.Event) {
+		if failed, ok := event.(suture.EventServicePanic); ok {
+			f.log.Emit(OwnerBroke, "owner", failed.ServiceName, "panic", failed.PanicMsg)
+		}
+	}})
+	supervisor.Add(f.scribe)
+	supervisor.Add(f.keeper)
+	supervisor.Add(f.router)
+	return supervisor.Serve(ctx)
+}
+
+func (f *Front) String() string { return "front" }
+
+// Handler answers callers.
+func (f *Front) Handler() http.Handler { return f.api }
+
+// Listen answers callers on a listener until the context ends; then it closes
+// what is still open. Drain comes before.
+func (f *Front) Listen(ctx kernel.Context, listener net.Listener) error {
+	server := f.api.Server()
+	stop := kernel.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(f.api.Bounded(listener))
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// Ready tells whether the node takes traffic: nil, or why not.
+func (f *Front) Ready() *kernel.Fault {
+	if fault := f.rules(); fault != nil {
+		return fault
+	}
+	if f.views.View().Plan == nil {
+		return kernel.Decline(kernel.NoPlan, "").After(kernel.Second)
+	}
+	return nil
+}
+
+// Drain lets no new request in and waits until the running ones have ended.
+// When the context ends first, the rest is cut, and Drain gives its error.
+func (f *Front) Drain(ctx kernel.Context) error {
+	f.leaving.Store(true)
+	return f.keeper.drain(ctx)
+}
+
+// Broke logs a panic while a request was served.
+func (f *Front) Broke(id string, panicked any) {
+	f.log.Emit(RequestBroke, "request", id, "panic", panicked)
+}
+
+// rules tells whether this node may decide on a new request now.
+func (f *Front) rules() *kernel.Fault {
+	if f.leaving.Load() {
+		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(kernel.Second)
+	}
+	if !f.views.Ruling() {
+		wait := f.views.View().Verdict.RetryAfter
+		return kernel.Decline(kernel.NotRuling, "ask another node").After(max(wait, 100*kernel.Millisecond))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/front/front_test.go
@@ -0,0 +1,703 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/adapter/backend"
+	"stepwick/internal/adapter/clientapi"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/wire"
+)
+
+// jumpClock is the machine's clock with a step that also moves the readings'
+// differences, as a process sees it that was frozen before its timers fire.
+type jumpClock struct {
+	kernel.Clock
+	by atomic.Int64
+}
+
+func (c *jumpClock) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.by.Load())) }
+
+type fakeViews struct {
+	view    atomic.Pointer[follow.View]
+	changed atomic.Pointer[chan struct{}]
+	ruling  atomic.Bool
+}
+
+func (v *fakeViews) View() *follow.View       { return v.view.Load() }
+func (v *fakeViews) Ruling() bool             { return v.ruling.Load() }
+func (v *fakeViews) Changed() <-chan struct{} { return *v.changed.Load() }
+
+func (v *fakeViews) publish(change func(*follow.View)) {
+	next := *v.view.Load()
+	change(&next)
+	v.view.Store(&next)
+	fresh := make(chan struct{})
+	close(*v.changed.Swap(&fresh))
+}
+
+func withKeys(keys ...string) func(*follow.View) {
+	return func(v *follow.View) {
+		hashes := []string{}
+		for _, key := range keys {
+			hashes = append(hashes, sheet.HashKey(key))
+		}
+		v.State.Epoch++
+		v.State.Sheet = &sheet.Sheet{
+			Services: map[string]sheet.Service{"chat": {Kind: "model"}, "orders": {Kind: "web", PlainTokens: 5}},
+			Tenants:  map[string]sheet.Tenant{"press": {Rate: 100, Burst: 10, KeyHashes: hashes}},
+		}
+		v.Index = v.State.Index()
+	}
+}
+
+type fakeTally struct {
+	decide func(tenant string, tokens float64, terms tally.Terms) tally.Decision
+}
+
+func (f *fakeTally) Admit(_ context.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision {
+	if f.decide == nil {
+		return tally.Decision{Pass: true, Limit: 810}
+	}
+	return f.decide(tenant, tokens, terms)
+}
+
+// server is a stand-in behind pipes. It counts the runs of each request id.
+type server struct {
+	refuse bool
+	behave func(conn net.Conn, request *http.Request, id string)
+	ledger sync.Map // request id to *atomic.Int64
+}
+
+func (s *server) run(id string) {
+	count, _ := s.ledger.LoadOrStore(id, new(atomic.Int64))
+	count.(*atomic.Int64).Add(1)
+}
+
+func (s *server) runs(id string) int {
+	if count, ran := s.ledger.Load(id); ran {
+		return int(count.(*atomic.Int64).Load())
+	}
+	return 0
+}
+
+// fleet is one front with stand-ins behind it and callers before it, in a bubble.
+type fleet struct {
+	t       *testing.T
+	views   *fakeViews
+	clock   *jumpClock
+	tally   *fakeTally
+	servers map[string]*server
+	front   *Front
+	callers chan net.Conn
+	stands  sync.WaitGroup
+	stop    func()
+}
+
+func newFleet(t *testing.T, kind string, slots int, servers ...*server) *fleet {
+	f := &fleet{t: t, views: &fakeViews{}, clock: &jumpClock{Clock: kernel.System()}, tally: &fakeTally{}, servers: map[string]*server{}, callers: make(chan net.Conn)}
+	service := map[string]string{"model": "chat", "web": "orders"}[kind]
+	view := &follow.View{Plan: &wire.Plan{Term: 1, Number: 7, Shares: []*wire.Share{{Service: service, FromRegion: "lagos", ToRegion: "lagos", Share: 1}}},
+		Servers: map[string]*wire.ServerStatus{}}
+	for i, s := range servers {
+		name := fmt.Sprintf("s%d", i)
+		f.servers[name] = s
+		view.Servers[name] = &wire.ServerStatus{Name: name, Address: name + ":1", Kind: kind, Services: []string{service}, Region: "lagos", Zone: "a",
+			State: wire.ServerState_SERVER_STATE_READY, Reachable: true, Slots: uint32(slots), Answered: 1000}
+		view.Plan.Caps = append(view.Plan.Caps, &wire.Cap{Server: name, InFlight: uint32(slots)})
+	}
+	fresh := make(chan struct{})
+	f.views.changed.Store(&fresh)
+	f.views.view.Store(view)
+	f.views.publish(withKeys("k"))
+	f.views.ruling.Store(true)
+	front, err := New(Config{Name: "n1", Address: "127.0.0.1:1", Region: "lagos", Zone: "a", Backend: backend.Config{Dial: f.dial}}, f.views, f.tally,
+		f.clock, events.Discard, prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.front = front
+	ctx, cancel := context.WithCancel(context.Background())
+	served, listened := make(chan error, 1), make(chan error, 1)
+	go func() { served <- front.Serve(ctx) }()
+	go func() { listened <- front.Listen(ctx, f) }()
+	f.stop = func() { cancel(); <-served; <-listened; f.stands.Wait() }
+	return f
+}
+
+func (f *fleet) Accept() (net.Conn, error) {
+	conn, open := <-f.callers
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (f *fleet) Close() error   { close(f.callers); return nil }
+func (f *fleet) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (f *fleet) dial(_ context.Context, _, address string) (net.Conn, error) {
+	s := f.servers[strings.TrimSuffix(address, ":1")]
+	if s.refuse {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	far, near := net.Pipe()
+	f.stands.Go(func() {
+		defer far.Close()
+		request, err := http.ReadRequest(bufio.NewReader(far))
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Stepwick-Request-Id")
+		io.Copy(io.Discard, request.Body)
+		s.behave(far, request, id)
+	})
+	return near, nil
+}
+
+// caller is one kept-alive connection of a caller.
+type caller struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fleet) call() *caller {
+	near, far := net.Pipe()
+	f.callers <- far
+	return &caller{near, bufio.NewReader(near)}
+}
+
+func (c *caller) send(method, target, id, extra, body string) {
+	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer k\r\nStepwick-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, target, id, extra, len(body), body)
+}
+
+func (c *caller) prompt(id string, deadline time.Duration) {
+	c.send("POST", "/v1/prompt", id, "", fmt.Sprintf(`{"service":"chat","prefix":"p","max_tokens":9,"deadline_ms":%d}`, deadline.Milliseconds()))
+}
+
+// answer is what a caller got: all of it, and whether the end was a clean one.
+type answer struct {
+	status int
+	code   kernel.Code
+	body   string
+	clean  bool
+}
+
+func (c *caller) answer() answer {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return answer{}
+	}
+	body, err := io.ReadAll(response.Body)
+	got := answer{status: response.StatusCode, body: string(body), clean: err == nil}
+	for _, line := range strings.Split(got.body, "\n") {
+		var fault kernel.FaultBody
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &fault) == nil && fault.Code != 0 {
+			got.code = fault.Code
+		}
+	}
+	return got
+}
+
+func (c *caller) event() string {
+	for {
+		line, err := c.reader.ReadString('\n')
+		if err != nil || strings.HasPrefix(line, "data: ") {
+			return line
+		}
+	}
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+
+func event(id string, seq int) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"seq\":%d}\n\n", id, seq)
+}
+
+func final(id string, count int) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"final\":true,\"count\":%d}\n\n", id, count)
+}
+
+// streaming sends a number of events, with a span of time after each.
+func streaming(count int, each time.Duration) *server {
+	s := &server{}
+	s.behave = func(conn net.Conn, _ *http.Request, id string) {
+		s.run(id)
+		fmt.Fprint(conn, streamHead)
+		for i := range count {
+			if _, err := fmt.Fprint(conn, event(id, i)); err != nil {
+				return
+			}
+			<-time.After(each)
+		}
+		fmt.Fprint(conn, final(id, count))
+	}
+	return s
+}
+
+func saying(format string) *server {
+	s := &server{}
+	s.behave = func(conn net.Conn, _ *http.Request, id string) {
+		s.run(id)
+		fmt.Fprint(conn, strings.NewReplacer("ID", id, "\r\n", "\r\n", "\n", "\r\n").Replace(format))
+	}
+	return s
+}
+
+func within(t *testing.T, test func(t *testing.T)) { synctest.Test(t, test) }
+
+func (f *fleet) runs(id string) (total int) {
+	for _, s := range f.servers {
+		total += s.runs(id)
+	}
+	return total
+}
+
+func (f *fleet) expect(what string, got, want any) {
+	f.t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		f.t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func TestPromptsAreTriedElsewhereOnlyBeforeTheirFirstEvent(t *testing.T) {
+	whole := event("r1", 0) + event("r1", 1) + final("r1", 2)
+	bad := map[string]*server{
+		"refuses":                  {refuse: true},
+		"is busy":                  saying("HTTP/1.1 503 Busy\nContent-Length: 15\n\n{\"code\":\"busy\"}"),
+		"resets":                   saying(""),
+		"begins with another's":    saying("HTTP/1.1 200 OK\nContent-Type: text/event-stream\n\ndata: {\"id\":\"r9\",\"seq\":0}\n\n"),
+		"names another request":    saying("HTTP/1.1 200 OK\nStepwick-Request-Id: r9\nContent-Type: text/event-stream\n\n"),
+		"closes before any event":  saying("HTTP/1.1 200 OK\nContent-Type: text/event-stream\nContent-Length: 0\n\n"),
+		"answers with a mere page": saying("HTTP/1.1 200 OK\nContent-Type: text/html\nContent-Length: 0\n\n"),
+	}
+	for name, broken := range bad {
+		Convey("A prompt whose first server "+name+" is served whole by the other", t, func() {
+			within(t, func(t *testing.T) {
+				good := streaming(2, time.Second)
+				f := newFleet(t, "model", 8, broken, broken, good)
+				defer f.stop()
+				caller := f.call()
+				for i := range 3 {
+					id := fmt.Sprintf("r%d", i+1)
+					caller.prompt(id, time.Minute)
+					f.expect("answer", caller.answer(), answer{200, 0, strings.ReplaceAll(whole, "r1", id), true})
+					f.expect("runs at the good one", good.runs(id), 1)
+				}
+			})
+		})
+	}
+	cut := map[string]string{
+		"closes cleanly too early": "ev0",
+		"repeats an event":         "ev0ev0",
+		"leaves one out":           "ev0ev2",
+		"sends another's":          "ev0other",
+		"counts wrong":             "ev0end9",
+	}
+	for name, script := range cut {
+		Convey("A stream whose server "+name+" after the first event is cut, and not tried elsewhere", t, func() {
+			within(t, func(t *testing.T) {
+				text := strings.NewReplacer("ev0", event("r1", 0), "ev2", event("r1", 2), "other", event("r9", 1), "end9", final("r1", 9)).Replace(script)
+				one, two := saying(streamHead+text), saying(streamHead+text)
+				f := newFleet(t, "model", 8, one, two)
+				defer f.stop()
+				caller := f.call()
+				caller.prompt("r1", time.Minute)
+				got := caller.answer()
+				f.expect("status and code", []any{got.status, got.code, got.clean}, []any{200, kernel.StreamCut, false})
+				f.expect("events passed on", strings.Count(got.body, `"seq"`), 1)
+				f.expect("an end", strings.Contains(got.body, `"final":true`), false)
+				f.expect("runs", f.runs("r1"), 1)
+			})
+		})
+	}
+	Convey("A server that goes dark costs the gap's bound, then the stream is cut and its caller told", t, func() {
+		within(t, func(t *testing.T) {
+			dark := &server{}
+			dark.behave = func(conn net.Conn, _ *http.Request, id string) {
+				fmt.Fprint(conn, streamHead+event(id, 0))
+				conn.Read(make([]byte, 1))
+			}
+			f := newFleet(t, "model", 8, dark)
+			defer f.stop()
+			caller, began := f.call(), time.Now()
+			caller.prompt("r1", time.Minute)
+			got := caller.answer()
+			f.expect("code", []any{got.code, got.clean, time.Since(began)}, []any{kernel.StreamCut, false, 5 * time.Second})
+		})
+	})
+	Convey("When every server fails, the prompt is declined with when to come back", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, &server{refuse: true}, &server{refuse: true})
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", time.Minute)
+			got := caller.answer()
+			f.expect("answer", []any{got.status, got.code, got.clean, strings.Contains(got.body, "retry_after_ms")}, []any{503, kernel.StreamNotBegun, true, true})
+		})
+	})
+}
+
+func TestOneShotsRunAtMostOnce(t *testing.T) {
+	const id = "HTTP/1.1 200 OK\nStepwick-Request-Id: ID\n"
+	rows := []struct {
+		name   string
+		first  func() *server
+		status int
+		code   kernel.Code
+		runs   int
+	}{
+		{"answers whole", func() *server { return saying(id + "Content-Length: 2\n\nok") }, 200, 0, 1},
+		{"answers with an error of its own", func() *server {
+			return saying("HTTP/1.1 503 No\nStepwick-Request-Id: ID\nContent-Length: 2\n\nno")
+		}, 503, 0, 1},
+		{"resets after it read", func() *server { return saying("") }, 502, kernel.OutcomeUnknown, 1},
+		{"sends too little", func() *server { return saying(id + "Content-Length: 9\n\nok") }, 502, kernel.OutcomeUnknown, 1},
+		{"cuts a chunk", func() *server { return saying(id + "Transfer-Encoding: chunked\n\n9\nok") }, 502, kernel.OutcomeUnknown, 1},
+		{"answers for another", func() *server {
+			return saying("HTTP/1.1 200 OK\nStepwick-Request-Id: r9\nContent-Length: 2\n\nok")
+		}, 502, kernel.OutcomeUnknown, 1},
+		{"refuses", func() *server { return &server{refuse: true} }, 503, kernel.NotRun, 0},
+	}
+	for _, row := range rows {
+		for _, method := range []string{"GET", "POST"} {
+			Convey("A "+method+" to a server that "+row.name, t, func() {
+				within(t, func(t *testing.T) {
+					f := newFleet(t, "web", 8, row.first(), row.first(), row.first())
+					defer f.stop()
+					caller := f.call()
+					caller.send(method, "/v1/call/orders/x", "r1", "Idempotency-Key: a\r\n", "")
+					got := caller.answer()
+					f.expect("answer", []any{got.status, got.code, got.clean}, []any{row.status, row.code, true})
+					f.expect("runs", f.runs("r1"), row.runs)
+				})
+			})
+		}
+	}
+	Convey("A call whose first server refuses is run once by another", t, func() {
+		within(t, func(t *testing.T) {
+			good := saying(id + "Content-Length: 2\n\nok")
+			f := newFleet(t, "web", 8, &server{refuse: true}, good)
+			defer f.stop()
+			caller := f.call()
+			for i := range 4 {
+				name := fmt.Sprint("r", i)
+				caller.send("POST", "/v1/call/orders/x", name, "", "{}")
+				f.expect("answer", caller.answer(), answer{200, 0, "ok", true})
+				f.expect("runs", f.runs(name), 1)
+			}
+		})
+	})
+	Convey("An answer that comes after the deadline is never passed on, not even when the timers are late", t, func() {
+		within(t, func(t *testing.T) {
+			slow := &server{}
+			f := newFleet(t, "web", 8, slow)
+			slow.behave = func(conn net.Conn, _ *http.Request, name string) {
+				slow.run(name)
+				if name == "late" {
+					f.clock.by.Add(int64(20 * time.Second))
+				} else {
+					<-time.After(3 * time.Second)
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nStepwick-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok", name)
+			}
+			defer f.stop()
+			caller, began := f.call(), time.Now()
+			caller.send("GET", "/v1/call/orders/x", "timer", "Stepwick-Deadline-Ms: 2000\r\n", "")
+			got := caller.answer()
+			f.expect("answer", []any{got.code, time.Since(began)}, []any{kernel.OutcomeUnknown, 2 * time.Second})
+			caller.send("GET", "/v1/call/orders/x", "late", "Stepwick-Deadline-Ms: 2000\r\n", "")
+			f.expect("answer", caller.answer().code, kernel.OutcomeUnknown)
+		})
+	})
+}
+
+func TestPendingAndSlots(t *testing.T) {
+	Convey("A request that waits for a slot gets its answer at its deadline, and a caller who goes away frees the slot at once", t, func() {
+		within(t, func(t *testing.T) {
+			long := streaming(1000, time.Second)
+			f := newFleet(t, "model", 1, long)
+			f.servers["s0"] = long
+			f.views.publish(func(v *follow.View) {
+				v.Plan = &wire.Plan{Term: 1, Number: 8, Shares: v.Plan.Shares, Caps: []*wire.Cap{{Server: "s0", InFlight: 1}}}
+			})
+			defer f.stop()
+			holders := []*caller{}
+			for i := 0; f.inFlight("s0") < f.cap("s0"); i++ {
+				holder := f.call()
+				holder.prompt(fmt.Sprint("h", i), 100*time.Second)
+				holder.event()
+				holders = append(holders, holder)
+			}
+			waits, began := f.call(), time.Now()
+			waits.prompt("w1", 2*time.Second)
+			got := waits.answer()
+			f.expect("answer", []any{got.code, time.Since(began), f.runs("w1")}, []any{kernel.DeadlinePassed, 2 * time.Second, 0})
+			waits.prompt("w2", 50*time.Second)
+			synctest.Wait()
+			f.expect("runs before a slot is free", f.runs("w2"), 0)
+			began = time.Now()
+			holders[0].conn.Close()
+			waits.event()
+			f.expect("wait after the slot was freed", time.Since(began), time.Duration(0))
+			f.expect("runs", f.runs("w2"), 1)
+		})
+	})
+	Convey("A panic while one request is served ends that request alone and keeps no slot", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 1, streaming(1, 0))
+			defer f.stop()
+			f.tally.decide = func(string, float64, tally.Terms) tally.Decision { panic("oh") }
+			caller := f.call()
+			caller.prompt("r1", time.Minute)
+			f.expect("code", caller.answer().code, kernel.Internal)
+			f.tally.decide = nil
+			caller.prompt("r2", time.Minute)
+			f.expect("answer", caller.answer().status, 200)
+			synctest.Wait()
+			f.expect("in flight", f.inFlight("s0"), 0)
+		})
+	})
+}
+
+func (f *fleet) inFlight(name string) int {
+	synctest.Wait()
+	for _, s := range f.front.router.table.Servers() {
+		if s.Server == name {
+			return s.Own
+		}
+	}
+	return -1
+}
+
+func (f *fleet) cap(name string) int {
+	for _, s := range f.front.router.table.Servers() {
+		if s.Server == name {
+			return s.Cap
+		}
+	}
+	return -1
+}
+
+func TestAdmission(t *testing.T) {
+	Convey("Each request is decided by ruling, key, service and allowance, in this order", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(1, 0))
+			defer f.stop()
+			spent := []any{}
+			f.tally.decide = func(tenant string, tokens float64, terms tally.Terms) tally.Decision {
+				spent = append(spent, tenant, tokens, terms)
+				return tally.Decision{Code: kernel.QuotaExceeded, RetryAfter: 3 * time.Second}
+			}
+			ask := func(target, body string) kernel.Code {
+				caller := f.call()
+				defer caller.conn.Close()
+				caller.send("POST", target, "r1", "", body)
+				return caller.answer().code
+			}
+			f.expect("service", ask("/v1/prompt", `{"service":"none","max_tokens":1}`), kernel.UnknownService)
+			f.expect("kind", ask("/v1/prompt", `{"service":"orders","max_tokens":1}`), kernel.WrongServiceKind)
+			f.expect("kind", ask("/v1/call/chat/", ``), kernel.WrongServiceKind)
+			f.expect("nothing spent so far", spent, []any{})
+			f.expect("quota", ask("/v1/prompt", `{"service":"chat","prefix_tokens":1,"session_tokens":2,"max_tokens":4}`), kernel.QuotaExceeded)
+			f.expect("quota", ask("/v1/call/orders/", ``), kernel.QuotaExceeded)
+			f.expect("spent", spent, []any{"press", 7, tally.Terms{Rate: 100, Burst: 10}, "press", 5, tally.Terms{Rate: 100, Burst: 10}})
+			f.views.publish(withKeys("other"))
+			f.expect("key", ask("/v1/prompt", `{"service":"none","max_tokens":1}`), kernel.UnknownKey)
+			f.views.ruling.Store(false)
+			f.expect("ruling", ask("/v1/prompt", `{}`), kernel.NotRuling)
+		})
+	})
+}
+
+func TestRunningStreamsAndControl(t *testing.T) {
+	Convey("A revoked key ends its running streams, and the connection's next request", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(1, 30*time.Second))
+			defer f.stop()
+			silent, began := f.call(), time.Now()
+			silent.prompt("r1", time.Minute)
+			idle := f.call()
+			idle.send("GET", "/v1/connect", "r2", "", "")
+			f.expect("before", idle.answer().status, 200)
+			f.views.publish(withKeys("k", "other"))
+			synctest.Wait()
+			f.expect("running after an epoch that keeps the key", f.inFlight("s0"), 1)
+			f.views.publish(withKeys("other"))
+			got := silent.answer()
+			f.expect("stream", []any{got.code, got.clean, time.Since(began)}, []any{kernel.KeyRevoked, false, time.Duration(0)})
+			f.expect("in flight", f.inFlight("s0"), 0)
+			idle.prompt("r3", time.Minute)
+			f.expect("next request", idle.answer().code, kernel.UnknownKey)
+		})
+	})
+	Convey("A node that stops ruling declines at once, lets its streams run on for 2 s and then cuts them", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(100, time.Second))
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", time.Minute)
+			caller.event()
+			lose := func(d time.Duration) {
+				f.views.publish(func(*follow.View) { f.views.ruling.Store(false) })
+				<-time.After(d)
+			}
+			lose(time.Second)
+			f.expect("ready", f.front.Ready().Code, kernel.NotRuling)
+			other := f.call()
+			other.prompt("r2", time.Minute)
+			f.expect("new request", other.answer().code, kernel.NotRuling)
+			f.views.publish(func(*follow.View) { f.views.ruling.Store(true) })
+			for range 10 {
+				caller.event()
+			}
+			f.expect("running after a short loss", f.inFlight("s0"), 1)
+			began := time.Now()
+			lose(0)
+			for line := ""; !strings.Contains(line, "2006"); {
+				if line = caller.event(); line == "" {
+					f.t.Fatal("the stream ended without an error event")
+				}
+			}
+			if took := time.Since(began); took < 1700*time.Millisecond || took > 2500*time.Millisecond {
+				f.t.Errorf("the stream ran on for %s", took)
+			}
+			f.expect("runs of the declined one", f.runs("r2"), 0)
+		})
+	})
+	Convey("A process that was frozen past a stream's deadline passes no event on after the thaw", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(100, time.Second))
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", 30*time.Second)
+			caller.event()
+			f.clock.by.Add(int64(40 * time.Second))
+			got := caller.event()
+			f.expect("cut", strings.Contains(got, "3004"), true)
+		})
+	})
+}
+
+func TestDrain(t *testing.T) {
+	Convey("A front that is taken away finishes what runs, and takes nothing new", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(5, time.Second))
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", time.Minute)
+			caller.event()
+			f.expect("ready", f.front.Ready() == nil, true)
+			drained := make(chan error, 1)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			go func() { drained <- f.front.Drain(ctx) }()
+			synctest.Wait()
+			f.expect("ready", f.front.Ready().Code, kernel.FrontLeaving)
+			other := f.call()
+			other.prompt("r2", time.Minute)
+			f.expect("new request", other.answer().code, kernel.FrontLeaving)
+			for line := ""; !strings.Contains(line, "final"); line = caller.event() {
+			}
+			f.expect("drained", <-drained, nil)
+		})
+	})
+	Convey("What outlasts the grace is cut with an error event", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(50, time.Second))
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", time.Minute)
+			caller.event()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			drained := make(chan error, 1)
+			go func() { drained <- f.front.Drain(ctx) }()
+			for line := ""; !strings.Contains(line, "2007"); {
+				if line = caller.event(); line == "" {
+					f.t.Fatal("the stream ended without an error event")
+				}
+			}
+			f.expect("drained", <-drained, context.DeadlineExceeded)
+			f.expect("in flight", f.inFlight("s0"), 0)
+		})
+	})
+}
+
+func TestConnectAndExplain(t *testing.T) {
+	Convey("The nearest ready nodes come first, evacuated ones last", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(1, 0))
+			defer f.stop()
+			f.views.publish(func(v *follow.View) {
+				v.State.Evacuated = map[string]uint64{"lagos/c": 1}
+				add := func(name, region, zone string, ready, leaving bool) {
+					v.Fronts = append(v.Fronts, &wire.Process{Name: name, CallerAddress: name + ":1", Region: region, Zone: zone, Front: true, Ready: ready, Leaving: leaving})
+				}
+				add("evacuated", "lagos", "c", true, false)
+				add("far", "abeokuta", "a", true, false)
+				add("near", "lagos", "b", true, false)
+				add("unready", "lagos", "a", false, false)
+				add("leaving", "lagos", "a", true, true)
+			})
+			names := func(target string) (names []string) {
+				caller := f.call()
+				defer caller.conn.Close()
+				caller.send("GET", target, "r1", "", "")
+				var nearest clientapi.Nearest
+				if err := json.Unmarshal([]byte(caller.answer().body), &nearest); err != nil {
+					f.t.Fatal(err)
+				}
+				for _, node := range nearest.Nodes {
+					names = append(names, node.Name)
+				}
+				return names
+			}
+			f.expect("from here", names("/v1/connect?service=chat"), []string{"n1", "near", "far", "evacuated"})
+			f.expect("from afar", names("/v1/connect?region=abeokuta&zone=a")[0], "far")
+		})
+	})
+	Convey("A request's way is told from the journal, the newest of an id", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, &server{refuse: true}, streaming(2, time.Second))
+			defer f.stop()
+			caller := f.call()
+			for range 2 {
+				caller.prompt("r1", time.Minute)
+				caller.answer()
+			}
+			value, found := f.front.Inspect("explain", "r1")
+			f.expect("found", found, true)
+			told := value.(*Explanation)
+			f.expect("admission", []any{told.Admission.Tenant, told.Admission.Passed, told.Admission.Limit, told.Admission.Epoch, told.Admission.Plan, told.Admission.Tokens},
+				[]any{"press", true, 810, 1, 7, 9})
+			f.expect("outcome", []any{told.Outcome.Name, told.Outcome.TookMS}, []any{"ok", 2000})
+			last := told.Attempts[len(told.Attempts)-1]
+			f.expect("attempt", []any{last.Server, last.Ended, last.Events}, []any{"s1", "whole", 3})
+			f.expect("candidates", len(told.Routings[0].Candidates) > 0, true)
+			_, found = f.front.Inspect("explain", "none")
+			f.expect("found", found, false)
+		})
+	})
+}
--- /dev/null
+++ b/internal/node/front/metrics.go
@@ -0,0 +1,60 @@
+package front
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepwick/internal/kernel"
+)
+
+type metrics struct {
+	requests   *prometheus.CounterVec
+	firstEvent *prometheus.HistogramVec
+	eventGap   *prometheus.HistogramVec
+	inFlight   prometheus.Gauge
+	retries    *prometheus.CounterVec
+	quota      prometheus.Counter
+	store      prometheus.Counter
+}
+
+func newMetrics(registry prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "stepwick_requests_total",
+			Help: "Requests by service and result code."}, []string{"service", "code"}),
+		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "stepwick_first_event_seconds",
+			Help:    "From a prompt's arrival until its first event was passed on.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14)}, []string{"service"}),
+		eventGap: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "stepwick_event_gap_seconds",
+			Help:    "Between two events of a stream as passed on.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"service"}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{Name: "stepwick_requests_in_flight",
+			Help: "Requests admitted and not ended."}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "stepwick_retries_total",
+			Help: "Attempts at a further server, by service."}, []string{"service"}),
+		quota: prometheus.NewCounter(prometheus.CounterOpts{Name: "stepwick_quota_declines_total",
+			Help: "Requests declined because the tenant's allowance is spent."}),
+		store: prometheus.NewCounter(prometheus.CounterOpts{Name: "stepwick_tally_unreachable_declines_total",
+			Help: "Requests declined because the tenant's count is out of reach and this node's share is spent."}),
+	}
+	for _, collector := range []prometheus.Collector{m.requests, m.firstEvent, m.eventGap, m.inFlight, m.retries, m.quota, m.store} {
+		if err := registry.Register(collector); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) ended(service string, fault *kernel.Fault) {
+	code := kernel.OK
+	if fault != nil {
+		code = fault.Code
+	}
+	switch code {
+	case kernel.QuotaExceeded:
+		m.quota.Inc()
+	case kernel.ShareExceeded:
+		m.store.Inc()
+	}
+	m.requests.WithLabelValues(service, strconv.FormatUint(uint64(code), 10)).Inc()
+}
--- /dev/null
+++ b/internal/node/front/router.go
@@ -0,0 +1,191 @@
+package front
+
+import (
+	"strconv"
+	"sync/atomic"
+
+	"stepwick/internal/core/route"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/stage"
+	"stepwick/internal/wire"
+)
+
+const (
+	routerBound   = 1024
+	routerTickMin = kernel.Millisecond
+)
+
+// router owns the routing table and the pending requests.
+type router struct {
+	table   *route.Table
+	self    string
+	views   Views
+	clock   kernel.Clock
+	log     events.Log
+	asks    *stage.Queue[*seat]
+	ends    *stage.Queue[ended]
+	ended   chan struct{}
+	numbers atomic.Uint64
+	seen    *follow.View
+	pending map[string]*seat
+}
+
+// seat is one request's place at a server, or among the pending requests.
+// Server and choice belong to the router until the choice is delivered.
+type seat struct {
+	request route.Request
+	choice  chan route.Choice
+	server  string
+	gone    bool
+}
+
+type ended struct {
+	seat    *seat
+	outcome route.Outcome
+}
+
+func newRouter(table *route.Table, self string, views Views, clock kernel.Clock, log events.Log, over chan struct{}) *router {
+	return &router{table: table, self: self, views: views, clock: clock, log: log, ended: over, asks: stage.NewQueue[*seat](routerBound),
+		ends: stage.NewQueue[ended](routerBound), pending: map[string]*seat{}}
+}
+
+// ask hands a request to the router, unless its queue is full. The choice
+// comes on the seat's channel, and each seat that was asked for is to be given
+// up once, whatever came.
+func (r *router) ask(request route.Request) (*seat, *kernel.Fault) {
+	request.ID = strconv.FormatUint(r.numbers.Add(1), 36)
+	s := &seat{request: request, choice: make(chan route.Choice, 1)}
+	if !r.asks.Offer(s) {
+		return nil, kernel.Decline(kernel.PendingFull, "%d requests wait to be routed", routerBound).After(kernel.Second)
+	}
+	return s, nil
+}
+
+// giveUp frees the seat, with what came of it.
+func (r *router) giveUp(s *seat, outcome route.Outcome) {
+	select {
+	case r.ends.In() <- ended{s, outcome}:
+	case <-r.ended:
+	}
+}
+
+// Serve owns the table until the context ends.
+func (r *router) Serve(ctx kernel.Context) error {
+	wake, stop := kernel.Timer(kernel.Hour)
+	defer func() { stop() }()
+	for {
+		changed := r.views.Changed()
+		r.guarded(nil, r.look)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-r.asks.Items():
+			r.guarded(s, func() { r.look(); r.choose(s) })
+		case end := <-r.ends.Items():
+			r.guarded(nil, func() { r.end(end) })
+		case <-changed:
+		case <-wake:
+		}
+		r.guarded(nil, r.advance)
+		stop()
+		wake, stop = kernel.Timer(r.rest())
+	}
+}
+
+func (r *router) String() string { return "router" }
+
+func (r *router) guarded(s *seat, decide func()) {
+	defer func() {
+		panicked := recover()
+		if panicked == nil {
+			return
+		}
+		r.log.Emit(RouteBroke, "panic", panicked)
+		if s != nil {
+			r.deliver(s, route.Choice{Fault: kernel.Decline(kernel.NoServer, "a fault of the program; see the log").After(kernel.Second)})
+		}
+	}()
+	decide()
+}
+
+func (r *router) rest() kernel.Duration {
+	now := r.clock.Now()
+	if at, ok := r.table.Wake(now); ok {
+		return max(at.Sub(now), routerTickMin)
+	}
+	return kernel.Minute
+}
+
+// look takes the newest view in, so that no decision goes by an older one.
+func (r *router) look() {
+	view := r.views.View()
+	if view == r.seen {
+		return
+	}
+	r.seen = view
+	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, r.clock.Now())
+}
+
+func readyFronts(fronts []*wire.Process) []string {
+	names := make([]string, 0, len(fronts))
+	for _, front := range fronts {
+		if front.Front && front.Ready && !front.Leaving {
+			names = append(names, front.Name)
+		}
+	}
+	return names
+}
+
+func (r *router) choose(s *seat) {
+	if s.gone {
+		return
+	}
+	now := r.clock.Now()
+	choice := r.table.Choose(s.request, now)
+	if choice.Pending {
+		if choice.Fault = r.table.Enqueue(s.request, now); choice.Fault == nil {
+			r.pending[s.request.ID] = s
+			return
+		}
+	}
+	r.deliver(s, choice)
+}
+
+func (r *router) deliver(s *seat, choice route.Choice) {
+	if choice.Fault == nil {
+		s.server = choice.Server
+		r.table.Started(choice.Server)
+	}
+	s.choice <- choice
+}
+
+func (r *router) end(end ended) {
+	s := end.seat
+	s.gone = true
+	if _, waits := r.pending[s.request.ID]; waits {
+		delete(r.pending, s.request.ID)
+		r.table.Cancel(s.request.ID)
+		return
+	}
+	if s.server != "" {
+		r.table.Finished(s.server, end.outcome, r.clock.Now())
+	}
+}
+
+func (r *router) advance() {
+	for {
+		ready, ok := r.table.Next(r.clock.Now())
+		if !ok {
+			return
+		}
+		s := r.pending[ready.Request.ID]
+		if s == nil {
+			continue
+		}
+		delete(r.pending, ready.Request.ID)
+		ready.Choice.Wait = 0
+		r.deliver(s, ready.Choice)
+	}
+}
