Wait for a core's view only three seconds in status

Cause: status is asked most when cores are out of reach, and waited the eight seconds of an order. Change: a bound of its own; cores are told to answer a sixteenth of any wait sooner.

--- a/internal/adapter/controlapi/api.go
+++ b/internal/adapter/controlapi/api.go
@@ -31,7 +31,7 @@
 
 // Config of the API. Operators are NAME:SHA256HEX each. SheetMax bounds the body
 // of a put or patch in bytes, BodyTimeout its arrival. OrderWait bounds a call
-// at the cores, which are told to answer OrderMargin sooner. OrdersMax and
+// at the cores, which are told to answer a sixteenth sooner. OrdersMax and
 // ReadsMax bound the calls under way. Setting checks run-time settings.
 type Config struct {
 	From        string
@@ -39,7 +39,6 @@
 	SheetMax    int64
 	BodyTimeout kernel.Duration
 	OrderWait   kernel.Duration
-	OrderMargin kernel.Duration
 	OrdersMax   int
 	ReadsMax    int
 	Setting     func(name, value string) error
@@ -69,7 +68,6 @@
 	config.SheetMax = or(config.SheetMax, 16<<20)
 	config.BodyTimeout = or(config.BodyTimeout, 5*kernel.Second)
 	config.OrderWait = or(config.OrderWait, 8*kernel.Second)
-	config.OrderMargin = or(config.OrderMargin, config.OrderWait/16)
 	config.OrdersMax = or(config.OrdersMax, 16)
 	config.ReadsMax = or(config.ReadsMax, 64)
 	if config.NewID == nil {
--- a/internal/adapter/controlapi/calls.go
+++ b/internal/adapter/controlapi/calls.go
@@ -17,6 +17,7 @@
 const (
 	smallBody = 64 << 10
 	prefix    = "/v1/control/"
+	viewWait  = 3 * kernel.Second
 )
 
 // Body says what body a call takes.
@@ -114,19 +115,20 @@
 	if fault != nil {
 		return declined(fault, "")
 	}
-	return x.relay(body, id)
+	return x.relay(body, id, x.api.config.OrderWait)
 }
 
 // read asks for what the cores agree on.
-func (x *exchange) read() answer { return x.relay(nil, "") }
+func (x *exchange) read() answer { return x.relay(nil, "", x.api.config.OrderWait) }
 
-// status joins the node's own view with that of a core.
+// status joins the node's own view with that of a core, which it waits for only
+// a little, as it is asked most when cores are out of reach.
 func (x *exchange) status() answer {
 	code, own := x.api.inspector.Inspect(x.r.Context(), "status", "")
 	if code != kernel.OK {
 		return declined(kernel.Decline(code, "status"), "")
 	}
-	fleet := x.relay(nil, "")
+	fleet := x.relay(nil, "", min(viewWait, x.api.config.OrderWait))
 	body := struct {
 		Code       kernel.Code     `json:"code"`
 		Node       json.RawMessage `json:"node"`
@@ -152,12 +154,12 @@
 	return answer{code: code, body: body}
 }
 
-func (x *exchange) relay(body []byte, id string) answer {
-	ctx, cancel := kernel.WithTimeout(x.r.Context(), x.api.config.OrderWait)
+func (x *exchange) relay(body []byte, id string, wait kernel.Duration) answer {
+	ctx, cancel := kernel.WithTimeout(x.r.Context(), wait)
 	defer cancel()
 	began := x.api.clock.Now()
 	resp, err := x.api.orders.Order(ctx, &wire.OrderRequest{From: x.api.config.From, Operator: x.operator,
-		Verb: x.call.Verb, Body: body, WaitMs: uint32((x.api.config.OrderWait - x.api.config.OrderMargin).Milliseconds())})
+		Verb: x.call.Verb, Body: body, WaitMs: uint32((wait - wait/16).Milliseconds())})
 	if err != nil {
 		fault := kernel.AsFault(err)
 		if ctx.Err() != nil && fault.Code == kernel.Internal {
