--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -228,5 +228,7 @@
 	s.run("status", "--wait", "1s", "-o", "json")
 	fleet.bodies["status"] = strings.NewReplacer(`"in_force":false`, `"in_force":true`, `"ready":false`, `"ready":true`).Replace(statusBody)
 	s.run("status", "--wait", "1s")
+	fleet.bodies["status"] = strings.NewReplacer(`"amnesiac","answered":false,"learned":0`, `"voting","answered":true,"learned":21`).Replace(fleet.bodies["status"])
+	s.run("status", "--wait", "1s")
 	check("views", s)
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -97,8 +97,8 @@
 rules). It is no read-back: use "sheet get" for that. A tenant's spend is under
 "stepwick tally".
 
-With --wait it asks again until the newest epoch is in force, there is a plan, and
-every member of the roster has its grant and is ready; if that isn't so by then,
+With --wait it asks again until the newest epoch is in force, there is a plan,
+every core votes, and every member of the roster has its grant and is ready; if that isn't so by then,
 it prints what it saw and ends with the exit code for "try later".`,
 		Example: "  stepwick status\n  stepwick status --wait 30s\n  stepwick status --node 10.0.0.2:8080 -o json",
 		Args:    cobra.NoArgs, ValidArgsFunction: noArgs,
@@ -152,6 +152,11 @@
 	case !s.Fleet.RosterSettled || len(s.Fleet.Members) == 0:
 		return "the roster is changing"
 	}
+	for _, c := range s.Fleet.Cores {
+		if !c.Answered || c.Standing != "voting" || c.Learned < s.Fleet.Epoch {
+			return fmt.Sprintf("core %s is %s and has learned epoch %d", c.Name, c.Standing, c.Learned)
+		}
+	}
 	ready := map[string]bool{}
 	for _, p := range s.Node.Processes {
 		ready[p.Name] = p.Ready
