Confirm no restarted front over a ballot that is still open

Cause: a front may rule by an epoch that only one core has learned; when it restarts, the two other cores, which accepted the value but have not learned it, would confirm it at the epoch before: the node would step back. Change: a core that has accepted more than it has learned gives a restarted front no answer; every majority holds such a core until the value is finished. Conclusion: a node's epoch does not fall over a restart either.

--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -85,8 +85,11 @@
 	Learned(after uint64) (chosen []*wire.Chosen, whole bool)
 	// Changed returns a channel that is closed when a newer state is applied.
 	Changed() <-chan struct{}
+	// Read tells how far this core has learned and accepted.
+	Read(ctx kernel.Context, req *wire.ReadRequest) (*wire.ReadResponse, error)
 	Standing() wire.Standing
 	Voters() []string
+	Formation() string
 }
 
 const (
@@ -327,7 +330,9 @@
 
 // Renew grants a member that has confirmed what this core learned. Until the
 // core has caught up since its start it answers a fault, which is no answer to
-// whether the member is confirmed.
+// whether the member is confirmed. So it does to a member that restarted, while
+// this core has accepted a value that it has not learned: it may be chosen, and
+// the member's former life may have ruled by it.
 func (c *Core) Renew(ctx kernel.Context, req *wire.RenewRequest) (*wire.RenewResponse, error) {
 	if req.GetSelf().GetName() == "" {
 		return nil, kernel.Decline(kernel.MissingField, "self.name")
@@ -336,10 +341,21 @@
 		resp  *wire.RenewResponse
 		fault *kernel.Fault
 	}
+	accepted := uint64(0)
+	if req.Unconfirmed {
+		read, err := c.agreement.Read(ctx, &wire.ReadRequest{Formation: c.agreement.Formation()})
+		if err != nil {
+			return nil, err
+		}
+		accepted = read.Highest
+	}
 	got, err := ask(ctx, c, func() answer {
 		if fault := c.closedFault(); fault != nil {
 			return answer{fault: fault}
 		}
+		if accepted > c.learned() {
+			return answer{fault: kernel.Decline(kernel.NoMajority, "the ballot of epoch %d is open", accepted)}
+		}
 		return answer{resp: c.ledger.Renew(req, c.learned(), c.clock.Now())}
 	})
 	if err != nil {
