Keep a panic on the way to a server from ending the process

Cause: the last question before the first byte and the reader of a stream run on goroutines that net/http does not guard; a panic there would have ended all requests. Change: both are recovered and end their own attempt.

--- a/internal/adapter/backend/backend.go
+++ b/internal/adapter/backend/backend.go
@@ -166,7 +166,7 @@
 	if state := l.state.Load(); state != open {
 		return state == written
 	}
-	if fault := l.allow(); fault != nil {
+	if fault := l.asked(); fault != nil {
 		l.barred.Store(fault)
 		l.state.CompareAndSwap(open, sealed)
 		return false
@@ -174,6 +174,17 @@
 	return l.state.CompareAndSwap(open, written)
 }
 
+// asked runs on a goroutine of the transport's, where a panic would end the
+// process.
+func (l *ledger) asked() (fault *kernel.Fault) {
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			fault = kernel.Decline(kernel.Internal, "a panic before the request was sent: %v", panicked)
+		}
+	}()
+	return l.allow()
+}
+
 func (l *ledger) seal() (unsent bool) {
 	l.state.CompareAndSwap(open, sealed)
 	return l.state.Load() == sealed
--- a/internal/adapter/backend/stream.go
+++ b/internal/adapter/backend/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -49,8 +50,11 @@
 // order. It returns after the final event, or with a failure at the first
 // event that doesn't belong there. It closes the queue with what it returns.
 func (c *Client) Generate(ctx kernel.Context, attempt *Attempt, prompt *Prompt, events *stage.Queue[Event]) {
-	failure := &Failure{Kind: Broken, Detail: "a fault of the program"}
+	var failure *Failure
 	defer func() {
+		if panicked := recover(); panicked != nil {
+			failure = &Failure{Kind: Broken, Detail: fmt.Sprint("a panic while the answer was read: ", panicked)}
+		}
 		if failure == nil {
 			events.Close(nil)
 			return
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -42,10 +42,18 @@
 	view    atomic.Pointer[follow.View]
 	changed atomic.Pointer[chan struct{}]
 	ruling  atomic.Bool
+	trap    atomic.Bool // the next question panics
+}
+
+func (v *fakeViews) View() *follow.View { return v.view.Load() }
+
+func (v *fakeViews) Ruling() bool {
+	if v.trap.CompareAndSwap(true, false) {
+		panic("a trap")
+	}
+	return v.ruling.Load()
 }
 
-func (v *fakeViews) View() *follow.View       { return v.view.Load() }
-func (v *fakeViews) Ruling() bool             { return v.ruling.Load() }
 func (v *fakeViews) Changed() <-chan struct{} { return *v.changed.Load() }
 
 func (v *fakeViews) publish(change func(*follow.View)) {
@@ -466,7 +474,7 @@
 	})
 	Convey("A panic while one request is served ends that request alone and keeps no slot", t, func() {
 		within(t, func(t *testing.T) {
-			f := newFleet(t, "model", 1, streaming(1, 0))
+			f := newFleet(t, "model", 1, streaming(50, 0))
 			defer f.stop()
 			f.tally.decide = func(string, float64, tally.Terms) tally.Decision { panic("oh") }
 			caller := f.call()
@@ -475,8 +483,35 @@
 			f.tally.decide = nil
 			caller.prompt("r2", time.Minute)
 			f.expect("answer", caller.answer().status, 200)
-			synctest.Wait()
 			f.expect("in flight", f.inFlight("s0"), 0)
+			caller.prompt("r3", time.Minute)
+			caller.event()
+			f.views.trap.Store(true)
+			got := ""
+			for !strings.Contains(got, "5099") && !strings.Contains(got, "final") {
+				got = caller.event()
+			}
+			f.expect("trapped", strings.Contains(got, "5099"), true)
+			f.expect("in flight", f.inFlight("s0"), 0)
+		})
+	})
+}
+
+func TestOneShotsFreeTheirSlots(t *testing.T) {
+	Convey("However one-shots end, none keeps its slot", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "web", 2, saying(""), &server{refuse: true}, saying("HTTP/1.1 200 OK\nStepwick-Request-Id: ID\nContent-Length: 2\n\nok"))
+			defer f.stop()
+			caller := f.call()
+			for i := range 30 {
+				caller.send("GET", "/v1/call/orders/", fmt.Sprint("r", i), "", "")
+				caller.answer()
+			}
+			caller.send("GET", "/v1/call/orders/", "gone", "", "")
+			caller.conn.Close()
+			for name := range f.servers {
+				f.expect("in flight at "+name, f.inFlight(name), 0)
+			}
 		})
 	})
 }
