--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"stepwick/internal/adapter/clientapi"
+	"stepwick/internal/adapter/controlapi"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/settings"
@@ -70,6 +73,11 @@
 	s.run("locality", "restore", "lagos/b", "--order-id", "order-2")
 	s.run("locality", "restore", "lagos/a")
 	s.run("locality", "evacuate", "a/b/c")
+	fleet.bodies["status"] = statusBody
+	s.run("locality", "evacuate", "lagso/a")
+	s.run("locality", "evacuate", "abeokuta", "--force")
+	s.run("locality", "evacuate", "lagos")
+	delete(fleet.bodies, "status")
 	s.run("member", "remove", "front-9")
 	s.env["STEPWICK_OPERATOR_KEY"] = "another"
 	s.run("sheet", "get")
@@ -77,7 +85,7 @@
 
 	Convey("The same order id goes to node after node, and is applied once", t, func() {
 		So(fleet.seen[:2], ShouldResemble, []string{"order-1", "order-1"})
-		So(fleet.state.History, ShouldHaveLength, 3)
+		So(fleet.state.History, ShouldHaveLength, 5)
 	})
 }
 
@@ -167,6 +175,25 @@
 			So(len(have), ShouldEqual, len(want))
 		}
 	})
+	Convey("Every call of both APIs is on the page", t, func() {
+		page, err := os.ReadFile(filepath.Join("..", "..", "docs", "API.md"))
+		So(err, ShouldBeNil)
+		lines := strings.Split(string(page), "\n")
+		told := func(method, path string) bool {
+			for _, line := range lines {
+				if strings.Contains(line, method) && strings.Contains(line, path) {
+					return true
+				}
+			}
+			return false
+		}
+		for _, call := range controlapi.Routes() {
+			So(call.Method+" "+call.Path+" "+strconv.FormatBool(told(call.Method, call.Path)), ShouldEndWith, " true")
+		}
+		for _, route := range clientapi.Routes() {
+			So(route.Method+" "+route.Path+" "+strconv.FormatBool(told(route.Method, route.Path)), ShouldEndWith, " true")
+		}
+	})
 	Convey("Every command has a short help, and every one that runs has an example", t, func() {
 		root := New(nil).root()
 		for _, command := range root.Commands() {
--- a/internal/cli/locality.go
+++ b/internal/cli/locality.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
+
+	"stepwick/internal/kernel"
 )
 
 func (a *App) locality() *cobra.Command {
@@ -18,14 +22,23 @@
 	l.register(command.PersistentFlags())
 	verb := func(name, short, example string) *cobra.Command {
 		o := &ordering{}
+		force := false
 		command := &cobra.Command{Use: name + " LOCALITY", Short: short, Example: example, Args: cobra.ExactArgs(1), ValidArgsFunction: noArgs,
 			RunE: func(command *cobra.Command, args []string) error {
+				if name == "evacuate" && !force {
+					if err := l.known(command.Context(), args[0]); err != nil {
+						return err
+					}
+				}
 				return a.submit(command, l, o, http.MethodPost, name, struct {
 					OrderID  string `json:"order_id"`
 					Locality string `json:"locality"`
 				}{o.id(a), args[0]})
 			}}
 		o.register(command.Flags(), false)
+		if name == "evacuate" {
+			command.Flags().BoolVar(&force, "force", false, "also where no node of the fleet is known to stand")
+		}
 		return command
 	}
 	command.AddCommand(
@@ -33,3 +46,29 @@
 		verb("restore", "Send requests to a zone or region again", "  stepwick locality restore lagos/a"))
 	return command
 }
+
+// known says whether a node stands in a locality or region, so that a slip of
+// the pen isn't taken for an evacuation. What can't be asked is not in the way.
+func (l *link) known(ctx kernel.Context, locality string) error {
+	var s status
+	if _, err := l.get(ctx, controlPath+"status", &s); err != nil || s.Node == nil {
+		return nil
+	}
+	var localities []string
+	for _, p := range s.Node.Processes {
+		localities = append(localities, p.Locality)
+	}
+	if s.Fleet != nil {
+		for _, m := range s.Fleet.Members {
+			localities = append(localities, m.Locality)
+		}
+	}
+	for _, one := range localities {
+		if region, _, _ := strings.Cut(one, "/"); one == locality || region == locality {
+			return nil
+		}
+	}
+	slices.Sort(localities)
+	return kernel.Decline(kernel.UnknownLocality, "no node stands in %s; there are nodes in %s\n--force sends the order all the same",
+		locality, strings.Join(slices.Compact(localities), ", "))
+}
