Blame a server for broken answers, and not for callers in a hurry

Cause: a request given up by its deadline before anything was written counted as the server's timeout, so short deadlines could have a healthy server ejected; a server that reset or crossed every answer was never ejected and spent the retry budget. Change: a kind of failure of its own for what was withdrawn; broken and crossed answers weigh as much as none. Test: 20 prompts past 3 servers that break each answer ask these 6 times at most.

--- a/internal/adapter/backend/backend.go
+++ b/internal/adapter/backend/backend.go
@@ -68,9 +68,10 @@
 
 // Kinds of failures.
 const (
-	Unsent  Kind = "unsent"  // nothing was written and nothing will be
-	Refused Kind = "refused" // unsent, because the server refused the connection
-	Barred  Kind = "barred"  // unsent, because the request may no longer be sent
+	Unsent    Kind = "unsent"    // nothing was written and nothing will be
+	Refused   Kind = "refused"   // unsent, because the server refused the connection
+	Barred    Kind = "barred"    // unsent, because the request may no longer be sent
+	Withdrawn Kind = "withdrawn" // unsent, because the caller or the front gave the request up
 	Busy    Kind = "busy"    // the server said that it did not start
 	Dark    Kind = "dark"    // written; the server was silent for too long
 	Broken  Kind = "broken"  // written; the connection ended early
@@ -89,7 +90,7 @@
 
 // Unsent tells that the server has got nothing of the request and never will.
 func (f *Failure) Unsent() bool {
-	return f.Kind == Unsent || f.Kind == Refused || f.Kind == Barred
+	return f.Kind == Unsent || f.Kind == Refused || f.Kind == Barred || f.Kind == Withdrawn
 }
 
 // Attempt is one request sent to one server.
@@ -221,6 +222,9 @@
 		if fault := l.barred.Load(); fault != nil {
 			return &Failure{Kind: Barred, Detail: fault.Detail, Cause: fault}
 		}
+		if ctx.Err() != nil {
+			return &Failure{Kind: Withdrawn, Detail: cause(ctx, err)}
+		}
 		if refused(err) {
 			return &Failure{Kind: Refused, Detail: "the server refused the connection"}
 		}
--- a/internal/adapter/backend/call.go
+++ b/internal/adapter/backend/call.go
@@ -70,7 +70,7 @@
 	record := attempt.ledger()
 	left := attempt.Deadline.Sub(attempt.Now())
 	if left <= 0 {
-		return nil, record, &Failure{Kind: Unsent, Detail: "the deadline passed"}
+		return nil, record, &Failure{Kind: Withdrawn, Detail: "the deadline passed"}
 	}
 	request := &http.Request{Method: method, URL: target, Host: attempt.Address, Header: header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	if request.Header == nil {
--- a/internal/adapter/backend/stream.go
+++ b/internal/adapter/backend/stream.go
@@ -224,8 +224,11 @@
 
 // judge names silence as the cause where the watch has struck.
 func (w *watch) judge(failure *Failure) *Failure {
-	if !w.struck.Load() || failure == nil || failure.Unsent() {
+	switch {
+	case !w.struck.Load() || failure == nil:
 		return failure
+	case failure.Unsent():
+		return &Failure{Kind: Unsent, Detail: "the server took no connection in time"}
 	}
 	return &Failure{Kind: Dark, Detail: "the server was silent for too long"}
 }
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -472,6 +472,30 @@
 			f.expect("runs", f.runs("w2"), 1)
 		})
 	})
+	Convey("A server that breaks each answer is left alone for a while; callers in too great a hurry don't bring that about", t, func() {
+		within(t, func(t *testing.T) {
+			bad, good := saying(""), streaming(1, 0)
+			f := newFleet(t, "model", 8, bad, bad, bad, good)
+			defer f.stop()
+			caller, asked := f.call(), 0
+			for i := range 20 {
+				caller.prompt(fmt.Sprint("r", i), time.Minute)
+				caller.answer()
+			}
+			for i := range 20 {
+				asked += bad.runs(fmt.Sprint("r", i))
+			}
+			f.expect("asked of the bad ones", asked > 0 && asked <= 6, true)
+			hurry := newFleet(t, "model", 8, streaming(1, time.Hour))
+			defer hurry.stop()
+			caller = hurry.call()
+			for i := range 20 {
+				caller.prompt(fmt.Sprint("r", i), time.Millisecond)
+				caller.answer()
+			}
+			f.expect("ejected", hurry.front.router.table.Servers()[0].Ejected, false)
+		})
+	})
 	Convey("A panic while one request is served ends that request alone and keeps no slot", t, func() {
 		within(t, func(t *testing.T) {
 			f := newFleet(t, "model", 1, streaming(50, 0))
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -218,13 +218,23 @@
 	c.front.metrics.retries.WithLabelValues(c.service).Inc()
 }
 
-// outcomeOf tells the routing table how a request ended at its server.
+// outcomeOf tells the routing table how a request ended at its server. What
+// the caller or the front gave up says nothing of the server; an answer that
+// breaks off or isn't this request's weighs as much as none.
 func outcomeOf(failure *backend.Failure) route.Outcome {
 	if failure == nil {
 		return route.Outcome{OK: true}
 	}
-	return route.Outcome{NothingWritten: failure.Unsent(), Refused: failure.Kind == backend.Refused, Busy: failure.Kind == backend.Busy,
-		Timeout: failure.Kind == backend.Dark || failure.Kind == backend.Unsent}
+	outcome := route.Outcome{NothingWritten: failure.Unsent()}
+	switch failure.Kind {
+	case backend.Refused:
+		outcome.Refused = true
+	case backend.Busy:
+		outcome.Busy = true
+	case backend.Unsent, backend.Dark, backend.Broken, backend.Crossed:
+		outcome.Timeout = true
+	}
+	return outcome
 }
 
 func attemptOf(server string, failure *backend.Failure, took kernel.Duration) *Attempt {
