Show a member that refuses connections as not ready

The asked node's list of processes still called a killed core ready 3 s later; the cores' view that it refuses connections wins. Seen on a fleet started by hand with two of three cores killed. go test ./internal/cli passes.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -162,6 +162,9 @@
 		ready[p.Name] = p.Ready
 	}
 	for _, m := range s.Fleet.Members {
+		if m.Gone {
+			return m.Name + " refuses connections"
+		}
 		if !m.Granted || m.Front && !ready[m.Name] {
 			return m.Name + " is not ready"
 		}
@@ -227,6 +230,9 @@
 	}
 	t = a.table("MEMBER", "LOCALITY", "ROLE", "GRANT", "CONFIRMED", "READY", "REFUSES")
 	for _, m := range f.Members {
+		if m.Gone {
+			ready[m.Name] = "no"
+		}
 		t.row(m.Name, m.Locality, role(m.Core, m.Front), yes(m.Granted), yes(m.Confirmed), ready[m.Name], yes(m.Gone))
 	}
 	if err := t.print(); err != nil {
