--- a/cmd/rig/fleet/fleet.go
+++ b/cmd/rig/fleet/fleet.go
@@ -47,7 +47,7 @@
 	Shape    standin.Shape
 	Services struct{ Model, Web []string }
 	Settings map[string]string // of all nodes
-	Warm     bool              // model servers begin warm
+	Warm     bool              // servers begin warm
 }
 
 // First is the first deployment: 9 nodes, 3 of them cores, in three zones; 18
@@ -181,6 +181,9 @@
 		if err := w.Start(); err != nil {
 			return err
 		}
+		if f.Spec.Warm {
+			w.Warm()
+		}
 	}
 	for name, r := range f.relays {
 		if f.Node(name) != nil {
--- a/cmd/rig/ledger/ledger.go
+++ b/cmd/rig/ledger/ledger.go
@@ -130,6 +130,7 @@
 	Status int    `json:"status"`
 	Code   int    `json:"code"`
 	Kept   bool   `json:"kept"` // sent on a connection that was open before
+	Detail string `json:"detail,omitempty"`
 }
 
 // Passed tells whether the key was accepted.
--- a/cmd/rig/load/probe.go
+++ b/cmd/rig/load/probe.go
@@ -65,7 +65,7 @@
 			if resp.Header.Get("Stepwick-Code") != "" || resp.StatusCode/100 != 2 {
 				var body kernel.FaultBody
 				_ = json.Unmarshal(data, &body)
-				p.Code = int(body.Code)
+				p.Code, p.Detail = int(body.Code), body.Detail
 			}
 		}
 		if err == nil && !resp.Close {
--- a/cmd/rig/prove/cases.go
+++ b/cmd/rig/prove/cases.go
@@ -47,6 +47,7 @@
 	{"force_freeze", 4, "nodes frozen and thawed, restarted into a partition", 40, nil, forceFreeze},
 	{"drain", 5, "servers drain and leave, with a core and a front killed in the same second", 30, nil, drains},
 	{"evacuate", 5, "a zone is evacuated and taken back, with a core and a front killed in the same second", 35, nil, evacuate},
+	{"cold_start", 6, "all servers begin cold, model and web", 25, coldFleet, coldStart},
 	{"cold", 6, "a server comes back cold; a second one is lost right after", 40, nil, cold},
 	{"replace", 6, "all model servers of a zone replaced one after another", 40, nil, replace},
 	{"crowd", 6, "a crowd tenfold at once; long prompts turn to long answers", 30, nil, crowd},
@@ -484,6 +485,13 @@
 	return nil
 }
 
+func coldFleet(o *Options) { o.Spec.Warm = false }
+
+func coldStart(s *Stage) error {
+	s.rest(s.Book.Now())
+	return nil
+}
+
 func cold(s *Stage) error {
 	began := s.Book.Now()
 	for s.left(began) {
--- a/cmd/rig/prove/stage.go
+++ b/cmd/rig/prove/stage.go
@@ -106,7 +106,7 @@
 			if p := s.Control.Probe(n, key); p.Passed() {
 				break
 			} else if !own.Wait(ctx, 100*kernel.Millisecond) {
-				return errors.Errorf("node %s did not serve within 40 s: probe status %d code %d; node logs:\n%s", n.Name, p.Status, p.Code, s.tails())
+				return errors.Errorf("node %s did not serve within 40 s: probe status %d code %d %s; node logs:\n%s", n.Name, p.Status, p.Code, p.Detail, s.tails())
 			}
 		}
 	}
--- a/cmd/rig/standin/web.go
+++ b/cmd/rig/standin/web.go
@@ -66,6 +66,9 @@
 	return err
 }
 
+// Warm lets the server count as one that has answered many requests.
+func (w *Web) Warm() { w.state.Ask(func(s *webState) { s.answered = max(s.answered, 1000) }) }
+
 // Crash ends the server at once; its connections break.
 func (w *Web) Crash() {
 	w.state.Ask(func(s *webState) {
--- /dev/null
+++ b/cmd/rig/up.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"stepwick/internal/kernel"
+
+	"stepwick/cmd/rig/fleet"
+	"stepwick/cmd/rig/ledger"
+	"stepwick/cmd/rig/load"
+	"stepwick/cmd/rig/own"
+)
+
+func upCommand() *cobra.Command {
+	length := 600
+	c := &cobra.Command{Use: "up", Short: "Run the first deployment with its first sheet and no load, to try commands by hand",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			binary, remove, err := built()
+			if err != nil {
+				return err
+			}
+			defer remove()
+			dir, err := os.MkdirTemp("", "stepwick-rig-")
+			if err != nil {
+				return errors.Wrap(err, "temp folder")
+			}
+			defer os.RemoveAll(dir)
+			f, err := fleet.New(fleet.First(), binary, dir, ledger.Open(1), 1)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			if err := f.Start(); err != nil {
+				return err
+			}
+			control := load.NewControl(f, 1)
+			key := control.NextKey()
+			ctx, cancel := kernel.WithTimeout(cmd.Context(), 40*kernel.Second)
+			defer cancel()
+			told := control.Push(ctx, control.Put("ade", 0, load.FirstSheet(f, load.FirstTenants(), key), key), f.Nodes)
+			fmt.Printf("program %s\nfolder %s\noperator key %s\ntenant key key-of-press\nfirst sheet: status %d code %d epoch %d\n", binary, dir, fleet.Operators["ade"], told.Status, told.Code, told.Epoch)
+			for _, n := range f.Nodes {
+				pid, _ := n.Running()
+				fmt.Printf("%-8s %-12s %s pid %d\n", n.Name, n.Locality(), n.Caller, pid)
+			}
+			own.Wait(cmd.Context(), kernel.Duration(length)*kernel.Second)
+			return nil
+		}}
+	c.Flags().IntVar(&length, "seconds", length, "how long to run")
+	return c
+}
