Show the asked node's tenants under status

status joins the spend of the tenants that the asked node serves, at most twenty in the table and all in the JSON. go test ./internal/cli passes.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -18,8 +19,12 @@
 	Fleet *fleetStatus      `json:"fleet"`
 	Fault *kernel.FaultBody `json:"fleet_fault"`
 	Node  *nodeStatus       `json:"node"`
+	// Tenants are those that the asked node serves.
+	Tenants []tenantView `json:"-"`
 }
 
+const tenantsShown = 20
+
 type fleetStatus struct {
 	By            string            `json:"by"`
 	Epoch         uint64            `json:"epoch"`
@@ -91,15 +96,16 @@
 	var wait kernel.Duration
 	command := &cobra.Command{
 		Use:   "status",
-		Short: "Show nodes, epochs, grants, roster, servers, plan and evacuations",
+		Short: "Show nodes, epochs, grants, roster, servers, plan, evacuations and tenants",
 		Long: `Show the fleet as one core sees it (cores, roster, grants, epochs, duties,
 evacuations, plan) and as the asked node sees it (processes, servers, whether it
-rules). It is no read-back: use "sheet get" for that. A tenant's spend is under
-"stepwick tally".
+rules, the spend of the tenants that it serves). It is no read-back: use "sheet
+get" for that.
 
 With --wait it asks again until the newest epoch is in force, there is a plan,
-every core votes, and every member of the roster has its grant and is ready; if that isn't so by then,
-it prints what it saw and ends with the exit code for "try later".`,
+every core votes, and every member of the roster has its grant and is ready. If
+that isn't so by then, it prints what it saw and ends with the exit code for "try
+later".`,
 		Example: "  stepwick status\n  stepwick status --wait 30s\n  stepwick status --node 10.0.0.2:8080 -o json",
 		Args:    cobra.NoArgs, ValidArgsFunction: noArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -122,8 +128,12 @@
 				if err != nil {
 					return err
 				}
+				tenants, fault := l.get(command.Context(), controlPath+"tally", &s.Tenants)
+				if fault != nil {
+					tenants = nil
+				}
 				if format == "json" {
-					err = a.printBody(body)
+					err = a.printStatusJSON(body, tenants)
 				} else {
 					err = a.printStatus(&s)
 				}
@@ -188,7 +198,28 @@
 	if s.Node == nil {
 		return nil
 	}
-	return a.printNode(s.Node, s.Fleet == nil)
+	if err := a.printNode(s.Node, s.Fleet == nil); err != nil || len(s.Tenants) == 0 {
+		return err
+	}
+	fmt.Fprintln(a.Out)
+	if err := a.printTenants(s.Tenants[:min(len(s.Tenants), tenantsShown)]); err != nil {
+		return err
+	}
+	if more := len(s.Tenants) - tenantsShown; more > 0 {
+		fmt.Fprintf(a.Out, "and %d more; see \"stepwick tally\"\n", more)
+	}
+	return nil
+}
+
+func (a *App) printStatusJSON(body, tenants []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return kernel.Decline(kernel.BadAnswer, "%v", err)
+	}
+	if len(tenants) > 0 {
+		fields["tenants"] = tenants
+	}
+	return a.printJSON(fields)
 }
 
 func (a *App) printFleet(f *fleetStatus, asked *nodeStatus) error {
--- a/internal/cli/tally.go
+++ b/internal/cli/tally.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -53,21 +54,10 @@
 			if err := json.Unmarshal(body, &views); err != nil {
 				return kernel.Decline(kernel.BadAnswer, "%v", err)
 			}
-			t := a.table("TENANT", "LIMIT", "BLEND", "LAST SPAN", "OWN", "SHARE", "MARKED", "HOLDER", "AGE")
-			for _, v := range views {
-				if wanted != "" && v.Tenant != wanted {
-					continue
-				}
-				marked, age := "no", "never"
-				if v.Marked {
-					marked = "yes"
-				}
-				if v.Age >= 0 {
-					age = v.Age.Round(kernel.Millisecond).String()
-				}
-				t.row(v.Tenant, round(v.Limit), round(v.Blend), round(v.Recent), round(v.Own), round(v.Share), marked, v.Holder, age)
+			if wanted != "" {
+				views = slices.DeleteFunc(views, func(v tenantView) bool { return v.Tenant != wanted })
 			}
-			return t.print()
+			return a.printTenants(views)
 		},
 	}
 	l.register(command.Flags())
@@ -75,4 +65,16 @@
 	return command
 }
 
+func (a *App) printTenants(views []tenantView) error {
+	t := a.table("TENANT", "LIMIT", "BLEND", "LAST SPAN", "OWN", "SHARE", "MARKED", "HOLDER", "AGE")
+	for _, v := range views {
+		age := "never"
+		if v.Age >= 0 {
+			age = v.Age.Round(kernel.Millisecond).String()
+		}
+		t.row(v.Tenant, round(v.Limit), round(v.Blend), round(v.Recent), round(v.Own), round(v.Share), yes(v.Marked), v.Holder, age)
+	}
+	return t.print()
+}
+
 func round(v float64) string { return fmt.Sprintf("%.0f", v) }
