--- a/internal/core/tally/blend.go
+++ b/internal/core/tally/blend.go
@@ -14,6 +14,7 @@
 	asked    kernel.Time // first ask that has no answer yet; zero: none
 	share    float64     // this front's part of the room
 	reserved float64     // part of the limit kept for silent fronts
+	active   int         // fronts where the tenant is active, as the holder told
 	turn     float64     // where this front stands in the order of rounding, 0..1
 	unsent   float64     // own adds since the last ask
 	urgent   bool
@@ -56,8 +57,15 @@
 			e.since = a.own.sum(sure+1, newest) + a.own.get(sure)*(1-part)
 		}
 	}
-	room := e.limit*(1-a.reserved) - (e.recent - e.since)
-	e.budget = a.share * max(0, room+c.Slack*e.limit)
+	silent, blind := a.silent(c, now), a.asOf.IsZero() || a.asked.Sub(a.asOf) > silentAfter*c.Interval
+	spent := e.recent - e.since
+	if silent && blind {
+		spent = max(spent, e.limit*(1-now.Sub(a.asked).Seconds()/c.Window.Seconds()))
+	}
+	e.budget = a.share * max(0, e.limit*(1-a.reserved+c.Slack)-spent)
+	if !silent && (blind || now.Sub(a.asOf) > silentAfter*c.Interval) {
+		e.budget *= unsure
+	}
 	return e
 }
 
@@ -79,9 +87,9 @@
 	}
 	half := min(tokens, e.limit) / 2
 	switch {
-	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= c.Band*e.limit):
+	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit):
 		return overLimit
-	case c.has(Bound) && e.recent+half > e.limit*(1-a.reserved) && e.recent > 0:
+	case c.has(Bound) && e.recent+half > e.limit*(1+c.Band-a.reserved) && e.recent > 0:
 		return overLimit
 	case c.has(Share) && e.since+tokens*a.turn > e.budget:
 		return overShare
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -11,7 +11,9 @@
 	silentAfter = 5   // intervals without an answer after which a holder is out of reach
 	holdBelow   = 0.9 // part of the limit below which a request may be held for an exchange
 	sendAt      = 0.25
-	reservedKey = 0 // window number of a total that carries the reserved part of the limit
+	usageOf     = 8   // of a window, the part over which usage is weighed, up to where all is known
+	unsure      = 0.1 // part of its budget that a front spends before the first answer after a silence of its own
+	standingKey = 0   // window number of a total that tells the part of the limit reserved for silent fronts and, as acked, the fronts where the tenant is active
 )
 
 // Book is one front's side of the tally: an account for each tenant that was
@@ -143,8 +145,8 @@
 	return !a.asked.IsZero() && now.Sub(a.asked) > silentAfter*c.Interval
 }
 
-// Outgoing returns the counts to send, by holder, of all tenants active within
-// the last window, and drops tenants that were idle for two windows. Counts are
+// Outgoing returns the counts to send, by holder, of all tenants that were just
+// active or have adds to tell, and drops tenants that were idle for two windows. Counts are
 // cumulative: sending one twice, late or to another holder is harmless.
 func (b *Book) Outgoing(now kernel.Time, holderOf func(tenant string) string) map[string][]*wire.Count {
 	now = b.steady(now)
@@ -155,7 +157,7 @@
 			delete(b.accounts, tenant)
 			continue
 		}
-		if idle <= b.config.Window || a.unsent > 0 {
+		if idle <= silentAfter*b.config.Interval || a.unsent > 0 {
 			b.pack(batches, a, now, holderOf)
 		}
 	}
@@ -242,11 +244,8 @@
 		if a == nil {
 			continue
 		}
-		if i == 0 || resp.Totals[i-1].Tenant != total.Tenant {
-			a.reserved = 0
-		}
-		if total.Window == reservedKey {
-			a.reserved = total.Total
+		if total.Window == standingKey {
+			a.reserved, a.active = total.Total, int(total.Acked)
 		}
 		first := total.Window * b.grid.slices
 		for k, tokens := range total.Slices {
@@ -270,10 +269,12 @@
 		return
 	}
 	a.asOf = sentAt
-	slice, _ := b.grid.at(sentAt)
-	first := slice - b.grid.slices/4
-	if total := a.span(first, slice); total > 0 {
-		a.share = mix(b.config.Floor, len(b.roster), a.own.sum(first, slice)/total)
+	last, _ := b.grid.at(sentAt.Add(-b.config.Lag))
+	first := last - b.grid.slices/usageOf
+	if total := a.span(first, last); total > 0 {
+		a.share = mix(b.config.Floor, a.active, a.own.sum(first, last)/total)
+	} else {
+		a.share = 1 / float64(len(b.roster))
 	}
 }
 
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -15,7 +15,7 @@
 	began       kernel.Time
 	newest      kernel.Time
 	roster      []string
-	silent      map[string]bool
+	silent      map[string]kernel.Time // since when
 	tenants     map[string]*held
 }
 
@@ -40,12 +40,16 @@
 
 // SetReach tells the roster, and which of its fronts are silent without being
 // known to be gone: what they may be spending on their own is kept for them.
-func (l *Ledger) SetReach(roster, silent []string) {
+func (l *Ledger) SetReach(roster, silent []string, now kernel.Time) {
 	l.roster = roster
-	l.silent = make(map[string]bool, len(silent))
+	since := make(map[string]kernel.Time, len(silent))
 	for _, name := range silent {
-		l.silent[name] = true
+		since[name] = now
+		if before, known := l.silent[name]; known {
+			since[name] = before
+		}
 	}
+	l.silent = since
 }
 
 // Add takes a front's counts and answers with the totals over all fronts. Each
@@ -86,9 +90,8 @@
 		resp.Totals = append(resp.Totals, l.total(t, c, count))
 		if i+1 == len(req.Counts) || req.Counts[i+1].Tenant != count.Tenant {
 			l.weighUsage(t, c, req.Front, now)
-			if kept := l.reserved(t); kept > 0 {
-				resp.Totals = append(resp.Totals, &wire.Total{Tenant: count.Tenant, Window: reservedKey, Total: kept})
-			}
+			resp.Totals = append(resp.Totals, &wire.Total{Tenant: count.Tenant, Window: standingKey,
+				Total: l.reserved(t, now), Acked: float64(l.active(t, now))})
 		}
 	}
 	return resp
@@ -124,28 +127,41 @@
 }
 
 func (l *Ledger) weighUsage(t *held, c *contribution, front string, now kernel.Time) {
-	slice, _ := l.grid.at(now)
-	first := slice - l.grid.slices/4
-	if total := t.sum.sum(first, slice); total > 0 {
-		t.shares[front] = c.own.sum(first, slice) / total
+	last, _ := l.grid.at(now.Add(-l.config.Lag))
+	first := last - l.grid.slices/usageOf
+	if total := t.sum.sum(first, last); total > 0 {
+		t.shares[front] = c.own.sum(first, last) / total
+	}
+}
+
+func (l *Ledger) active(t *held, now kernel.Time) int {
+	n := 0
+	for _, c := range t.fronts {
+		if now.Sub(c.heard) <= silentAfter*l.config.Interval {
+			n++
+		}
 	}
+	return n
 }
 
-// reserved is the part of the limit kept for silent fronts. Each may spend the
-// higher of its even part and its part by last known usage; of what the even
-// parts add to that, a quarter of the limit is let go.
-func (l *Ledger) reserved(t *held) float64 {
+// reserved is the part of the limit kept for silent fronts, who may each spend
+// the higher of their even part and their part by last known usage. It grows as
+// what is known of their spend runs out. A quarter of the limit is let go of
+// what the even parts add, and a quarter is never kept, so that neither side of
+// a cut starves.
+func (l *Ledger) reserved(t *held, now kernel.Time) float64 {
 	if len(l.silent) == 0 || len(l.roster) == 0 {
 		return 0
 	}
 	even := 1 / float64(len(l.roster))
 	byUsage, atMost := 0.0, 0.0
-	for name := range l.silent {
+	for name, since := range l.silent {
 		part := mix(l.config.Floor, len(l.roster), t.shares[name])
-		byUsage += part
-		atMost += max(even, part)
+		grown := min(1, now.Sub(since).Seconds()/l.config.Window.Seconds())
+		byUsage += part * grown
+		atMost += max(even, part) * grown
 	}
-	return max(byUsage, atMost-0.25)
+	return min(0.75, max(byUsage, atMost-0.25))
 }
 
 // Expire drops tenants and fronts' counts that were idle for two windows.
@@ -159,7 +175,7 @@
 		for front, c := range t.fronts {
 			if c.heard.Before(horizon) {
 				delete(t.fronts, front)
-				if !l.silent[front.name] {
+				if _, silent := l.silent[front.name]; !silent {
 					delete(t.shares, front.name)
 				}
 			}
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -18,8 +18,8 @@
 // Exceptions, in the order in which they were added.
 const (
 	MarkEnds Exception = 1 << iota // a mark ends when the blend falls below the limit
-	Bound                          // nothing passes once the spend of the last window's span is at the limit
-	Room                           // a request that only the blend declines passes while that spend is well below the limit
+	Bound                          // nothing passes once the spend of the last window's span is over the limit by the band
+	Room                           // a request that the blend declines passes while that spend is below the limit
 	Share                          // a front spends no more than its share of the room it is sure of
 	Hold                           // a request over that share waits for the next exchange, well below the limit
 
@@ -33,7 +33,7 @@
 	Slices   int             // slices of a window, 32
 	Interval kernel.Duration // between two exchanges with a holder, 200 ms
 	Lag      kernel.Duration // how far a holder's totals may be behind the other fronts' adds, 300 ms
-	Band     float64         // part of the limit below which the blend alone declines nothing, 0.95
+	Band     float64         // part of the limit by which the spend of the last window's span may pass it while the blend is below, 0.06
 	Floor    float64         // part of the room that is shared evenly, whatever the usage, 0.4
 	Slack    float64         // part of the limit that all fronts together may overspend, 0.04
 	Without  Exception       // exceptions left out, for measurement
@@ -53,7 +53,7 @@
 		c.Lag = 300 * kernel.Millisecond
 	}
 	if c.Band <= 0 {
-		c.Band = 0.95
+		c.Band = 0.06
 	}
 	if c.Floor <= 0 {
 		c.Floor = 0.4
--- a/internal/node/spend/keeper.go
+++ b/internal/node/spend/keeper.go
@@ -37,7 +37,7 @@
 		case a := <-k.adds:
 			a.answer <- k.ledger.Add(a.req, k.spend.fleetNow())
 		case <-ticker.C():
-			k.ledger.SetReach(k.spend.roster(), k.spend.config.Silent())
+			k.ledger.SetReach(k.spend.roster(), k.spend.config.Silent(), k.spend.fleetNow())
 			if tick++; tick%10 == 0 {
 				k.ledger.Expire(k.spend.fleetNow())
 				k.spend.metrics.holds(k.ledger.Held())
