Show orders' whole exchanges, and answer a resent order without a ballot

Cause: an acknowledgement must mean in force, a resent order must get the same result, and each resend used up an epoch that every front had to confirm. Change: an order whose id is already applied only waits for its epoch to be in force. Approved transcripts with three cores and nine fronts in virtual time: a silent member, a refusing one, a race, a resend, two cores with four of nine nodes, removal by name, bad input, no majority. Conclusion: a silent member costs an order its grant's two seconds; a refusing one costs nothing; two cores with four of nine nodes acknowledge nothing until the cut heals or the operator removes the five by name.

--- a/internal/core/grant/inforce.go
+++ b/internal/core/grant/inforce.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"sort"
+	"slices"
 	"strings"
 
 	"stepwick/internal/core/sheet"
@@ -113,7 +113,8 @@
 			}
 		}
 	}
-	sort.Strings(f.waiting)
+	slices.Sort(f.waiting)
+	f.waiting = slices.Compact(f.waiting)
 	return f
 }
 
--- /dev/null
+++ b/internal/node/core/core_test.go
@@ -0,0 +1,166 @@
+package core_test
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const smallSheet = `{"services":{"chat":{"kind":"model"}},"weights":{"chat":{"lagos":1}},"tenants":{"press":{"rate":100,"burst":50,"keys":[]}}}`
+
+var instants = regexp.MustCompile(`"at_ms":\d+`)
+
+// script plays operators' calls and keeps what was said, with virtual time to
+// the next half second.
+type script struct {
+	*fleet
+	begun time.Time
+	lines []string
+}
+
+func play(t *testing.T, fronts int, act func(s *script)) string {
+	var s *script
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s = &script{fleet: newFleet(ctx, fronts)}
+		s.pass(6 * time.Second)
+		s.begun = time.Now()
+		act(s)
+		cancel()
+		s.pass(10 * time.Second)
+	})
+	return strings.Join(s.lines, "\n") + "\n"
+}
+
+func (s *script) say(format string, args ...any) {
+	line := instants.ReplaceAllString(fmt.Sprintf(format, args...), `"at_ms":0`)
+	s.lines = append(s.lines, fmt.Sprintf("%4.1f s  ", time.Since(s.begun).Round(500*time.Millisecond).Seconds())+line)
+}
+
+func (s *script) order(core, operator, verb, body string, wait time.Duration) *wire.OrderResponse {
+	s.say("%s asks %s: %s %s", operator, core, verb, body)
+	resp, err := s.cores[core].Order(s.ctx, &wire.OrderRequest{From: core, Operator: operator, Verb: verb, Body: []byte(body),
+		WaitMs: uint32(wait.Milliseconds())})
+	if err != nil {
+		s.say("%s fails: %v", core, err)
+		return nil
+	}
+	s.say("%s answers %s: %s %s", core, operator, kernel.Code(resp.Code), resp.Body)
+	return resp
+}
+
+func put(base int, id string) string {
+	return fmt.Sprintf(`{"order_id":"%s","base":%d,"sheet":%s}`, id, base, smallSheet)
+}
+
+func patch(base int, id, path, value string) string {
+	return fmt.Sprintf(`{"order_id":"%s","base":%d,"changes":[{"path":"%s","value":%s}]}`, id, base, path, value)
+}
+
+func TestOrders(t *testing.T) {
+	for name, act := range map[string]func(s *script){
+		"silent_member": func(s *script) {
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+			s.say("f9 falls silent")
+			s.mark(&s.silent, true, "f9")
+			s.pass(500 * time.Millisecond)
+			s.order("c2", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
+			s.say("fronts that rule: %d", s.ruling())
+			s.order("c2", "ada", "get", "", 0)
+		},
+		"refusing_member": func(s *script) {
+			s.kill("f9")
+			s.say("f9 is killed")
+			s.pass(time.Second)
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+		},
+		"race": func(s *script) {
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+			lost := make(chan *wire.OrderResponse, 1)
+			go func() {
+				s.pass(time.Millisecond)
+				resp, _ := s.cores["c2"].Order(s.ctx, &wire.OrderRequest{Operator: "bola", Verb: "patch", Body: []byte(patch(3, "bola-1", "weights.chat.lagos", "3"))})
+				lost <- resp
+			}()
+			s.order("c1", "ada", "patch", patch(3, "ada-2", "weights.chat.lagos", "2"), 0)
+			resp := <-lost
+			s.say("c2 answers bola: %s %s", kernel.Code(resp.Code), resp.Body)
+			s.order("c3", "ada", "history", "", 0)
+		},
+		"resend": func(s *script) {
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+			s.mark(&s.silent, true, "f9")
+			s.say("f9 falls silent; the patience of the next order is shorter than its grant")
+			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 400*time.Millisecond)
+			s.say("the same order goes to another core")
+			s.order("c2", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
+			s.say("and once more, as if the answer had been lost")
+			s.order("c3", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
+			s.say("another order under the same id")
+			s.order("c3", "ada", "patch", patch(4, "second", "weights.chat.lagos", "9"), 0)
+			s.order("c3", "ada", "get", "", 0)
+		},
+		"two_cores_four_of_nine": func(s *script) {
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+			s.mark(&s.silent, true, "c3", "f4", "f5", "f6", "f7")
+			s.say("c1 c2 f8 f9 | c3 f4 f5 f6 f7, cut in silence")
+			s.pass(5 * time.Second)
+			s.say("fronts that rule: %d", s.ruling())
+			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 5*time.Second)
+			s.say("fronts that rule: %d", s.ruling())
+			s.mark(&s.silent, false, "c3", "f4", "f5", "f6", "f7")
+			s.say("healed")
+			s.pass(time.Second)
+			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
+			s.say("fronts that rule: %d", s.ruling())
+		},
+		"removed_by_name": func(s *script) {
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+			s.mark(&s.silent, true, "f5", "f6", "f7", "f8", "f9")
+			for _, name := range []string{"f5", "f6", "f7", "f8", "f9"} {
+				s.stop[name]()
+			}
+			s.say("f5 to f9 lose their power: silence")
+			s.pass(5 * time.Second)
+			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 2*time.Second)
+			s.order("c1", "ada", "remove", `{"order_id":"off","names":["f5","f6","f7","f8","f9"]}`, 0)
+			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
+		},
+		"declined": func(s *script) {
+			before := s.agreed.Load().state.Epoch
+			s.order("c1", "", "put", put(0, "first"), 0)
+			s.order("c1", "ada", "put", `{"base":0`, 0)
+			s.order("c1", "ada", "put", `{"base":0} {}`, 0)
+			s.order("c1", "ada", "put", `{"base":0,"seat":1}`, 0)
+			s.order("c1", "ada", "put", `{"sheet":{}}`, 0)
+			s.order("c1", "ada", "put", `{"base":0}`, 0)
+			s.order("c1", "ada", "put", `{"base":0,"sheet":{"services":{"chat":{"kind":"model"}},"weights":{"chat":{"lagos":-1}}}}`, 0)
+			s.order("c1", "ada", "patch", `{"base":0}`, 0)
+			s.order("c1", "ada", "evacuate", `{}`, 0)
+			s.order("c1", "ada", "evacuate", `{"locality":"a/b/c"}`, 0)
+			s.order("c1", "ada", "remove", `{"name":"f99"}`, 0)
+			s.order("c1", "ada", "sing", `{}`, 0)
+			s.say("epochs used up: %d", s.agreed.Load().state.Epoch-before)
+		},
+		"no_majority": func(s *script) {
+			s.order("c1", "ada", "put", put(0, "first"), 0)
+			s.split.Store(true)
+			s.say("no core reaches a majority")
+			s.order("c1", "ada", "get", "", 500*time.Millisecond)
+			s.order("c1", "ada", "evacuate", `{"order_id":"out","locality":"lagos/a"}`, 500*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			goldie.New(t).Assert(t, name, []byte(play(t, 9, act)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/core/fleet_test.go
@@ -0,0 +1,229 @@
+package core_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sort"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/core"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+// fleet is three cores and some fronts in one bubble of virtual time, over a
+// network in memory and an atomic ballot.
+type fleet struct {
+	ctx       context.Context
+	agreed    atomic.Pointer[agreed]
+	names     []string
+	processes map[string]*wire.Process
+	cores     map[string]*core.Core
+	fronts    map[string]*follow.Follower
+	stop      map[string]context.CancelFunc
+	silent    atomic.Pointer[map[string]bool]
+	dead      atomic.Pointer[map[string]bool]
+	split     atomic.Bool // no majority of cores reaches another
+}
+
+type agreed struct {
+	state   sheet.State
+	chosen  []*wire.Chosen
+	changed chan struct{}
+}
+
+var voters = []string{"c1", "c2", "c3"}
+
+func newFleet(ctx context.Context, fronts int) *fleet {
+	f := &fleet{ctx: ctx, processes: map[string]*wire.Process{}, cores: map[string]*core.Core{},
+		fronts: map[string]*follow.Follower{}, stop: map[string]context.CancelFunc{}}
+	f.agreed.Store(&agreed{changed: make(chan struct{})})
+	f.silent.Store(&map[string]bool{})
+	f.dead.Store(&map[string]bool{})
+	for i := range fronts {
+		name := fmt.Sprintf("f%d", i+1)
+		if i < len(voters) {
+			name = voters[i]
+		}
+		f.names = append(f.names, name)
+		f.processes[name] = &wire.Process{Name: name, Address: name, Region: "lagos", Zone: "a", Core: i < len(voters),
+			Front: true, Incarnation: 1, Standing: wire.Standing_STANDING_VOTING, Voters: voters}
+	}
+	for _, name := range f.names {
+		f.build(name)
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	return f
+}
+
+func (f *fleet) start(name string) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.stop[name] = cancel
+	if c, ok := f.cores[name]; ok {
+		go c.Serve(ctx)
+	}
+	go f.fronts[name].Serve(ctx)
+}
+
+func (f *fleet) build(name string) {
+	own := f.processes[name]
+	peers := links{f, name}
+	if own.Core {
+		f.cores[name] = core.New(core.Config{Self: name, Incarnation: own.Incarnation}, ballots{f}, peers, kernel.System(), events.Discard)
+	}
+	f.fronts[name] = follow.New(follow.Config{Self: func() *wire.Process { return own }, GrantTTL: 2 * time.Second,
+		RenewEvery: 500 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second, CoreStaleFor: time.Second,
+		Sighted: func() []follow.Sight { return nil }}, peers, kernel.System(), events.Discard)
+}
+
+func (f *fleet) mark(set *atomic.Pointer[map[string]bool], on bool, names ...string) {
+	next := map[string]bool{}
+	for name, was := range *set.Load() {
+		next[name] = was
+	}
+	for _, name := range names {
+		next[name] = on
+	}
+	set.Store(&next)
+}
+
+func (f *fleet) kill(name string) {
+	f.stop[name]()
+	f.mark(&f.dead, true, name)
+}
+
+// pass lets virtual time go on.
+func (f *fleet) pass(d time.Duration) { <-time.After(d) }
+
+func (f *fleet) ruling() int {
+	count := 0
+	for _, name := range f.names {
+		if !(*f.dead.Load())[name] && f.fronts[name].Ruling() {
+			count++
+		}
+	}
+	return count
+}
+
+type ballots struct{ f *fleet }
+
+func (b ballots) Propose(ctx context.Context, command []byte) (uint64, sheet.Result, error) {
+	if b.f.split.Load() {
+		<-ctx.Done()
+		return 0, sheet.Result{}, ctx.Err()
+	}
+	for {
+		old := b.f.agreed.Load()
+		epoch := old.state.Epoch + 1
+		state, result := old.state.Step(epoch, command)
+		next := &agreed{state: state, changed: make(chan struct{})}
+		next.chosen = append(append(next.chosen, old.chosen...), &wire.Chosen{Epoch: epoch, Command: command})
+		if b.f.agreed.CompareAndSwap(old, next) {
+			close(old.changed)
+			return epoch, result, nil
+		}
+	}
+}
+
+func (b ballots) ReadMajority(ctx context.Context) (sheet.State, error) {
+	if b.f.split.Load() {
+		<-ctx.Done()
+		return sheet.State{}, kernel.Decline(kernel.NoMajority, "1 of 3 cores answered")
+	}
+	return b.f.agreed.Load().state, nil
+}
+
+func (b ballots) Read(context.Context, *wire.ReadRequest) (*wire.ReadResponse, error) {
+	epoch := b.f.agreed.Load().state.Epoch
+	return &wire.ReadResponse{Learned: epoch, Highest: epoch}, nil
+}
+
+func (b ballots) Learned(after uint64) ([]*wire.Chosen, bool) {
+	return b.f.agreed.Load().chosen[after:], true
+}
+func (b ballots) Current() sheet.State     { return b.f.agreed.Load().state }
+func (b ballots) Changed() <-chan struct{} { return b.f.agreed.Load().changed }
+func (b ballots) Standing() wire.Standing  { return wire.Standing_STANDING_VOTING }
+func (b ballots) Voters() []string         { return voters }
+func (b ballots) Formation() string        { return "formation" }
+
+type links struct {
+	f    *fleet
+	from string
+}
+
+func (l links) Process(name string) (*wire.Process, bool) {
+	p, ok := l.f.processes[name]
+	return p, ok
+}
+
+func (l links) Processes() []*wire.Process {
+	var all []*wire.Process
+	for _, p := range l.f.processes {
+		all = append(all, p)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+func (l links) Client(address string) wireconnect.PeerClient {
+	return client{links: l, to: address}
+}
+
+type client struct {
+	wireconnect.PeerClient
+	links
+	to string
+}
+
+func reach[Q, A any](ctx context.Context, c client, req *connect.Request[Q], method func(context.Context, *Q) (*A, error)) (*connect.Response[A], error) {
+	silent := *c.f.silent.Load()
+	if silent[c.from] != silent[c.to] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	<-time.After(time.Millisecond)
+	if (*c.f.dead.Load())[c.to] {
+		return nil, connect.NewError(connect.CodeUnavailable, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})
+	}
+	resp, err := method(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func (c client) Ping(ctx context.Context, req *connect.Request[wire.PingRequest]) (*connect.Response[wire.PingResponse], error) {
+	return reach(ctx, c, req, c.f.fronts[c.to].Ping)
+}
+
+func (c client) Fetch(ctx context.Context, req *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	return reach(ctx, c, req, c.f.fronts[c.to].Fetch)
+}
+
+func (c client) Renew(ctx context.Context, req *connect.Request[wire.RenewRequest]) (*connect.Response[wire.RenewResponse], error) {
+	return reach(ctx, c, req, c.f.cores[c.to].Renew)
+}
+
+func (c client) GrantView(ctx context.Context, req *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error) {
+	return reach(ctx, c, req, c.f.cores[c.to].GrantView)
+}
+
+func (c client) Follow(ctx context.Context, req *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
+	return reach(ctx, c, req, c.f.cores[c.to].Follow)
+}
+
+func (c client) Submit(ctx context.Context, req *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error) {
+	return reach(ctx, c, req, c.f.cores[c.to].Submit)
+}
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -117,6 +117,10 @@
 func (c *Core) carry(ctx kernel.Context, req *wire.OrderRequest, command sheet.Command) *wire.OrderResponse {
 	order, _ := sheet.OrderOf(command)
 	id := order.OrderID
+	if earlier, known := c.agreement.Current().Applied(id); known && earlier.Digest == order.Digest {
+		c.log.Emit(events.OrderRepeated, "order", id, "epoch", earlier.Epoch)
+		return c.await(ctx, sheet.Result{Epoch: earlier.Epoch, SheetEpoch: earlier.SheetEpoch}, id)
+	}
 	if result, done := c.foretell(ctx, command); done {
 		return c.declined(req, result, id)
 	}
