Decline a region or zone that no sheet could name

A settings file took names with dots for region and zone that a sheet can't hold, so no weight and no evacuation could ever have met that locality. Both now go by the sheet's own rule. go test ./internal/settings ./internal/cli passes.

--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 )
 
@@ -57,9 +58,9 @@
 var Table = []Row{
 	{Name: "name", Type: String, Rule: "letters, digits, '-', '_' and '.', at most 64", Check: checkName,
 		Help: "The process's name, unique in the fleet and kept over restarts."},
-	{Name: "region", Type: String, Rule: "letters, digits, '-', '_' and '.', at most 64", Check: checkName,
+	{Name: "region", Type: String, Rule: "letters, digits, '-' and '_', at most 64 bytes", Check: checkPlace,
 		Help: "The region that the process stands in."},
-	{Name: "zone", Type: String, Rule: "letters, digits, '-', '_' and '.', at most 64", Check: checkName,
+	{Name: "zone", Type: String, Rule: "letters, digits, '-' and '_', at most 64 bytes", Check: checkPlace,
 		Help: "The zone within the region; region and zone together are the locality."},
 
 	{Name: "listen.caller", Type: String, Rule: "IP:PORT", Check: checkAddress,
@@ -260,6 +261,13 @@
 	return nil
 }
 
+func checkPlace(value any) error {
+	if !sheet.ValidName(value.(string)) {
+		return errors.Errorf("%q is not a name of letters, digits, '-' and '_' as sheets have them", value)
+	}
+	return nil
+}
+
 func checkAddress(value any) error {
 	if _, err := netip.ParseAddrPort(value.(string)); err != nil {
 		return errors.Errorf("%q is not an address IP:PORT", value)
