Let the holder tell each front its share of the room

Cause: shares that each front weighed by itself summed to more than one after a jump and left the room unused after a quiet time. The holder weighs usage up to where all adds are known, among the fronts where the tenant is active.

--- a/internal/core/tally/blend.go
+++ b/internal/core/tally/blend.go
@@ -14,7 +14,7 @@
 	asked    kernel.Time // first ask that has no answer yet; zero: none
 	share    float64     // this front's part of the room
 	reserved float64     // part of the limit kept for silent fronts
-	active   int         // fronts where the tenant is active, as the holder told
+	even     float64     // one front's even part
 	turn     float64     // where this front stands in the order of rounding, 0..1
 	unsent   float64     // own adds since the last ask
 	urgent   bool
@@ -62,7 +62,11 @@
 	if silent && blind {
 		spent = max(spent, e.limit*(1-now.Sub(a.asked).Seconds()/c.Window.Seconds()))
 	}
-	e.budget = a.share * max(0, e.limit*(1-a.reserved+c.Slack)-spent)
+	share := a.share
+	if silent {
+		share = max(share, a.even)
+	}
+	e.budget = share * max(0, e.limit*(1-a.reserved+c.Slack)-spent)
 	if !silent && (blind || now.Sub(a.asOf) > silentAfter*c.Interval) {
 		e.budget *= unsure
 	}
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -12,8 +12,10 @@
 	holdBelow   = 0.9 // part of the limit below which a request may be held for an exchange
 	sendAt      = 0.25
 	usageOf     = 8   // of a window, the part over which usage is weighed, up to where all is known
+	askFor      = 3   // intervals after its last request for which a tenant's totals are asked for
+	activeFor   = 4   // intervals without counts after which a front is not active
 	unsure      = 0.1 // part of its budget that a front spends before the first answer after a silence of its own
-	standingKey = 0   // window number of a total that tells the part of the limit reserved for silent fronts and, as acked, the fronts where the tenant is active
+	standingKey = 0   // window number of a total that tells the part of the limit reserved for silent fronts and, as acked, the asking front's share
 )
 
 // Book is one front's side of the tally: an account for each tenant that was
@@ -50,7 +52,7 @@
 	}
 	b.roster = names
 	for _, a := range b.accounts {
-		a.turn = b.turnOf(a.tenant)
+		a.turn, a.even = b.turnOf(a.tenant), 1/float64(len(names))
 	}
 }
 
@@ -82,7 +84,7 @@
 	a := b.accounts[tenant]
 	if a == nil {
 		a = &account{tenant: tenant, own: newRing(b.grid), others: newRing(b.grid),
-			share: 1 / float64(len(b.roster)), turn: b.turnOf(tenant)}
+			share: 1 / float64(len(b.roster)), even: 1 / float64(len(b.roster)), turn: b.turnOf(tenant)}
 		b.accounts[tenant] = a
 	}
 	a.used = now
@@ -157,7 +159,7 @@
 			delete(b.accounts, tenant)
 			continue
 		}
-		if idle <= silentAfter*b.config.Interval || a.unsent > 0 {
+		if idle <= askFor*b.config.Interval || a.unsent > 0 {
 			b.pack(batches, a, now, holderOf)
 		}
 	}
@@ -245,7 +247,7 @@
 			continue
 		}
 		if total.Window == standingKey {
-			a.reserved, a.active = total.Total, int(total.Acked)
+			a.reserved, a.share = total.Total, total.Acked
 		}
 		first := total.Window * b.grid.slices
 		for k, tokens := range total.Slices {
@@ -269,19 +271,6 @@
 		return
 	}
 	a.asOf = sentAt
-	last, _ := b.grid.at(sentAt.Add(-b.config.Lag))
-	first := last - b.grid.slices/usageOf
-	if total := a.span(first, last); total > 0 {
-		a.share = mix(b.config.Floor, a.active, a.own.sum(first, last)/total)
-	} else {
-		a.share = 1 / float64(len(b.roster))
-	}
-}
-
-// mix is a front's part of the room: some of it shared evenly, so that no front
-// is without, and the rest by usage.
-func mix(floor float64, fronts int, usage float64) float64 {
-	return floor/float64(max(1, fronts)) + (1-floor)*usage
 }
 
 // Inspect returns what the Book knows, in the order of the tenants' names.
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -21,10 +21,15 @@
 
 type held struct {
 	fronts  map[source]*contribution
-	shares  map[string]float64 // last known usage, by front
+	shares  map[string]float64 // last told, by front
 	sum     ring
 	learned ring
 	touched kernel.Time
+	weighed kernel.Time
+	active  int     // fronts heard of late
+	usage   float64 // of theirs in the usage span
+	from    int64   // first slice of the usage span
+	to      int64   // last
 }
 
 type contribution struct {
@@ -70,7 +75,7 @@
 		c := t.fronts[front]
 		if c == nil {
 			c = &contribution{own: newRing(l.grid)}
-			t.fronts[front] = c
+			t.fronts[front], t.weighed = c, kernel.Time{}
 		}
 		c.heard = now
 		first := count.Window * l.grid.slices
@@ -89,9 +94,9 @@
 		}
 		resp.Totals = append(resp.Totals, l.total(t, c, count))
 		if i+1 == len(req.Counts) || req.Counts[i+1].Tenant != count.Tenant {
-			l.weighUsage(t, c, req.Front, now)
+			t.shares[req.Front] = l.share(t, c, now)
 			resp.Totals = append(resp.Totals, &wire.Total{Tenant: count.Tenant, Window: standingKey,
-				Total: l.reserved(t, now), Acked: float64(l.active(t, now))})
+				Total: l.reserved(t, now), Acked: t.shares[req.Front]})
 		}
 	}
 	return resp
@@ -126,22 +131,34 @@
 	return out
 }
 
-func (l *Ledger) weighUsage(t *held, c *contribution, front string, now kernel.Time) {
-	last, _ := l.grid.at(now.Add(-l.config.Lag))
-	first := last - l.grid.slices/usageOf
-	if total := t.sum.sum(first, last); total > 0 {
-		t.shares[front] = c.own.sum(first, last) / total
+// share is a front's part of the room: some of it even among the fronts where
+// the tenant is active, so that none is without, and the rest by usage up to
+// where every front's adds are known; even over the roster when there was none.
+func (l *Ledger) share(t *held, c *contribution, now kernel.Time) float64 {
+	if now.Sub(t.weighed) > l.config.Interval/4 || now.Before(t.weighed) {
+		l.weigh(t, now)
 	}
+	if t.usage <= 0 {
+		return 1 / float64(max(1, len(l.roster)))
+	}
+	return l.config.Floor/float64(max(1, t.active)) + (1-l.config.Floor)*c.own.sum(t.from, t.to)/t.usage
 }
 
-func (l *Ledger) active(t *held, now kernel.Time) int {
-	n := 0
-	for _, c := range t.fronts {
-		if now.Sub(c.heard) <= silentAfter*l.config.Interval {
-			n++
+func (l *Ledger) weigh(t *held, now kernel.Time) {
+	t.weighed = now
+	t.to, _ = l.grid.at(now.Add(-l.config.Lag))
+	for _, t.from = range []int64{t.to - l.grid.slices/usageOf, t.to - l.grid.slices} {
+		t.active, t.usage = 0, 0
+		for _, c := range t.fronts {
+			if now.Sub(c.heard) <= activeFor*l.config.Interval {
+				t.active++
+				t.usage += c.own.sum(t.from, t.to)
+			}
+		}
+		if t.usage > 0 {
+			return
 		}
 	}
-	return n
 }
 
 // reserved is the part of the limit kept for silent fronts, who may each spend
@@ -156,7 +173,7 @@
 	even := 1 / float64(len(l.roster))
 	byUsage, atMost := 0.0, 0.0
 	for name, since := range l.silent {
-		part := mix(l.config.Floor, len(l.roster), t.shares[name])
+		part := max(t.shares[name], l.config.Floor*even)
 		grown := min(1, now.Sub(since).Seconds()/l.config.Window.Seconds())
 		byUsage += part * grown
 		atMost += max(even, part) * grown
