--- a/internal/core/duty/duty.go
+++ b/internal/core/duty/duty.go
@@ -59,15 +59,3 @@
 	}
 	return 0, false
 }
-
-// Holds tells whether a core carries a duty by the state it has learned.
-func Holds(self, name string, state sheet.State) bool {
-	held, ok := state.Duties[name]
-	return ok && held.Holder == self
-}
-
-// Fresher tells whether what carries (term, number) replaces what carries
-// (oldTerm, oldNumber). Equal ones don't.
-func Fresher(term, number, oldTerm, oldNumber uint64) bool {
-	return term > oldTerm || (term == oldTerm && number > oldNumber)
-}
