Walk the confirmation rule over faults by the code that decides in production

Cause: the rule that lets a front go on without control is easy to get wrong, and the scratch model drives none of the project's code and leaves out roster changes, clock rates and lost learning. Change: a simulator in virtual time whose fronts and cores decide by grant.Holder, grant.Ledger, grant.InForce and the sheet's commands, over kills, freezes with buffered messages, cuts of any split, single links, isolation, core restarts that forget what was not synced, joins, removals and clocks that run at 1 ± 0.2 %. It judges also that no grant stands at an older epoch once an order is acknowledged, and that no node goes back over a restart. Ten rules are left out one by one, each in a scenario that needs it.

--- /dev/null
+++ b/sim/confirm/world.go
@@ -0,0 +1,350 @@
+// Package confirm walks the confirmation rule over random faults in virtual
+// time. Fronts and cores decide by the production packages (grant.Holder,
+// grant.Ledger, grant.InForce, sheet's commands); the ballot is atomic and the
+// network, the faults and the clocks are the model's. A walk is a function of
+// its seed alone.
+package confirm
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Times of the model, in ticks of 50 ms.
+const (
+	tickMS     = 50
+	renewEvery = 10
+	pingEvery  = 10
+	roundTicks = 6
+	orderTicks = 160
+	allowed    = 2500 // ms from an acknowledgement after which no older epoch may rule
+	slack      = 100  // ms from an acknowledgement after which none may rule by a grant
+	ttl        = 2 * kernel.Second
+	forever    = 1 << 40
+)
+
+// Mutation is a rule that is left out, to show that the walk can fail.
+type Mutation string
+
+// Mutations. None is the rule as designed.
+const (
+	None          Mutation = ""
+	Hearsay       Mutation = "a restarted front is confirmed by whoever gave it its state"
+	AnyRefusal    Mutation = "a refusal counts without unbroken contact"
+	NoRoster      Mutation = "an acknowledgement needs no majority of the roster"
+	NoWaiting     Mutation = "an acknowledgement doesn't wait for grants"
+	NoPrior       Mutation = "a roster change holds at once"
+	NoOpening     Mutation = "a restarted core grants before it has read from a majority"
+	Unsettled     Mutation = "a restarted core counts before its former grants lapsed"
+	ArrivalTime   Mutation = "a renewal counts from when it was answered"
+	OpenBallot    Mutation = "a core confirms a restarted front over an open ballot"
+	SilenceIsDead Mutation = "silence counts as a refusal"
+)
+
+// Weights says how often each fault is drawn, against the others.
+type Weights struct {
+	Kill, KillMany, Freeze, Split, Isolate, Links, Core, Remove int
+}
+
+// Config sets a walk up. Faults, Heals, Orders and Gossip are chances per tick.
+type Config struct {
+	Name     string
+	Nodes    int // members at the start; the first Cores of them are cores
+	Spares   int // processes that join later
+	JoinMS   int // spread of their joining; zero lets all join at once
+	Cores    int
+	Seconds  int
+	Faults   float64
+	Heals    float64
+	Orders   float64
+	Gossip   float64 // that a core learns from another
+	Finish   float64 // that a core finishes an open ballot
+	Drift    float64 // clocks run at 1 ± Drift
+	Weights  Weights
+	Down     []int64 // how long the killed stay down, ms
+	Mutation Mutation
+}
+
+// Mixes are the walks: a usual mix, about a fault in 4 s and a heal in 15 s;
+// quick restarts with cores that learn slowly; links cut one by one; and a
+// small fleet that more than doubles at once.
+func Mixes() []Config {
+	usual := Config{Name: "usual", Nodes: 9, Spares: 2, JoinMS: 30000, Cores: 3, Seconds: 60, Faults: 0.0125, Heals: 0.0033,
+		Orders: 0.015, Gossip: 0.5, Finish: 0.05, Drift: 0.002, Weights: Weights{1, 1, 1, 1, 1, 1, 1, 1},
+		Down: []int64{200, 1000, 5000, 15000, forever}}
+	restarts := usual
+	restarts.Name, restarts.Faults, restarts.Heals, restarts.Gossip = "restarts", 0.05, 0.02, 0.04
+	restarts.Weights, restarts.Down = Weights{Kill: 4, KillMany: 4, Freeze: 1, Split: 2, Isolate: 1, Links: 3, Core: 5}, []int64{100, 300, 1000, 2500}
+	links := usual
+	links.Name, links.Faults, links.Heals = "links", 0.03, 0.006
+	links.Weights = Weights{Kill: 1, KillMany: 1, Freeze: 1, Split: 1, Links: 8, Core: 1, Remove: 1}
+	growth := usual
+	growth.Name, growth.Nodes, growth.Spares, growth.JoinMS, growth.Seconds = "growth", 5, 7, 0, 40
+	growth.Weights, growth.Faults = Weights{Kill: 1, Split: 5, Isolate: 1, Links: 2, Core: 1}, 0.02
+	return []Config{usual, restarts, links, growth}
+}
+
+// Violation is what the judge saw.
+type Violation struct {
+	Seed   uint64
+	AtMS   int64
+	Node   string
+	Why    string
+	Epoch  uint64
+	Newer  uint64
+	AckMS  int64
+	By     grant.By
+	Mix    string
+	Faults []string
+}
+
+func (v *Violation) Error() string {
+	return fmt.Sprintf("mix %s, seed %d at %d ms: %s %s (epoch %d, newer %d acknowledged at %d ms, by %s); faults: %v",
+		v.Mix, v.Seed, v.AtMS, v.Node, v.Why, v.Epoch, v.Newer, v.AckMS, v.By, v.Faults)
+}
+
+// Outcome is a walk's result. Ruling is the share of samples in which a
+// running front ruled.
+type Outcome struct {
+	Violation *Violation
+	Chosen    int
+	Orders    int
+	Acked     int
+	Ruling    float64
+	Rosters   int // roster changes settled
+}
+
+type node struct {
+	id        int
+	name      string
+	process   *process
+	downUntil int64
+	ruled     uint64
+	offset    kernel.Duration
+	rate      float64
+	lives     uint64
+}
+
+type process struct {
+	node        *node
+	incarnation uint64
+	frozenUntil int64
+	mailbox     []func()
+	holder      *grant.Holder
+	state       sheet.State
+	held        bool
+	renewAt     int64
+	pingAt      int64
+	fetchUntil  int64
+	core        *core
+}
+
+type core struct {
+	ledger  *grant.Ledger
+	opened  bool
+	learned uint64
+	pingAt  int64
+	keepAt  int64
+	orders  []*order
+	settle  *round
+}
+
+type order struct {
+	epoch uint64
+	until int64
+	round *round
+}
+
+type round struct {
+	end   int64
+	views []*wire.GrantViewResponse
+}
+
+type ack struct {
+	epoch uint64
+	at    int64
+}
+
+type world struct {
+	seed     uint64
+	config   Config
+	random   *rand.Rand
+	now      int64 // ms
+	tick     int64
+	nodes    []*node
+	voters   []string
+	cut      [][]bool
+	events   map[int64][]func()
+	log      []sheet.State // by epoch
+	accepted []uint64      // by core: highest accepted, durable
+	synced   []uint64      // by core: learned as of the last sync, durable
+	acked    []ack
+	floor    ack // highest acknowledged longer ago than allowed
+	strict   ack // highest acknowledged
+	faults   []string
+	found    *Violation
+	outcome  Outcome
+	ruling   int
+	samples  int
+}
+
+var origin = kernel.UnixMilli(1_700_000_000_000)
+
+func newWorld(seed uint64, config Config) *world {
+	w := &world{seed: seed, config: config, random: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		events: map[int64][]func(){}, accepted: make([]uint64, config.Cores), synced: make([]uint64, config.Cores)}
+	total := config.Nodes + config.Spares
+	joined := int64(5000 + w.random.IntN(20000))
+	w.cut = make([][]bool, total)
+	for i := range total {
+		w.cut[i] = make([]bool, total)
+		n := &node{id: i, name: fmt.Sprintf("n%02d", i), rate: 1 + config.Drift*(2*w.random.Float64()-1),
+			offset: kernel.Duration(w.random.IntN(1000)) * kernel.Second}
+		w.nodes = append(w.nodes, n)
+		if i < config.Cores {
+			w.voters = append(w.voters, n.name)
+		}
+		if i >= config.Nodes {
+			n.downUntil = joined
+			if config.JoinMS > 0 {
+				n.downUntil = int64(5000 + w.random.IntN(config.JoinMS))
+			}
+		}
+	}
+	first, _ := sheet.Noop{}.Apply(sheet.State{}, 1)
+	w.log = []sheet.State{{}, first}
+	for i := range config.Cores {
+		w.accepted[i], w.synced[i] = 1, 1
+	}
+	for _, n := range w.nodes[:config.Nodes] {
+		w.start(n)
+	}
+	return w
+}
+
+// clock is a process's own monotonic clock, which runs a little wrong.
+func (w *world) clock(n *node) kernel.Time {
+	return origin.Add(n.offset + kernel.Duration(float64(w.now)*n.rate*float64(kernel.Millisecond)))
+}
+
+func (w *world) start(n *node) {
+	n.lives++
+	p := &process{node: n, incarnation: n.lives, holder: grant.NewHolder(n.name, ttl),
+		renewAt: w.now + int64(w.random.IntN(500)), pingAt: w.now + int64(w.random.IntN(500))}
+	p.holder.SetCores(w.voters)
+	if n.id < w.config.Cores {
+		p.core = &core{ledger: grant.NewLedger(n.name, ttl, w.clock(n)), learned: w.synced[n.id],
+			opened: w.config.Mutation == NoOpening}
+		if w.config.Mutation == Unsettled {
+			p.core.ledger = grant.NewLedger(n.name, ttl, w.clock(n).Add(-kernel.Minute))
+		}
+	}
+	n.process = p
+}
+
+func (w *world) kill(n *node, forMS int64) {
+	if n.process == nil {
+		return
+	}
+	n.process = nil
+	n.downUntil = w.now + forMS
+}
+
+func (w *world) running(n *node) bool {
+	return n.process != nil && n.process.frozenUntil <= w.now
+}
+
+func (w *world) linked(a, b *node) bool { return a == b || !w.cut[a.id][b.id] }
+
+func (w *world) later(ticks int64, f func()) {
+	w.events[w.tick+ticks] = append(w.events[w.tick+ticks], f)
+}
+
+func (w *world) delay() int64 {
+	if w.random.IntN(20) == 0 {
+		return int64(1 + w.random.IntN(16))
+	}
+	return int64(1 + w.random.IntN(2))
+}
+
+// deliver runs a step at a process, once it runs; what reaches a frozen one
+// lies in its buffers until it is thawed.
+func (w *world) deliver(p *process, step func()) {
+	if p.node.process != p {
+		return
+	}
+	if p.frozenUntil > w.now {
+		p.mailbox = append(p.mailbox, step)
+		return
+	}
+	step()
+}
+
+// call carries a request to another node and its answer back. Refused is run
+// when nobody lives there; in a cut both ways are silent.
+func (w *world) call(p *process, to *node, serve func(q *process) (answer func()), refused func()) {
+	from := p.node
+	w.later(w.delay(), func() {
+		if !w.linked(from, to) {
+			if w.config.Mutation == SilenceIsDead && refused != nil {
+				w.deliver(p, refused)
+			}
+			return
+		}
+		back := func(step func()) {
+			w.later(w.delay(), func() {
+				if w.linked(from, to) {
+					w.deliver(p, step)
+				}
+			})
+		}
+		if to.process == nil {
+			if refused != nil {
+				back(refused)
+			}
+			return
+		}
+		q := to.process
+		w.deliver(q, func() {
+			if answer := serve(q); answer != nil {
+				back(answer)
+			}
+		})
+	})
+}
+
+// quorum tells whether a core reaches a majority of running cores.
+func (w *world) quorum(n *node) []*node {
+	var reached []*node
+	for _, other := range w.nodes[:w.config.Cores] {
+		if w.running(other) && w.linked(n, other) {
+			reached = append(reached, other)
+		}
+	}
+	if len(reached) < grant.Majority(w.config.Cores) {
+		return nil
+	}
+	return reached
+}
+
+// propose is an atomic ballot: chosen if a majority is reached.
+func (w *world) propose(n *node, command sheet.Command) (uint64, bool) {
+	reached := w.quorum(n)
+	if reached == nil || !n.process.core.opened {
+		return 0, false
+	}
+	epoch := uint64(len(w.log))
+	next, _ := command.Apply(w.log[epoch-1], epoch)
+	w.log = append(w.log, next)
+	for _, other := range reached {
+		w.accepted[other.id] = epoch
+	}
+	n.process.core.learned = epoch
+	w.outcome.Chosen++
+	return epoch, true
+}
