--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -109,7 +109,7 @@
 			return got, nil
 		}
 		if ctx.Err() != nil {
-			return nil, kernel.Decline(kernel.OutcomeUnknown, "interrupted")
+			return nil, errors.New("interrupted")
 		}
 		failed.maybe = failed.maybe || !port.Refused(err)
 		failed.lines = append(failed.lines, fmt.Sprintf("node %d of %d (%s) unreachable: %s", at+1, len(nodes), nodes[at], reason(err)))
@@ -216,6 +216,9 @@
 	reached := false
 	for attempt := 0; ; attempt++ {
 		got, err := l.ask(ctx, attempt, method, path, data)
+		if ctx.Err() != nil {
+			return nil, kernel.Decline(kernel.OutcomePending, "interrupted\nsend it again with --order-id %s", orderID)
+		}
 		failed, missed := err.(*unreachable)
 		if err != nil && !missed {
 			return nil, err
