Keep a part of the limit for fronts that fell silent, and let fronts say when a tenant left

Cause: in the simulator both sides of a cut together passed 1.4 to 1.9 of the limit, as the holder's side went on with all of it and took back the kept part at once when the cut healed.

--- a/internal/core/tally/blend.go
+++ b/internal/core/tally/blend.go
@@ -8,18 +8,20 @@
 	own    ring // this front's adds
 	others ring // the other fronts' adds, as far as learned
 
-	terms    Terms
-	used     kernel.Time // last request
-	asOf     kernel.Time // when the totals learned last were asked for; zero: never
-	asked    kernel.Time // first ask that has no answer yet; zero: none
-	share    float64     // this front's part of the room
-	reserved float64     // part of the limit kept for silent fronts
-	even     float64     // one front's even part
-	turn     float64     // where this front stands in the order of rounding, 0..1
-	unsent   float64     // own adds since the last ask
-	urgent   bool
-	marked   kernel.Time // the mark's end
-	from     source
+	terms  Terms
+	used   kernel.Time // last request
+	asOf   kernel.Time // when the totals learned last were asked for; zero: never
+	asked  kernel.Time // first ask that has no answer yet; zero: none
+	share  float64     // this front's part of the room
+	kept   float64     // part of the limit kept for silent fronts
+	met    float64     // tokens of it that they are known to have spent
+	left   bool        // the holder was told that the tenant is not active here
+	even   float64     // one front's even part
+	turn   float64     // where this front stands in the order of rounding, 0..1
+	unsent float64     // own adds since the last ask
+	urgent bool
+	marked kernel.Time // the mark's end
+	from   source
 }
 
 type source struct {
@@ -30,6 +32,7 @@
 // estimate is what an account amounts to at one instant; tokens.
 type estimate struct {
 	limit, prev, cur, blend, recent float64
+	kept                            float64 // of the limit, for silent fronts, beside what is known of their spend
 	since                           float64 // own adds that the holder's totals may not have met
 	budget                          float64 // bound of since
 }
@@ -57,6 +60,7 @@
 			e.since = a.own.sum(sure+1, newest) + a.own.get(sure)*(1-part)
 		}
 	}
+	e.kept = max(0, a.kept*e.limit-a.met)
 	silent, blind := a.silent(c, now), a.asOf.IsZero() || a.asked.Sub(a.asOf) > silentAfter*c.Interval
 	spent := e.recent - e.since
 	if silent && blind {
@@ -64,9 +68,9 @@
 	}
 	share := a.share
 	if silent {
-		share = max(share, a.even)
+		share = max(a.even, (share+a.even)/2)
 	}
-	e.budget = share * max(0, e.limit*(1-a.reserved+c.Slack)-spent)
+	e.budget = share * max(0, e.limit*(1+c.Slack)-e.kept-spent)
 	if !silent && (blind || now.Sub(a.asOf) > silentAfter*c.Interval) {
 		e.budget *= unsure
 	}
@@ -91,9 +95,9 @@
 	}
 	half := min(tokens, e.limit) / 2
 	switch {
-	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit):
+	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit-e.kept):
 		return overLimit
-	case c.has(Bound) && e.recent+half > e.limit*(1+c.Band-a.reserved) && e.recent > 0:
+	case c.has(Bound) && e.recent+half > e.limit*(1+c.Band)-e.kept && e.recent > 0:
 		return overLimit
 	case c.has(Share) && e.since+tokens*a.turn > e.budget:
 		return overShare
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -13,9 +13,10 @@
 	sendAt      = 0.25
 	usageOf     = 8   // of a window, the part over which usage is weighed, up to where all is known
 	askFor      = 3   // intervals after its last request for which a tenant's totals are asked for
-	activeFor   = 4   // intervals without counts after which a front is not active
+	activeFor   = 4   // intervals without counts after which a front is missed
+	missedFor   = 12  // intervals for which a missed front of which nothing is told is taken for silent
 	unsure      = 0.1 // part of its budget that a front spends before the first answer after a silence of its own
-	standingKey = 0   // window number of a total that tells the part of the limit reserved for silent fronts and, as acked, the asking front's share
+	standingKey = 0   // window number of a count that says that the tenant is not active there, and of a total that says where the front stands
 )
 
 // Book is one front's side of the tally: an account for each tenant that was
@@ -87,6 +88,12 @@
 			share: 1 / float64(len(b.roster)), even: 1 / float64(len(b.roster)), turn: b.turnOf(tenant)}
 		b.accounts[tenant] = a
 	}
+	if a.left {
+		a.left = false
+		if !a.asked.IsZero() && a.used.Sub(a.asked) <= silentAfter*b.config.Interval {
+			a.asked = kernel.Time{}
+		}
+	}
 	a.used = now
 	return a
 }
@@ -159,8 +166,14 @@
 			delete(b.accounts, tenant)
 			continue
 		}
-		if idle <= askFor*b.config.Interval || a.unsent > 0 {
+		switch {
+		case idle <= askFor*b.config.Interval || a.unsent > 0:
 			b.pack(batches, a, now, holderOf)
+		case !a.left:
+			a.left = true
+			if holder := holderOf(tenant); holder != "" {
+				batches[holder] = append(batches[holder], &wire.Count{Tenant: tenant, Window: standingKey})
+			}
 		}
 	}
 	for _, a := range b.urgent {
@@ -241,13 +254,18 @@
 		sentAt = now
 	}
 	b.holders[resp.Holder] = holderSight{resp.Incarnation, resp.Fresh}
-	for i, total := range resp.Totals {
+	for _, total := range resp.Totals {
 		a := b.accounts[total.Tenant]
 		if a == nil {
 			continue
 		}
 		if total.Window == standingKey {
-			a.reserved, a.share = total.Total, total.Acked
+			a.kept, a.met, a.share = total.Total, 0, total.Acked
+			if len(total.Slices) > 0 {
+				a.met = total.Slices[0]
+			}
+			b.learned(a, source{resp.Holder, resp.Incarnation}, sentAt)
+			continue
 		}
 		first := total.Window * b.grid.slices
 		for k, tokens := range total.Slices {
@@ -258,9 +276,6 @@
 				a.others.raise(first+int64(k), tokens)
 			}
 		}
-		if i+1 == len(resp.Totals) || resp.Totals[i+1].Tenant != total.Tenant {
-			b.learned(a, source{resp.Holder, resp.Incarnation}, sentAt)
-		}
 	}
 }
 
@@ -281,7 +296,7 @@
 		e := a.at(&b.config, b.grid, now)
 		slice, _ := b.grid.at(now)
 		v := TenantView{Tenant: tenant, Limit: e.limit, Blend: e.blend, Recent: e.recent, Share: a.share,
-			Own: a.own.sum(slice-b.grid.slices, slice), Reserved: a.reserved, Holder: a.from.name, Age: -1,
+			Own: a.own.sum(slice-b.grid.slices, slice), Reserved: a.kept, Holder: a.from.name, Age: -1,
 			Marked: a.judge(&b.config, e, 0) == overLimit}
 		if !a.asOf.IsZero() {
 			v.Age = now.Sub(a.asOf)
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -15,46 +15,49 @@
 	began       kernel.Time
 	newest      kernel.Time
 	roster      []string
-	silent      map[string]kernel.Time // since when
+	silent      map[string]kernel.Time // when last told so
 	tenants     map[string]*held
 }
 
 type held struct {
 	fronts  map[source]*contribution
-	shares  map[string]float64 // last told, by front
 	sum     ring
 	learned ring
 	touched kernel.Time
 	weighed kernel.Time
-	active  int     // fronts heard of late
+	active  int     // fronts where the tenant is active
 	usage   float64 // of theirs in the usage span
 	from    int64   // first slice of the usage span
 	to      int64   // last
+	kept    float64 // part of the limit kept for silent fronts
+	met     float64 // what is known of their spend
 }
 
 type contribution struct {
 	own   ring
 	heard kernel.Time
+	left  bool // the front said that the tenant is not active there
+	share float64
 }
 
 // NewLedger returns an empty Ledger of the front named self.
 func NewLedger(self string, incarnation uint64, config Config) *Ledger {
 	config = config.withDefaults()
-	return &Ledger{self: self, incarnation: incarnation, config: config, grid: gridOf(config), tenants: map[string]*held{}}
+	return &Ledger{self: self, incarnation: incarnation, config: config, grid: gridOf(config), silent: map[string]kernel.Time{}, tenants: map[string]*held{}}
 }
 
 // SetReach tells the roster, and which of its fronts are silent without being
 // known to be gone: what they may be spending on their own is kept for them.
 func (l *Ledger) SetReach(roster, silent []string, now kernel.Time) {
 	l.roster = roster
-	since := make(map[string]kernel.Time, len(silent))
 	for _, name := range silent {
-		since[name] = now
-		if before, known := l.silent[name]; known {
-			since[name] = before
+		l.silent[name] = now
+	}
+	for name, last := range l.silent {
+		if now.Sub(last) > l.config.Window {
+			delete(l.silent, name)
 		}
 	}
-	l.silent = since
 }
 
 // Add takes a front's counts and answers with the totals over all fronts. Each
@@ -77,36 +80,35 @@
 			c = &contribution{own: newRing(l.grid)}
 			t.fronts[front], t.weighed = c, kernel.Time{}
 		}
-		c.heard = now
-		first := count.Window * l.grid.slices
-		for k, tokens := range count.Slices {
-			if int64(k) >= l.grid.slices {
-				break
-			}
-			if risen := c.own.raise(first+int64(k), tokens); risen > 0 {
-				t.sum.add(first+int64(k), risen)
-			}
-		}
-		for k, tokens := range count.LearnedSlices {
-			if int64(k) < l.grid.slices {
-				t.learned.raise(first+int64(k), tokens)
-			}
+		c.heard, c.left = now, count.Window == standingKey
+		if c.left {
+			continue
 		}
+		l.take(t, c, count)
 		resp.Totals = append(resp.Totals, l.total(t, c, count))
 		if i+1 == len(req.Counts) || req.Counts[i+1].Tenant != count.Tenant {
-			t.shares[req.Front] = l.share(t, c, now)
-			resp.Totals = append(resp.Totals, &wire.Total{Tenant: count.Tenant, Window: standingKey,
-				Total: l.reserved(t, now), Acked: t.shares[req.Front]})
+			resp.Totals = append(resp.Totals, l.standing(t, c, count.Tenant, now))
 		}
 	}
 	return resp
 }
 
+func (l *Ledger) take(t *held, c *contribution, count *wire.Count) {
+	first := count.Window * l.grid.slices
+	for k, tokens := range count.Slices[:min(len(count.Slices), int(l.grid.slices))] {
+		if risen := c.own.raise(first+int64(k), tokens); risen > 0 {
+			t.sum.add(first+int64(k), risen)
+		}
+	}
+	for k, tokens := range count.LearnedSlices[:min(len(count.LearnedSlices), int(l.grid.slices))] {
+		t.learned.raise(first+int64(k), tokens)
+	}
+}
+
 func (l *Ledger) open(tenant string, now kernel.Time) *held {
 	t := l.tenants[tenant]
 	if t == nil {
-		t = &held{fronts: map[source]*contribution{}, shares: map[string]float64{},
-			sum: newRing(l.grid), learned: newRing(l.grid)}
+		t = &held{fronts: map[source]*contribution{}, sum: newRing(l.grid), learned: newRing(l.grid)}
 		l.tenants[tenant] = t
 	}
 	t.touched = now
@@ -131,54 +133,87 @@
 	return out
 }
 
-// share is a front's part of the room: some of it even among the fronts where
-// the tenant is active, so that none is without, and the rest by usage up to
-// where every front's adds are known; even over the roster when there was none.
-func (l *Ledger) share(t *held, c *contribution, now kernel.Time) float64 {
+// standing tells a front where it stands beside the others: its share of the
+// room, the part of the limit kept for silent fronts, and how much of that they
+// are known to have spent.
+func (l *Ledger) standing(t *held, c *contribution, tenant string, now kernel.Time) *wire.Total {
 	if now.Sub(t.weighed) > l.config.Interval/4 || now.Before(t.weighed) {
 		l.weigh(t, now)
 	}
-	if t.usage <= 0 {
-		return 1 / float64(max(1, len(l.roster)))
+	if c.share = 1 / float64(max(1, len(l.roster))); t.usage > 0 {
+		c.share = l.config.Floor/float64(max(1, t.active)) + (1-l.config.Floor)*c.own.sum(t.from, t.to)/t.usage
+	}
+	out := &wire.Total{Tenant: tenant, Window: standingKey, Total: t.kept, Acked: c.share}
+	if t.kept > 0 {
+		out.Slices = []float64{t.met}
 	}
-	return l.config.Floor/float64(max(1, t.active)) + (1-l.config.Floor)*c.own.sum(t.from, t.to)/t.usage
+	return out
 }
 
+// weigh looks at all fronts at once. Usage counts up to where every front's adds
+// are known, and among the fronts where the tenant is active.
 func (l *Ledger) weigh(t *held, now kernel.Time) {
 	t.weighed = now
 	t.to, _ = l.grid.at(now.Add(-l.config.Lag))
 	for _, t.from = range []int64{t.to - l.grid.slices/usageOf, t.to - l.grid.slices} {
 		t.active, t.usage = 0, 0
 		for _, c := range t.fronts {
-			if now.Sub(c.heard) <= activeFor*l.config.Interval {
+			if !c.left && now.Sub(c.heard) <= missedFor*l.config.Interval {
 				t.active++
 				t.usage += c.own.sum(t.from, t.to)
 			}
 		}
 		if t.usage > 0 {
-			return
+			break
 		}
 	}
+	l.keep(t, now)
 }
 
-// reserved is the part of the limit kept for silent fronts, who may each spend
-// the higher of their even part and their part by last known usage. It grows as
-// what is known of their spend runs out. A quarter of the limit is let go of
-// what the even parts add, and a quarter is never kept, so that neither side of
+// keep sets apart what silent fronts may spend on their own: the higher of an
+// even part and the middle between that and the share last told. A front is
+// silent if it is told so, or if it stopped in the middle of an exchange and
+// nothing is told of it yet. Of what even parts add to the middles, a quarter
+// of the limit is let go, and a quarter is never kept, so that neither side of
 // a cut starves.
-func (l *Ledger) reserved(t *held, now kernel.Time) float64 {
-	if len(l.silent) == 0 || len(l.roster) == 0 {
-		return 0
-	}
-	even := 1 / float64(len(l.roster))
-	byUsage, atMost := 0.0, 0.0
-	for name, since := range l.silent {
-		part := max(t.shares[name], l.config.Floor*even)
-		grown := min(1, now.Sub(since).Seconds()/l.config.Window.Seconds())
-		byUsage += part * grown
-		atMost += max(even, part) * grown
-	}
-	return min(0.75, max(byUsage, atMost-0.25))
+func (l *Ledger) keep(t *held, now kernel.Time) {
+	t.kept, t.met = 0, 0
+	even := 1 / float64(max(1, len(l.roster)))
+	least, most := 0.0, 0.0
+	met := make(map[string]bool, len(l.silent))
+	slice, _ := l.grid.at(now)
+	for front, c := range t.fronts {
+		missing := now.Sub(c.heard)
+		last, told := l.silent[front.name]
+		told = told && now.Sub(last) <= silentAfter*l.config.Interval
+		if missing <= activeFor*l.config.Interval {
+			met[front.name] = true
+			continue
+		}
+		if c.left || !(told || missing <= missedFor*l.config.Interval) || l.restarted(t, front) {
+			continue
+		}
+		met[front.name] = true
+		least += (c.share + even) / 2
+		most += max(even, (c.share+even)/2)
+		t.met += c.own.sum(slice-l.grid.slices+1, slice)
+	}
+	for name, last := range l.silent {
+		if !met[name] && now.Sub(last) <= silentAfter*l.config.Interval {
+			least += even / 2
+			most += even
+		}
+	}
+	t.kept = min(0.75, max(least, most-0.25))
+}
+
+func (l *Ledger) restarted(t *held, front source) bool {
+	for other := range t.fronts {
+		if other.name == front.name && other.incarnation > front.incarnation {
+			return true
+		}
+	}
+	return false
 }
 
 // Expire drops tenants and fronts' counts that were idle for two windows.
@@ -190,11 +225,8 @@
 			continue
 		}
 		for front, c := range t.fronts {
-			if c.heard.Before(horizon) {
+			if _, silent := l.silent[front.name]; !silent && c.heard.Before(horizon) {
 				delete(t.fronts, front)
-				if _, silent := l.silent[front.name]; !silent {
-					delete(t.shares, front.name)
-				}
 			}
 		}
 	}
