Plan only after the servers were heard of, and test feed, reports, duty and roster

Cause: a planner that has just begun knows some of the servers; its plan would take the caps of the others away. A holder of the duty that was killed kept it for 2 s more by its last answer to another core. Change: the first plan of a holder's life waits 1.5 s from the first server; a core's direct word counts for three ping intervals; losing the duty is logged. Measured: go test ./internal/node/core -count=10 passes, 15.4 s in all.

--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"stepwick/internal/core/duty"
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/merge"
 	"stepwick/internal/core/plan"
@@ -96,6 +97,7 @@
 	tickEvery   = 50 * kernel.Millisecond
 	viewTimeout = 400 * kernel.Millisecond
 	jobTimeout  = 3 * kernel.Second
+	gatherFor   = 1500 * kernel.Millisecond
 	inboxBound  = 1024
 	orderBound  = 64
 )
@@ -288,6 +290,9 @@
 			c.log.Emit(events.MemberRemoved, "member", name, "epoch", after.Epoch)
 		}
 	}
+	if was, is := before.Duties[duty.Planner], after.Duties[duty.Planner]; was.Holder == c.config.Self && is.Holder != c.config.Self {
+		c.log.Emit(events.DutyLost, "duty", duty.Planner, "term", is.Term, "holder", is.Holder)
+	}
 	if !before.Settled() && after.Settled() {
 		c.log.Emit(events.RosterSettled, "epoch", after.Epoch, "members", len(after.Roster))
 	}
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -81,7 +81,7 @@
 // longer kept or the feed is another one. With nothing new it waits, at most
 // wait_ms.
 func (c *Core) Follow(ctx kernel.Context, req *wire.FollowRequest) (*wire.FollowResponse, error) {
-	wait := min(kernel.Duration(req.WaitMs)*kernel.Millisecond, c.config.FeedWait)
+	wait := max(min(kernel.Duration(req.WaitMs)*kernel.Millisecond, c.config.FeedWait), tickEvery)
 	waiting, cancel := kernel.WithTimeout(ctx, wait)
 	defer cancel()
 	reply := make(chan *pulled, 1)
--- a/internal/node/core/planner.go
+++ b/internal/node/core/planner.go
@@ -29,6 +29,9 @@
 	if !voter || !c.waited(duty.Planner, vacant, wait, now) {
 		return
 	}
+	if held.Holder != "" && !c.jobs[duty.Planner] {
+		c.log.Emit(events.DutyVacant, "duty", duty.Planner, "term", held.Term, "holder", held.Holder)
+	}
 	next := sheet.TakeDuty{Duty: duty.Planner, Term: held.Term + 1, Holder: c.config.Self}
 	c.job(duty.Planner, jobTimeout, func(ctx kernel.Context) func() {
 		_, result, err := c.agreement.Propose(ctx, sheet.Encode(next))
@@ -49,7 +52,7 @@
 		return nil
 	}
 	heard, answered := c.sights[holder]
-	direct := answered && now.Sub(heard.at) < c.config.GrantTTL
+	direct := answered && now.Sub(heard.at) < 3*c.config.PingEvery
 	var sights []duty.Sight
 	if direct || c.ledger.Settled(now) {
 		sights = append(sights, duty.Sight{Core: c.config.Self, Alive: direct || c.ledger.Live(holder, now)})
@@ -64,12 +67,16 @@
 }
 
 // keepPlan makes a plan when this core holds the duty and the period is over
-// or something forces one.
+// or something forces one. After it began it first hears of the servers: a plan
+// of some of them would take the others' caps away.
 func (c *Core) keepPlan(now kernel.Time) {
 	held := c.state.Duties[duty.Planner]
 	if held.Holder != c.config.Self || held.Term != c.wonTerm || !c.opened || c.state.Sheet == nil {
 		return
 	}
+	if !c.waited("servers", len(c.reports.merged.Servers()) > 0, gatherFor, now) {
+		return
+	}
 	in := c.planInput(held.Term)
 	cause, forced := plan.Forced(c.plan, in)
 	switch {
--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -137,9 +137,9 @@
 
 // foldReports lets old reports go and feeds mere load at its pace.
 func (c *Core) foldReports(now kernel.Time) {
-	c.reports.merged.Expire(c.config.FleetNow())
 	load := now.Sub(c.reports.loadAt) >= c.config.LoadEvery
 	if load {
+		c.reports.merged.Expire(c.config.FleetNow())
 		c.reports.loadAt = now
 	}
 	c.feedReports(load)
--- a/internal/node/core/roster.go
+++ b/internal/node/core/roster.go
@@ -95,10 +95,8 @@
 		met, _ := grant.Settled(grant.Question{Epoch: state.RosterEpoch, Voters: len(c.agreement.Voters()),
 			Views: c.views(ctx, state.RosterEpoch), Roster: state.Roster, Prior: state.PriorRoster})
 		if !met {
-			wait, stop := kernel.Timer(c.config.AckPace * 2)
-			defer stop()
 			select {
-			case <-wait:
+			case <-c.clock.After(2 * c.config.AckPace):
 			case <-ctx.Done():
 			}
 			return nil
