Keep a crowd from feeding itself: holders by popularity, lending by patience, no late starts

Found by sim/route. (2) Lending on one stale status let a tenfold crowd put 128 requests on a server with a cap of 20: a front now has to be at its limit at two statuses in a row, and counts the others by the least it had itself. (3) Long answers at twice the capacity, served by deadline, ended nearly all too late (2 a second served): a pending request is declined when its mean duration no longer fits.

--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -27,42 +27,46 @@
 	} else if !t.budget.has() {
 		return Choice{Fault: kernel.Decline(kernel.BudgetSpent, "retries are bound to a share of the requests").After(comeBack)}
 	}
-	c := t.choose(&req, now, true)
+	if req.Prefix != 0 {
+		t.popular.add(req.Prefix)
+	}
+	c, _ := t.choose(&req, now, now, true)
 	if c.Server != "" && len(req.Tried) > 0 {
 		t.budget.spend()
 	}
 	return c
 }
 
-func (t *Table) choose(req *Request, now kernel.Time, fresh bool) Choice {
-	var c Choice
+// choose also tells whether some server has room, though not for this request,
+// which has waited since an instant.
+func (t *Table) choose(req *Request, since, now kernel.Time, fresh bool) (c Choice, room bool) {
 	switch {
 	case t.view.Plan == nil || t.view.State.Sheet == nil:
 		c.Fault = kernel.Decline(kernel.NoPlan, "no plan has arrived").After(comeBack)
-		return c
+		return c, false
 	case !now.Before(req.Deadline):
 		c.Fault = kernel.Decline(kernel.DeadlinePassed, "the deadline has passed").After(leastBack)
-		return c
+		return c, false
 	}
 	if _, known := t.view.State.Sheet.Services[req.Service]; !known {
 		c.Fault = kernel.Decline(kernel.UnknownService, "no service %q", req.Service)
-		return c
+		return c, false
 	}
-	if fresh && t.pending.waiting(classOf(req)) {
-		return t.wait(req, now, c)
+	if fresh && t.pending.unserved && len(t.pending.line) > 0 {
+		return t.wait(req, now, c), false
 	}
 	key := req.Prefix
 	if key == 0 {
 		key = xxhash.Sum64String(req.ID) | 1
 	}
-	full := false
+	var found fit
 	if req.Home != "" {
 		if p := t.pools[poolKey{req.Service, req.Home}]; p != nil {
-			s, fullHere := t.pick(p, req, key, now, &c)
+			s, here := t.pick(p, req, key, now.Sub(since), now, &c)
 			if s != nil {
-				return c.to(s)
+				return c.to(s), true
 			}
-			full = fullHere
+			found = here
 		}
 	} else {
 		w := t.wheel(req)
@@ -76,23 +80,23 @@
 			if k.pool == nil {
 				continue
 			}
-			s, fullHere := t.pick(k.pool, req, key, now, &c)
+			s, here := t.pick(k.pool, req, key, now.Sub(since), now, &c)
 			if s != nil {
 				w.commit(first)
-				return c.to(s)
+				return c.to(s), true
 			}
-			full = full || fullHere
+			found = max(found, here)
 		}
 	}
 	switch {
-	case full && fresh:
-		return t.wait(req, now, c)
-	case full:
+	case found > none && fresh:
+		return t.wait(req, now, c), false
+	case found > none:
 		c.Pending = true
-		return c
+		return c, found == elsewhere
 	}
 	c.Fault = kernel.Decline(kernel.NoServer, "no server of %s can take requests%s", req.Service, homeNote(req.Home)).After(comeBack)
-	return c
+	return c, false
 }
 
 func homeNote(home string) string {
--- a/internal/core/route/pending.go
+++ b/internal/core/route/pending.go
@@ -1,8 +1,9 @@
 package route
 
 import (
-	"container/heap"
+	"cmp"
 	"math"
+	"slices"
 
 	"stepwick/internal/kernel"
 )
@@ -11,6 +12,13 @@
 	rateSpan   = 5 * kernel.Second
 	rateWarmUp = 2 * kernel.Second
 	mostHope   = 4.0
+	lookAhead  = 64
+	// startMargin is how many mean durations must be left after the wait for a
+	// request to be let in: one that starts with less ends too late every other
+	// time.
+	startMargin = 1.5
+	tookWeight  = 0.05
+	wakeStep    = 50 * kernel.Millisecond
 )
 
 // class is a set of pending requests that wait for the same servers.
@@ -20,84 +28,51 @@
 
 type waiter struct {
 	req   Request
-	at    int
+	since kernel.Time
 	order uint64
-	class class
 }
 
-type waiters []*waiter
-
-func (w waiters) Len() int           { return len(w) }
-func (w waiters) Less(i, j int) bool { return before(w[i], w[j]) }
-func (w waiters) Swap(i, j int)      { w[i], w[j] = w[j], w[i]; w[i].at, w[j].at = i, j }
-func (w *waiters) Push(x any) {
-	item := x.(*waiter)
-	item.at = len(*w)
-	*w = append(*w, item)
-}
-func (w *waiters) Pop() any {
-	old := *w
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*w = old[:len(old)-1]
-	return last
-}
-
-func before(a, b *waiter) bool {
-	if !a.req.Deadline.Equal(b.req.Deadline) {
-		return a.req.Deadline.Before(b.req.Deadline)
-	}
-	return a.order < b.order
+func compare(a, b *waiter) int {
+	return cmp.Or(a.req.Deadline.Compare(b.req.Deadline), cmp.Compare(a.order, b.order))
 }
 
-// pending holds what waits: a heap by deadline for each class.
+// pending holds what waits, in the order of the deadlines. unserved says that
+// room may have come since Next found nothing to go.
 type pending struct {
-	classes map[class]*waiters
-	byID    map[string]*waiter
-	order   uint64
+	line     []*waiter
+	byID     map[string]*waiter
+	order    uint64
+	unserved bool
 }
 
-func newPending() pending {
-	return pending{classes: map[class]*waiters{}, byID: map[string]*waiter{}}
-}
+func newPending() pending { return pending{byID: map[string]*waiter{}} }
 
-func (p *pending) waiting(c class) bool { return p.classes[c] != nil }
+func (p *pending) place(w *waiter) int {
+	at, _ := slices.BinarySearchFunc(p.line, w, compare)
+	return at
+}
 
-func (p *pending) ahead(deadline kernel.Time) int {
-	n := 0
-	for _, w := range p.byID {
-		if !w.req.Deadline.After(deadline) {
-			n++
-		}
-	}
-	return n
+func (p *pending) add(req Request, now kernel.Time) {
+	p.order++
+	w := &waiter{req, now, p.order}
+	p.line = slices.Insert(p.line, p.place(w), w)
+	p.byID[req.ID] = w
 }
 
 func (p *pending) remove(w *waiter) {
-	all := p.classes[w.class]
-	heap.Remove(all, w.at)
-	if all.Len() == 0 {
-		delete(p.classes, w.class)
-	}
+	at := p.place(w)
+	p.line = slices.Delete(p.line, at, at+1)
 	delete(p.byID, w.req.ID)
 }
 
-// first returns the waiter with the earliest deadline of the classes that are
-// not in passed.
-func (p *pending) first(passed []class) *waiter {
-	var best *waiter
-next:
-	for c, all := range p.classes {
-		for _, skip := range passed {
-			if skip == c {
-				continue next
-			}
-		}
-		if head := (*all)[0]; best == nil || before(head, best) {
-			best = head
+func (p *pending) ahead(deadline kernel.Time) int {
+	at, _ := slices.BinarySearchFunc(p.line, deadline, func(w *waiter, deadline kernel.Time) int {
+		if w.req.Deadline.After(deadline) {
+			return 1
 		}
-	}
-	return best
+		return -1
+	})
+	return at
 }
 
 // Ready is a request that leaves the pending requests: with a server, or with
@@ -117,15 +92,44 @@
 	case len(t.pending.byID) >= t.cfg.PendingBound:
 		whole := t.estimate(req, len(t.pending.byID)/2, now)
 		c.Fault = kernel.Decline(kernel.PendingFull, "%d requests are pending", len(t.pending.byID)).After(back(whole))
-	case c.Wait >= left:
-		c.Fault = kernel.Decline(kernel.DeadlineTooShort, "the wait is about %s, the deadline in %s",
-			c.Wait.Round(kernel.Millisecond), left.Round(kernel.Millisecond)).After(back(c.Wait - left))
+	case c.Wait+t.lasts(req, startMargin) >= left:
+		c.Fault = t.tooShort(req, c.Wait, left)
 	default:
 		c.Pending = true
 	}
 	return c
 }
 
+func (t *Table) tooShort(req *Request, wait, left kernel.Duration) *kernel.Fault {
+	takes := t.lasts(req, 1)
+	return kernel.Decline(kernel.DeadlineTooShort, "the wait is about %s and the answer takes %s, the deadline is in %s",
+		wait.Round(kernel.Millisecond), takes.Round(kernel.Millisecond), left.Round(kernel.Millisecond)).After(back(wait + takes - left))
+}
+
+// mean is an exponentially weighted mean of durations.
+type mean struct{ value float64 }
+
+func (t *Table) learnTook(o Outcome) {
+	if o.Service == "" || o.Took <= 0 || !o.OK && o.FirstToken <= 0 {
+		return
+	}
+	m := t.took[o.Service]
+	if m == nil {
+		m = &mean{float64(o.Took)}
+		t.took[o.Service] = m
+	}
+	m.value += (float64(o.Took) - m.value) * tookWeight
+}
+
+// lasts returns what a request takes once started, times a margin; 0 when
+// nothing is known.
+func (t *Table) lasts(req *Request, margin float64) kernel.Duration {
+	if m := t.took[req.Service]; m != nil {
+		return kernel.Duration(m.value * margin)
+	}
+	return 0
+}
+
 func back(d kernel.Duration) kernel.Duration { return min(max(d, leastBack), mostBack) }
 
 // estimate tells how long it takes until n more requests have been answered by
@@ -170,33 +174,34 @@
 	if len(t.pending.byID) >= t.cfg.PendingBound {
 		return t.wait(&req, now, Choice{}).Fault
 	}
-	t.pending.order++
-	w := &waiter{req: req, order: t.pending.order, class: classOf(&req)}
-	all := t.pending.classes[w.class]
-	if all == nil {
-		all = &waiters{}
-		t.pending.classes[w.class] = all
-	}
-	heap.Push(all, w)
-	t.pending.byID[req.ID] = w
+	t.pending.add(req, now)
 	return nil
 }
 
 // Next takes one request out of the pending ones that can go now, or that must
-// be declined because its deadline has passed or its servers are gone. The
-// caller calls Started for a choice and then Next again, after each Finished,
+// be declined because its servers are gone or no answer could come by its
+// deadline: in a crowd, work on requests that end too late would starve those
+// that could still be met. The caller calls Started for a choice and then Next again, after each Finished,
 // each Update and at Wake.
 func (t *Table) Next(now kernel.Time) (Ready, bool) {
 	var held [8]class
 	passed := held[:0]
-	for {
-		w := t.pending.first(passed)
-		if w == nil {
-			return Ready{}, false
+	for i, w := range t.pending.line {
+		if i == lookAhead {
+			break
+		}
+		if slices.Contains(passed, classOf(&w.req)) && now.Before(w.req.Deadline) {
+			continue
 		}
-		c := t.choose(&w.req, now, false)
+		if left := w.req.Deadline.Sub(now); left > 0 && left < t.lasts(&w.req, 1) {
+			t.pending.remove(w)
+			return Ready{w.req, Choice{Fault: t.tooShort(&w.req, 0, left)}}, true
+		}
+		c, room := t.choose(&w.req, w.since, now, false)
 		if c.Pending {
-			passed = append(passed, w.class)
+			if !room {
+				passed = append(passed, classOf(&w.req))
+			}
 			continue
 		}
 		t.pending.remove(w)
@@ -205,6 +210,8 @@
 		}
 		return Ready{w.req, c}, true
 	}
+	t.pending.unserved = false
+	return Ready{}, false
 }
 
 // Cancel takes a request out of the pending ones, as when its caller is gone.
@@ -224,13 +231,12 @@
 // earliest deadline, and each 50 ms while anything is pending, since ejections
 // end by time alone.
 func (t *Table) Wake(now kernel.Time) (kernel.Time, bool) {
-	w := t.pending.first(nil)
-	if w == nil {
+	if len(t.pending.line) == 0 {
 		return kernel.Time{}, false
 	}
-	soon := now.Add(50 * kernel.Millisecond)
-	if w.req.Deadline.Before(soon) {
-		return w.req.Deadline, true
+	soon := now.Add(wakeStep)
+	if first := t.pending.line[0].req.Deadline; first.Before(soon) {
+		return first, true
 	}
 	return soon, true
 }
--- a/internal/core/route/pool.go
+++ b/internal/core/route/pool.go
@@ -13,7 +13,13 @@
 	groupSize  = 32
 	groupsSeen = 4
 	topServers = 8
+	holders    = 2
+	holderGain = 1.5
 	overMean   = 1.25
+	freeRein   = 2.0 / 3
+	idleBelow  = 0.3
+	idleMost   = 0.8
+	idleWait   = kernel.Second
 	zoneWorth  = 0.25
 	kvFull     = 0.95
 	kvWorth    = 0.1
@@ -53,34 +59,49 @@
 	score float64
 }
 
-// pick returns the server for a key within one pool, or nil; full tells whether
-// some server would do once it has room.
-func (t *Table) pick(p *pool, req *Request, key uint64, now kernel.Time, c *Choice) (chosen *server, full bool) {
+// fit tells what a pool has for a request: no server at all that it may go to,
+// servers without room, room at servers that it should not go to, or room.
+type fit int
+
+const (
+	none fit = iota
+	noRoom
+	elsewhere
+	fits
+)
+
+// pick returns the server for a key within one pool, or nil.
+func (t *Table) pick(p *pool, req *Request, key uint64, waited kernel.Duration, now kernel.Time, c *Choice) (chosen *server, found fit) {
 	switch t.cfg.Strategy {
 	case RoundRobin:
 		return t.pickInTurn(p, req, now, c)
 	case LeastLoaded:
 		for _, group := range p.groups {
-			s, fullHere := t.pickLeast(group, req, key, false, now, c)
-			full = full || fullHere
+			s, here := t.pickLeast(group, req, key, false, now, c)
+			found = max(found, here)
 			if s != nil && (chosen == nil || relative(s) < relative(chosen)) {
 				chosen = s
 			}
 		}
-		return chosen, full
+		return chosen, found
 	}
 	for i := range min(len(p.groups), groupsSeen) {
 		group := p.groups[(mix(key)+uint64(i))&uint64(len(p.groups)-1)]
-		s, fullHere := t.pickRanked(p, group, req, key, now, c)
+		s, here := t.pickRanked(p, group, req, key, waited, now, c)
 		if s != nil {
-			return s, true
+			return s, fits
 		}
-		full = full || fullHere
+		found = max(found, here)
 	}
-	return nil, full
+	return nil, found
 }
 
-func (t *Table) pickRanked(p *pool, group []*server, req *Request, key uint64, now kernel.Time, c *Choice) (*server, bool) {
+// pickRanked goes by rank for the prefix: to the first server that is not
+// loaded beyond the others, else to the least loaded of the first holders that
+// this front may use, else to any server that is mostly idle. In a crowd the request rather waits for its
+// holders: a prefix spread over all servers would push the others' out of their
+// caches, and the misses would keep the crowd going.
+func (t *Table) pickRanked(p *pool, group []*server, req *Request, key uint64, waited kernel.Duration, now kernel.Time, c *Choice) (*server, fit) {
 	if req.Prefix == 0 {
 		return t.pickLeast(group, req, key, true, now, c)
 	}
@@ -103,25 +124,47 @@
 	if p.cap > 0 {
 		mean = float64(p.load) / float64(p.cap)
 	}
-	for i := range n {
+	var first [topServers]*server
+	held, most := 0, t.popular.holders(req.Prefix, p.size)
+	for i := 0; i < n && held < most; i++ {
 		s := top[i].s
 		why := t.unfit(s, req, now)
-		if why == "" && float64(s.own+s.others+1) > bound(s, mean) {
-			why = Loaded
+		switch why {
+		case Tried, NoPart, Ejected, Probing:
+			c.consider(s, top[i].score, why)
+			continue
+		case "":
+			if float64(s.own+s.others+1) > bound(s, mean) {
+				why = Loaded
+			}
 		}
 		c.consider(s, top[i].score, why)
 		if why == "" {
-			return s, true
+			return s, fits
 		}
+		first[held] = s
+		held++
 	}
-	return t.pickLeast(group, req, key, false, now, c)
+	if s, _ := t.pickLeast(first[:held], req, key, false, now, c); s != nil {
+		return s, fits
+	}
+	s, found := t.pickLeast(group, req, key, false, now, nil)
+	if s == nil || held > 0 && relative(s) >= idle(waited) {
+		return nil, min(found, elsewhere)
+	}
+	c.consider(s, relative(s), "")
+	return s, fits
+}
+
+func idle(waited kernel.Duration) float64 {
+	return idleBelow + (idleMost-idleBelow)*min(1, float64(waited)/float64(idleWait))
 }
 
 func bound(s *server, mean float64) float64 {
-	return max(float64(s.cap)/2, math.Ceil(overMean*mean*float64(s.cap))+1)
+	return max(float64(s.cap)*freeRein, math.Ceil(overMean*mean*float64(s.cap))+1)
 }
 
-func (t *Table) pickLeast(group []*server, req *Request, key uint64, local bool, now kernel.Time, c *Choice) (chosen *server, full bool) {
+func (t *Table) pickLeast(group []*server, req *Request, key uint64, local bool, now kernel.Time, c *Choice) (chosen *server, found fit) {
 	best, tie := math.Inf(1), uint64(0)
 	for _, s := range group {
 		switch why := t.unfit(s, req, now); why {
@@ -129,7 +172,7 @@
 		case Tried:
 			continue
 		default:
-			full = true
+			found = max(found, noRoom)
 			if local {
 				c.consider(s, relative(s), why)
 			}
@@ -147,14 +190,17 @@
 			chosen, best, tie = s, cost, hash
 		}
 	}
-	if chosen != nil {
+	if chosen == nil {
+		return nil, found
+	}
+	if c != nil {
 		c.consider(chosen, best, "")
 	}
-	return chosen, full || chosen != nil
+	return chosen, fits
 }
 
-func (t *Table) pickInTurn(p *pool, req *Request, now kernel.Time, c *Choice) (*server, bool) {
-	full := false
+func (t *Table) pickInTurn(p *pool, req *Request, now kernel.Time, c *Choice) (*server, fit) {
+	found := none
 	for range p.size {
 		at := p.cursor % p.size
 		p.cursor = at + 1
@@ -162,11 +208,13 @@
 		why := t.unfit(s, req, now)
 		c.consider(s, 0, why)
 		if why == "" {
-			return s, true
+			return s, fits
+		}
+		if why != Tried {
+			found = noRoom
 		}
-		full = full || why != Tried
 	}
-	return nil, full
+	return nil, found
 }
 
 func (p *pool) at(i int) *server {
--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -25,7 +25,8 @@
 
 const (
 	busyFor       = 200 * kernel.Millisecond
-	timeoutsToEnd = 2
+	timeoutsToEnd = 3
+	timeoutsFor   = kernel.Second
 )
 
 type server struct {
@@ -43,12 +44,15 @@
 	planBase  uint64
 
 	own, others int
+	low, lowOld int
 	extra       float64
 	wanted      bool
+	limited     bool
 
 	rankGen, rank int
 
 	timeouts  int
+	timeoutAt kernel.Time
 	ejections int
 	ejected   bool
 	until     kernel.Time
@@ -84,9 +88,13 @@
 	case before != "" && s.excluded == "":
 		s.base, s.floor, s.seen, s.extra = status.Answered, t.cfg.Policy.Returned(s.full), 0, 0
 	}
+	if old != nil && status.Answered > old.Answered {
+		s.timeouts = 0
+	}
 	t.setCap(s)
 	if status != old {
-		t.setLoad(s, s.own, max(0, int(status.Running+status.Queued)-s.own))
+		t.setLoad(s, s.own, max(0, int(status.Running+status.Queued)-min(s.low, s.lowOld)))
+		s.low, s.lowOld = s.own, s.low
 		t.lend(s)
 	}
 	return before != s.excluded || old == nil || old.Region != status.Region || !slices.Equal(old.Services, status.Services)
@@ -116,6 +124,7 @@
 		p.load += own + others - s.own - s.others
 	}
 	s.own, s.others = own, others
+	s.low = min(s.low, own)
 }
 
 func (s *server) ramping() bool { return s.cap < s.full }
@@ -128,10 +137,12 @@
 func (t *Table) lend(s *server) {
 	share := t.share(s)
 	free := s.cap - s.own - s.others
+	before := s.limited
+	s.limited = s.wanted && s.own >= t.limit(s, share)
 	switch {
 	case s.ramping():
 		s.extra = 0
-	case free > 0 && s.wanted && s.own >= t.limit(s, share):
+	case free > 0 && s.limited && before:
 		s.extra = min(s.extra+float64(free)*float64(s.own)/float64(max(1, s.own+s.others)), float64(s.cap))
 	default:
 		s.extra = max(float64(s.own-share), s.extra/2, 0)
@@ -210,15 +221,18 @@
 }
 
 // Finished ends a request that Started counted. Answers seen raise the cap of a
-// ramping server; a refusal, or two timeouts in a row, eject the server until
-// one request has probed it.
+// ramping server. A refusal ejects the server until one request has probed it;
+// so do three timeouts in a row over a second, unless the server is known to
+// have answered others meanwhile: then it is slow, not dead.
 func (t *Table) Finished(name string, o Outcome, now kernel.Time) {
 	s := t.servers[name]
 	if s == nil {
 		return
 	}
 	t.setLoad(s, max(0, s.own-1), s.others)
+	t.pending.unserved = true
 	s.probing = false
+	t.learnTook(o)
 	switch {
 	case o.OK:
 		s.seen++
@@ -235,8 +249,11 @@
 	case o.Refused:
 		t.eject(s, now)
 	case o.Timeout:
+		if s.timeouts == 0 {
+			s.timeoutAt = now
+		}
 		s.timeouts++
-		if s.timeouts >= timeoutsToEnd || s.ejected {
+		if s.ejected || s.timeouts >= timeoutsToEnd && now.Sub(s.timeoutAt) >= timeoutsFor {
 			t.eject(s, now)
 		}
 	case s.ejected:
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -104,7 +104,9 @@
 // Outcome is how a request ended at a server. OK: answered in whole. Refused:
 // the connection was refused. Timeout: no answer within its bound. Busy: the
 // server declined before it began. NothingWritten: no byte reached the server.
-// FirstToken is the time to the first event, 0 when none came.
+// FirstToken is the time to the first event, 0 when none came. Service and Took,
+// the time from the start to the end, teach the table how long a service's
+// requests take; without them it declines nothing on that account.
 type Outcome struct {
 	OK             bool
 	NothingWritten bool
@@ -112,6 +114,8 @@
 	Timeout        bool
 	Busy           bool
 	FirstToken     kernel.Duration
+	Service        string
+	Took           kernel.Duration
 }
 
 type poolKey struct{ service, region string }
@@ -129,6 +133,8 @@
 	shares    map[shareKey]*wheel
 	pending   pending
 	budget    budget
+	popular   *popularity
+	took      map[string]*mean
 	self      uint64
 	mapID     uintptr
 }
@@ -137,7 +143,7 @@
 func New(cfg Config) *Table {
 	cfg = cfg.orDefaults()
 	return &Table{cfg: cfg, servers: map[string]*server{}, pools: map[poolKey]*pool{}, shares: map[shareKey]*wheel{},
-		pending: newPending(), budget: newBudget(cfg.RetryBudget), self: xxhash.Sum64String(cfg.Self), frontsGen: 1,
+		pending: newPending(), budget: newBudget(cfg.RetryBudget), popular: newPopularity(), took: map[string]*mean{}, self: xxhash.Sum64String(cfg.Self), frontsGen: 1,
 		fronts: []uint64{xxhash.Sum64String(cfg.Self)}}
 }
 
@@ -155,6 +161,7 @@
 	serversMoved := id != t.mapID || id == 0
 	t.mapID = id
 	t.view = v
+	t.pending.unserved = true
 	if serversMoved || stateMoved {
 		t.learnAll(v, now, stateMoved)
 	}
--- /dev/null
+++ b/sim/route/judge.go
@@ -0,0 +1,45 @@
+package route
+
+import (
+	"fmt"
+
+	"stepwick/internal/kernel"
+)
+
+// Violation is a point that must never happen, with what was seen.
+type Violation string
+
+// Judge looks at a run from outside: no server that had given fewer answers than
+// its slots had more in flight than the ramp's start and one for each answer;
+// none ever had more than mostPeak in flight; and from an instant on, each span
+// of three seconds served a quarter of the level before the first fault.
+func Judge(cfg Config, r Result, mostPeak int, from kernel.Duration) []Violation {
+	var found []Violation
+	for _, l := range r.Servers {
+		if l.Over > 0 {
+			found = append(found, Violation(fmt.Sprintf("%s was flooded while it ramped: %d arrivals beyond, by up to %d", l.Server, l.Over, l.Excess)))
+		}
+		if l.Peak > mostPeak {
+			found = append(found, Violation(fmt.Sprintf("%s had %d in flight, the bound is %d", l.Server, l.Peak, mostPeak)))
+		}
+	}
+	first := cfg.Span
+	for _, f := range cfg.Faults {
+		first = min(first, f.At)
+	}
+	level := r.perSecond(first-3*kernel.Second, first)
+	for at := from; at+3*kernel.Second <= cfg.Span; at += kernel.Second {
+		if now := r.perSecond(at, at+3*kernel.Second); now < level/4 {
+			found = append(found, Violation(fmt.Sprintf("served %.0f a second at %s, %.0f before the first fault", now, at, level)))
+		}
+	}
+	return found
+}
+
+func (r Result) perSecond(from, to kernel.Duration) float64 {
+	sum, first, last := 0, int(from/kernel.Second), int(to/kernel.Second)
+	for _, n := range r.PerSecond[max(0, first):last] {
+		sum += n
+	}
+	return float64(sum) / float64(max(1, last-first))
+}
--- /dev/null
+++ b/sim/route/sim.go
@@ -0,0 +1,433 @@
+// Package route runs fronts that route by internal/core/route, and plans by
+// internal/core/plan, over model servers in virtual time. Fronts see the
+// servers' status and the plan late, as over watchers and the feed. Equal
+// configurations give equal results.
+package route
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepwick/internal/core/plan"
+	"stepwick/internal/core/route"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	rampStart  = 2
+	statusStep = 500 * kernel.Millisecond
+	statusLag  = 250 * kernel.Millisecond
+	planPeriod = 5 * kernel.Second
+	hop        = kernel.Millisecond
+	wakeStep   = 50 * kernel.Millisecond
+	mostTries  = 3
+)
+
+// Config is one run. Rate is requests a second; Prefixes the number of shared
+// prefixes, drawn by Zipf with exponent Skew; PrefixTokens, SessionTokens and
+// OutputTokens the means of sizes that spread to half and one and a half of it.
+// FrontWeights share the clients among the fronts, evenly when nil. Crowd
+// multiplies the rate in its span. Warm servers have answered before the run
+// and hold no prefix yet.
+type Config struct {
+	Seed          uint64
+	Strategy      route.Strategy
+	Fronts        int
+	Servers       int
+	Server        ServerConfig
+	Span          kernel.Duration
+	Rate          float64
+	Prefixes      int
+	Skew          float64
+	PrefixTokens  int
+	SessionTokens int
+	OutputTokens  int
+	Deadline      kernel.Duration
+	FrontWeights  []float64
+	Pending       int
+	Crowd         float64
+	CrowdFrom     kernel.Duration
+	CrowdTo       kernel.Duration
+	Faults        []Fault
+	Warm          bool
+	Policy        plan.Policy
+}
+
+// Fault happens to one server at an instant of the run.
+type Fault struct {
+	At     kernel.Duration
+	Server int
+	What   string // crash, cold (comes back cold), drain, undrain
+}
+
+// Result is what callers and servers saw. Declined counts the answers that told
+// the caller to come back, Cut streams that ended early, Late those that the
+// deadline ended. TTFT are times to the first token, in order.
+type Result struct {
+	Offered, Served, Declined, Cut, Late, Refused int
+	Codes                                         map[string]int
+	TTFT                                          []kernel.Duration
+	Hits, Misses                                  int
+	Servers                                       []Ledger
+	PerSecond                                     []int
+}
+
+// Quantile returns a quantile of the time to the first token.
+func (r Result) Quantile(q float64) kernel.Duration {
+	if len(r.TTFT) == 0 {
+		return 0
+	}
+	return r.TTFT[min(len(r.TTFT)-1, int(q*float64(len(r.TTFT))))]
+}
+
+// HitShare returns the share of prefills that found their prefix.
+func (r Result) HitShare() float64 { return float64(r.Hits) / float64(max(1, r.Hits+r.Misses)) }
+
+// String is the result in one line.
+func (r Result) String() string {
+	return fmt.Sprintf("offered %d served %d declined %d cut %d late %d ttft p50 %dms p95 %dms hits %.3f", r.Offered, r.Served, r.Declined,
+		r.Cut, r.Late, r.Quantile(0.5).Milliseconds(), r.Quantile(0.95).Milliseconds(), r.HitShare())
+}
+
+type ending int
+
+const (
+	answered ending = iota
+	refused
+	busy
+	cut
+	late
+)
+
+type call struct {
+	id                            string
+	front                         *front
+	prefix                        uint64
+	prefixTokens, session, output int
+	born, deadline                kernel.Duration
+	attempt                       int
+	server                        string
+	tried                         []string
+	begun, over                   bool
+	started, first                kernel.Duration
+}
+
+type front struct {
+	name  string
+	table *route.Table
+	calls map[string]*call
+}
+
+type event struct {
+	at    kernel.Duration
+	order int
+	f     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type sim struct {
+	cfg     Config
+	rng     *rand.Rand
+	now     kernel.Duration
+	order   int
+	events  events
+	servers []*server
+	byName  map[string]*server
+	fronts  []*front
+	state   sheet.State
+	plan    *wire.Plan
+	last    map[string]*wire.ServerStatus
+	number  uint64
+	zipf    []float64
+	result  Result
+}
+
+var epoch = kernel.UnixMilli(1_000_000)
+
+func seconds(s float64) kernel.Duration { return kernel.Duration(s * float64(kernel.Second)) }
+
+// Run plays one configuration.
+func Run(cfg Config) Result {
+	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), byName: map[string]*server{}, last: map[string]*wire.ServerStatus{}}
+	s.result.Codes = map[string]int{}
+	s.result.PerSecond = make([]int, int(cfg.Span/kernel.Second)+1)
+	s.state = sheet.State{Epoch: 1, SheetEpoch: 1, Sheet: &sheet.Sheet{Services: map[string]sheet.Service{"chat": {Kind: sheet.KindModel}},
+		Weights: map[string]map[string]float64{"chat": {"lagos": 10, "abeokuta": 8}}}}
+	for i := range cfg.Servers {
+		region, zone := "lagos", []string{"a", "b"}[i%2]
+		if i*18 >= cfg.Servers*10 {
+			region, zone = "abeokuta", "a"
+		}
+		v := newServer(s, fmt.Sprintf("m%02d", i), region, zone, cfg.Server)
+		if cfg.Warm {
+			v.answered = 1000
+		}
+		s.servers = append(s.servers, v)
+		s.byName[v.name] = v
+	}
+	var names []string
+	for i := range cfg.Fronts {
+		names = append(names, fmt.Sprintf("n%d", i))
+	}
+	for i, name := range names {
+		region, zone := []string{"lagos", "lagos", "abeokuta"}[i%3], []string{"a", "b", "a"}[i%3]
+		s.fronts = append(s.fronts, &front{name: name, calls: map[string]*call{},
+			table: route.New(route.Config{Self: name, Region: region, Zone: zone, Strategy: cfg.Strategy,
+				Policy: cfg.Policy, PendingBound: cmp.Or(cfg.Pending, 256)})})
+	}
+	s.drawZipf()
+	s.look(names)
+	s.wake()
+	for _, fault := range cfg.Faults {
+		s.at(fault.At, func() { s.fault(fault) })
+	}
+	s.at(kernel.Second, func() { s.offer(0) })
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		if e.at > cfg.Span+cfg.Deadline {
+			break
+		}
+		s.now = e.at
+		e.f()
+	}
+	slices.Sort(s.result.TTFT)
+	for _, v := range s.servers {
+		s.result.Hits += v.ledger.Hits
+		s.result.Misses += v.ledger.Misses
+		s.result.Servers = append(s.result.Servers, v.ledger)
+	}
+	return s.result
+}
+
+func (s *sim) at(at kernel.Duration, f func()) {
+	s.order++
+	heap.Push(&s.events, event{max(at, s.now), s.order, f})
+}
+
+func (s *sim) clock() kernel.Time { return epoch.Add(s.now) }
+
+func (s *sim) drawZipf() {
+	sum := 0.0
+	for i := range s.cfg.Prefixes {
+		sum += 1 / math.Pow(float64(i+1), s.cfg.Skew)
+		s.zipf = append(s.zipf, sum)
+	}
+}
+
+func (s *sim) fault(f Fault) {
+	v := s.servers[f.Server]
+	switch f.What {
+	case "crash":
+		v.crash()
+	case "cold":
+		v.boot(s.cfg.Server.ColdCalls)
+	case "drain":
+		v.draining = true
+	case "undrain":
+		v.draining = false
+	}
+}
+
+// look is the watchers, the planner and the feed: each half second the servers'
+// status goes to all fronts, late by a lag, with a plan when one is due.
+func (s *sim) look(names []string) {
+	next := map[string]*wire.ServerStatus{}
+	for _, v := range s.servers {
+		next[v.name] = v.status()
+	}
+	in := plan.Input{State: s.state, Servers: next, Prior: s.plan, Term: 1, Number: s.number + 1, Now: s.clock(), Period: planPeriod, Policy: s.cfg.Policy}
+	cause, forced := plan.Forced(s.plan, in)
+	if forced || plan.Due(s.plan, in.Now) {
+		in.Cause = cmp.Or(cause, "period")
+		s.plan = plan.Compute(in)
+		s.number++
+	}
+	view := route.View{State: s.state, Plan: s.plan, Servers: next, Fronts: names}
+	for _, f := range s.fronts {
+		s.at(s.now+statusLag+kernel.Duration(s.rng.IntN(100))*kernel.Millisecond, func() {
+			f.table.Update(view, s.clock())
+			s.drain(f)
+		})
+	}
+	if s.now < s.cfg.Span+s.cfg.Deadline {
+		s.at(s.now+statusStep, func() { s.look(names) })
+	}
+}
+
+func (s *sim) wake() {
+	for _, f := range s.fronts {
+		s.drain(f)
+	}
+	if s.now < s.cfg.Span+s.cfg.Deadline {
+		s.at(s.now+wakeStep, s.wake)
+	}
+}
+
+func (s *sim) offer(n int) {
+	if s.now >= s.cfg.Span {
+		return
+	}
+	rate := s.cfg.Rate
+	if s.cfg.Crowd > 0 && s.now >= s.cfg.CrowdFrom && s.now < s.cfg.CrowdTo {
+		rate *= s.cfg.Crowd
+	}
+	s.at(s.now+seconds(s.rng.ExpFloat64()/rate), func() { s.offer(n + 1) })
+	which, _ := slices.BinarySearch(s.zipf, s.rng.Float64()*s.zipf[len(s.zipf)-1])
+	spread := func(mean int) int { return max(1, mean/2+s.rng.IntN(mean+1)) }
+	prefix := xxhash.Sum64String(fmt.Sprintf("prefix %d", which))
+	c := &call{id: fmt.Sprintf("r%d", n), front: s.pickFront(), prefix: prefix,
+		prefixTokens: s.cfg.PrefixTokens/2 + int(prefix%uint64(s.cfg.PrefixTokens+1)),
+		session:      spread(s.cfg.SessionTokens), output: spread(s.cfg.OutputTokens), born: s.now, deadline: s.now + s.cfg.Deadline}
+	s.result.Offered++
+	s.try(c)
+}
+
+func (s *sim) pickFront() *front {
+	if s.cfg.FrontWeights == nil {
+		return s.fronts[s.rng.IntN(len(s.fronts))]
+	}
+	total := 0.0
+	for _, w := range s.cfg.FrontWeights {
+		total += w
+	}
+	at := s.rng.Float64() * total
+	for i, w := range s.cfg.FrontWeights {
+		if at < w {
+			return s.fronts[i]
+		}
+		at -= w
+	}
+	return s.fronts[0]
+}
+
+func (s *sim) request(c *call) route.Request {
+	return route.Request{ID: c.id, Service: "chat", Prefix: c.prefix, Deadline: epoch.Add(c.deadline), Tried: c.tried}
+}
+
+func (s *sim) try(c *call) {
+	req := s.request(c)
+	choice := c.front.table.Choose(req, s.clock())
+	if choice.Pending {
+		if fault := c.front.table.Enqueue(req, s.clock()); fault != nil {
+			s.declined(c, fault)
+			return
+		}
+		c.front.calls[c.id] = c
+		return
+	}
+	s.follow(c, choice)
+}
+
+func (s *sim) follow(c *call, choice route.Choice) {
+	if choice.Fault != nil {
+		s.declined(c, choice.Fault)
+		return
+	}
+	c.front.table.Started(choice.Server)
+	c.server = choice.Server
+	c.attempt++
+	c.started, c.first = s.now, 0
+	v := s.byName[choice.Server]
+	attempt := c.attempt
+	s.at(c.deadline, func() {
+		if !c.over && c.attempt == attempt && v.cancel(c) {
+			s.back(c, attempt, late)
+		}
+	})
+	s.at(s.now+hop, func() { v.arrive(c) })
+}
+
+func (s *sim) declined(c *call, fault *kernel.Fault) {
+	c.over = true
+	s.result.Declined++
+	s.result.Codes[fault.Code.String()]++
+}
+
+func (s *sim) firstToken(c *call, attempt int) {
+	if !c.begun && !c.over && attempt == c.attempt {
+		c.begun = true
+		c.first = s.now - c.started
+		s.result.TTFT = append(s.result.TTFT, s.now-c.born)
+	}
+}
+
+// back brings the end of an attempt to the front.
+func (s *sim) back(c *call, attempt int, how ending) {
+	name := c.server
+	s.at(s.now+hop, func() {
+		f := c.front
+		f.table.Finished(name, route.Outcome{OK: how == answered, Refused: how == refused, Busy: how == busy,
+			NothingWritten: how == refused,
+			Timeout:        how == late && !c.begun, Service: "chat", FirstToken: c.first, Took: s.now - c.started}, s.clock())
+		s.drain(f)
+		if c.over || attempt != c.attempt {
+			return
+		}
+		switch {
+		case how == answered:
+			c.over = true
+			if s.now > c.deadline {
+				s.result.Late++
+				return
+			}
+			s.result.Served++
+			if at := int(s.now / kernel.Second); at < len(s.result.PerSecond) {
+				s.result.PerSecond[at]++
+			}
+		case how == late:
+			c.over = true
+			s.result.Late++
+		case how == cut && c.begun:
+			c.over = true
+			s.result.Cut++
+		case len(c.tried)+1 >= mostTries:
+			c.over = true
+			s.result.Refused++
+		default:
+			c.tried = append(c.tried, name)
+			s.try(c)
+		}
+	})
+}
+
+func (s *sim) drain(f *front) {
+	for {
+		ready, ok := f.table.Next(s.clock())
+		if !ok {
+			return
+		}
+		c := f.calls[ready.Request.ID]
+		delete(f.calls, ready.Request.ID)
+		s.follow(c, ready.Choice)
+	}
+}
+
+func (s *sim) inOrder(calls map[*call]bool) []*call {
+	var all []*call
+	for c := range calls {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *call) int { return cmp.Compare(a.id, b.id) })
+	return all
+}
--- /dev/null
+++ b/sim/route/sim_test.go
@@ -0,0 +1,142 @@
+package route
+
+import (
+	"os"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+
+	"stepwick/internal/core/plan"
+	"stepwick/internal/core/route"
+)
+
+const (
+	fullCap  = 20
+	mostPeak = 2 * fullCap
+)
+
+var modelServer = ServerConfig{Slots: 16, Queue: 8, Prefill: 12000, Decode: 1600, PerCall: 120, KV: 120_000, ColdCalls: 10, ColdPace: 0.5}
+
+func today(seed uint64) Config {
+	return Config{Seed: seed, Strategy: route.Affinity, Fronts: 9, Servers: 18, Server: modelServer, Span: 60 * time.Second, Rate: 150,
+		Prefixes: 200, Skew: 0.9, PrefixTokens: 3000, SessionTokens: 200, OutputTokens: 100, Deadline: 15 * time.Second, Warm: true}
+}
+
+// seeds gives the fixed seeds of CI, or 1 to STEPWICK_SEEDS.
+func seeds(n int) []uint64 {
+	if asked, err := strconv.Atoi(os.Getenv("STEPWICK_SEEDS")); err == nil {
+		n = asked
+	}
+	var all []uint64
+	for i := range n {
+		all = append(all, uint64(i+1))
+	}
+	return all
+}
+
+func crash(at int, server int) Fault { return Fault{time.Duration(at) * time.Second, server, "crash"} }
+func cold(at int, server int) Fault  { return Fault{time.Duration(at) * time.Second, server, "cold"} }
+
+func TestFloods(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Config)
+		from   int
+	}{
+		{"all start cold", func(c *Config) { c.Warm = false }, 12},
+		{"cold return and second loss", func(c *Config) { c.Faults = []Fault{crash(20, 3), cold(30, 3), crash(33, 5)} }, 45},
+		{"the same in a crowd, with no bound at the servers", func(c *Config) {
+			c.Server.Queue = 10000
+			c.Crowd, c.CrowdFrom, c.CrowdTo = 10, 20*time.Second, 30*time.Second
+			c.Faults = []Fault{crash(15, 3), cold(22, 3), crash(25, 5)}
+		}, 37},
+		{"a crowd of long answers", func(c *Config) {
+			c.Server.Queue = 10000
+			c.OutputTokens, c.PrefixTokens = 400, 500
+			c.Crowd, c.CrowdFrom, c.CrowdTo = 10, 20*time.Second, 30*time.Second
+			c.Faults = []Fault{crash(25, 5)}
+		}, 37},
+		{"all replaced in turn", func(c *Config) {
+			for i := range 18 {
+				c.Faults = append(c.Faults, Fault{time.Duration(10+i*2) * time.Second, i, "drain"}, crash(13+i*2, i),
+					Fault{time.Duration(14+i*2) * time.Second, i, "undrain"}, cold(14+i*2, i))
+			}
+		}, 57},
+		{"half lost at once and back cold", func(c *Config) {
+			for i := range 9 {
+				c.Faults = append(c.Faults, crash(20, i*2), cold(25, i*2))
+			}
+		}, 37},
+		{"all clients at one zone's fronts", func(c *Config) { c.FrontWeights = []float64{1, 0, 0, 1, 0, 0, 1, 0, 0} }, 12},
+		{"all clients at one front", func(c *Config) { c.FrontWeights = []float64{1, 0, 0, 0, 0, 0, 0, 0, 0} }, 12},
+		{"one prefix in three requests of five", func(c *Config) { c.Skew = 2 }, 12},
+		{"eight prefixes", func(c *Config) { c.Prefixes = 8 }, 12},
+	}
+	for _, c := range cases {
+		for _, seed := range seeds(2) {
+			cfg := today(seed)
+			c.change(&cfg)
+			r := Run(cfg)
+			peak := 0
+			for _, l := range r.Servers {
+				peak = max(peak, l.Peak)
+			}
+			t.Logf("%s, seed %d: %v peak %d %v", c.name, seed, r, peak, r.Codes)
+			for _, v := range Judge(cfg, r, mostPeak, time.Duration(c.from)*time.Second) {
+				t.Errorf("%s, seed %d: %s", c.name, seed, v)
+			}
+		}
+	}
+}
+
+func TestJudgeSeesFloods(t *testing.T) {
+	cfg := today(1)
+	cfg.Faults = []Fault{crash(20, 3), cold(22, 3)}
+	cfg.Policy = plan.Policy{RampStart: fullCap}
+	if len(Judge(cfg, Run(cfg), mostPeak, 45*time.Second)) == 0 {
+		t.Error("a server without a ramp was not seen to be flooded")
+	}
+	cfg = today(1)
+	cfg.Server.Queue = 10000
+	cfg.Crowd, cfg.CrowdFrom, cfg.CrowdTo = 10, 20*time.Second, 30*time.Second
+	cfg.Policy = plan.Policy{Slack: 10}
+	if len(Judge(cfg, Run(cfg), mostPeak, 45*time.Second)) == 0 {
+		t.Error("servers without a cap were not seen to be flooded")
+	}
+	cfg = today(1)
+	for i := range 18 {
+		cfg.Faults = append(cfg.Faults, crash(30, i))
+	}
+	if len(Judge(cfg, Run(cfg), mostPeak, 45*time.Second)) == 0 {
+		t.Error("a fleet without servers was not seen to serve nothing")
+	}
+}
+
+func TestAffinityPays(t *testing.T) {
+	for _, rate := range []float64{60, 150} {
+		for _, seed := range seeds(2) {
+			results := map[route.Strategy]Result{}
+			for _, strategy := range []route.Strategy{route.Affinity, route.RoundRobin, route.LeastLoaded} {
+				cfg := today(seed)
+				cfg.Strategy, cfg.Rate = strategy, rate
+				results[strategy] = Run(cfg)
+				t.Logf("%.0f/s seed %d %s: %v", rate, seed, strategy, results[strategy])
+			}
+			for _, base := range []route.Strategy{route.RoundRobin, route.LeastLoaded} {
+				a, b := results[route.Affinity], results[base]
+				if a.HitShare() <= b.HitShare() || a.Quantile(0.5) > b.Quantile(0.5) || a.Quantile(0.95) >= b.Quantile(0.95) || a.Served < b.Served {
+					t.Errorf("%.0f/s seed %d: affinity %v, %s %v", rate, seed, a, base, b)
+				}
+			}
+		}
+	}
+}
+
+func TestEqualRunsAreEqual(t *testing.T) {
+	cfg := today(1)
+	cfg.Faults = []Fault{crash(20, 3), cold(30, 3)}
+	if !reflect.DeepEqual(Run(cfg), Run(cfg)) {
+		t.Error("equal runs differ")
+	}
+}
