Measure a node's control cost with hollow fronts, and make it constant

Cause: a node's control cost grew with the fleet. Ruled out: the feed and the renewals (constant a front). Heap profile: 75% were gzip writers of small messages; bytes: pings of the whole roster by everyone, and hellos with 16 records to four processes a second; at 100 fronts idle connections to peers used up the file descriptors. Change: messages under 16 KiB are not compressed; hellos go to one process each 4 s once there is no news, with a sample of 4; rosters over 32 are pinged two members at a time while the grant stands and as a whole once it wavers; peers tell readiness in the answer to a ping; idle connections close after 3 s.

--- /dev/null
+++ b/cmd/rig/hollow/hollow.go
@@ -0,0 +1,303 @@
+// Package hollow measures what control costs a node and a core as the fleet
+// grows: cores run as processes of their own, the fronts are whole nodes
+// without traffic that share the rig's process.
+package hollow
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"runtime/pprof"
+	"strings"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/procfs"
+	"go.yaml.in/yaml/v3"
+
+	"stepwick/cmd/rig/fleet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node"
+	"stepwick/internal/settings"
+)
+
+const (
+	secret  = "a secret of the hollow fleet"
+	zones   = 65
+	regions = 22
+)
+
+// Options of one measurement. Warm and Span are seconds before and of it.
+type Options struct {
+	Binary   string
+	Dir      string
+	Fronts   int
+	Cores    int
+	Tenants  int // in the sheet
+	Warm     kernel.Duration
+	Span     kernel.Duration
+	Orders   int // changes put in force one after another after the span
+	Settings map[string]string
+	Profile  string // file for a heap profile of the fronts, or empty
+}
+
+// Result is what one measurement gave. Shares of a core are processor seconds
+// a second; bytes count both directions of TCP payload.
+type Result struct {
+	Fronts          int     `json:"fronts"`
+	Tenants         int     `json:"tenants"`
+	Ruling          int     `json:"ruling"`
+	FrontCore       float64 `json:"front_core_share"`
+	FrontBytes      float64 `json:"front_bytes_per_s"`
+	FrontHeapKiB    float64 `json:"front_heap_kib"`
+	FrontGoroutines float64 `json:"front_goroutines"`
+	CoreCore        float64 `json:"core_core_share"`
+	CoreRSSMiB      float64 `json:"core_rss_mib"`
+	InForceP50MS    float64 `json:"in_force_p50_ms"`
+	InForceMaxMS    float64 `json:"in_force_max_ms"`
+	Unmet           int     `json:"orders_not_in_force"`
+	Why             string  `json:"last_not_in_force,omitempty"`
+}
+
+type counters struct{ bytes atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	*counters
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	*counters
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.counters}, nil
+}
+
+type run struct {
+	options Options
+	base    int
+	procs   []*exec.Cmd
+	count   counters
+	ended   chan error
+	stop    kernel.Cancel
+}
+
+func (r *run) address(group, i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", r.base, group+i/200, 1+i%200, port)
+}
+
+func (r *run) settingsOf(i int, core bool) map[string]string {
+	group, name := 100, fmt.Sprintf("front%03d", i)
+	if core {
+		group, name = 90, fmt.Sprintf("core%d", i)
+	}
+	var seeds []string
+	for c := range min(3, r.options.Cores) {
+		seeds = append(seeds, r.address(90, c, 7001))
+	}
+	s := map[string]string{"name": name, "region": fmt.Sprintf("r%02d", i%zones%regions), "zone": fmt.Sprintf("z%02d", i%zones),
+		"listen.caller": r.address(group, i, 7000), "listen.internal": r.address(group, i, 7001), "bind": strings.Split(r.address(group, i, 0), ":")[0],
+		"seeds": strings.Join(seeds, ","), "core.voters": fmt.Sprint(r.options.Cores), "fleet.secret": secret,
+		"operator.keys": "ada:" + fleet.Hash("ada's key"), "log.level": "warn"}
+	if core {
+		s["data"] = filepath.Join(r.options.Dir, name)
+	}
+	for name, value := range r.options.Settings {
+		s[name] = value
+	}
+	return s
+}
+
+// Measure starts the cores and the fronts, waits, and measures. It ends what
+// it started.
+func Measure(ctx kernel.Context, options Options) (result Result, err error) {
+	r := &run{options: options, base: 10 + os.Getpid()%200, ended: make(chan error, options.Fronts)}
+	ctx, r.stop = kernel.WithCancel(ctx)
+	defer r.close()
+	clock := kernel.System()
+	before := heap()
+	for i := range options.Cores {
+		if err := r.startCore(i); err != nil {
+			return result, err
+		}
+	}
+	started := 0
+	for i := range options.Fronts {
+		if err := r.startFront(ctx, i); err != nil {
+			return result, err
+		}
+		started++
+		if i%20 == 19 {
+			<-clock.After(200 * kernel.Millisecond)
+		}
+	}
+	caller := operator{r.address(100, 0, 7000)}
+	if err := r.firstSheet(ctx, clock, caller); err != nil {
+		return result, err
+	}
+	<-clock.After(options.Warm)
+	result = Result{Fronts: options.Fronts, Tenants: options.Tenants}
+	cpu, coreCPU, bytes, at := ownCPU(), r.coreCPU(), r.count.bytes.Load(), clock.Now()
+	<-clock.After(options.Span)
+	span := clock.Now().Sub(at).Seconds()
+	n := float64(options.Fronts)
+	result.FrontCore = (ownCPU() - cpu) / span / n
+	result.CoreCore = (r.coreCPU() - coreCPU) / span / float64(options.Cores)
+	result.FrontBytes = float64(r.count.bytes.Load()-bytes) / span / n
+	result.FrontHeapKiB = float64(heap()-before) / 1024 / n
+	result.FrontGoroutines = float64(runtime.NumGoroutine()) / n
+	result.CoreRSSMiB = r.coreRSS()
+	if options.Profile != "" {
+		if err := r.profile(); err != nil {
+			return result, err
+		}
+	}
+	result.Ruling = r.ruling(ctx)
+	r.orders(ctx, clock, caller, &result)
+	return result, nil
+}
+
+func (r *run) startCore(i int) error {
+	text, err := yaml.Marshal(r.settingsOf(i, true))
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(r.options.Dir, fmt.Sprintf("core%d.yaml", i))
+	if err := os.MkdirAll(filepath.Join(r.options.Dir, fmt.Sprintf("core%d", i)), 0o700); err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(r.options.Binary, "core", "--config", file)
+	log, err := os.Create(filepath.Join(r.options.Dir, fmt.Sprintf("core%d.log", i)))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start a core")
+	}
+	r.procs = append(r.procs, cmd)
+	return nil
+}
+
+func (r *run) startFront(ctx kernel.Context, i int) error {
+	text, err := yaml.Marshal(r.settingsOf(i, false))
+	if err != nil {
+		return err
+	}
+	values, problems := settings.Read("hollow", text, nil, node.RoleFront)
+	if len(problems) > 0 {
+		return errors.New(problems[0].String())
+	}
+	dialer := &net.Dialer{Timeout: 2 * kernel.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(values.String("bind"))}}
+	world := node.World{Clock: kernel.System(),
+		Listen: func(address string) (net.Listener, error) {
+			l, err := net.Listen("tcp", address)
+			return countedListener{l, &r.count}, err
+		},
+		Dial: func(ctx kernel.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{c, &r.count}, nil
+		}}
+	go func() { r.ended <- node.RunIn(ctx, world, node.RoleFront, values, events.Discard) }()
+	return nil
+}
+
+func (r *run) close() {
+	r.stop()
+	for range r.options.Fronts {
+		select {
+		case <-r.ended:
+		case <-kernel.System().After(15 * kernel.Second):
+		}
+	}
+	for _, p := range r.procs {
+		_ = p.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range r.procs {
+		_ = p.Wait()
+	}
+}
+
+func (r *run) profile() error {
+	file, err := os.Create(r.options.Profile)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return pprof.WriteHeapProfile(file)
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+func ownCPU() float64 {
+	p, err := procfs.Self()
+	if err != nil {
+		return 0
+	}
+	return cpuOf(p)
+}
+
+func cpuOf(p procfs.Proc) float64 {
+	stat, err := p.Stat()
+	if err != nil {
+		return 0
+	}
+	return stat.CPUTime()
+}
+
+func (r *run) coreCPU() float64 {
+	sum := 0.0
+	for _, cmd := range r.procs {
+		if p, err := procfs.NewProc(cmd.Process.Pid); err == nil {
+			sum += cpuOf(p)
+		}
+	}
+	return sum
+}
+
+func (r *run) coreRSS() float64 {
+	sum := 0
+	for _, cmd := range r.procs {
+		if p, err := procfs.NewProc(cmd.Process.Pid); err == nil {
+			if stat, err := p.Stat(); err == nil {
+				sum += stat.ResidentMemory()
+			}
+		}
+	}
+	return float64(sum) / (1 << 20) / float64(len(r.procs))
+}
--- /dev/null
+++ b/cmd/rig/hollow/orders.go
@@ -0,0 +1,131 @@
+package hollow
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"stepwick/cmd/rig/fleet"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+)
+
+type operator struct{ base string }
+
+type orderAnswer struct {
+	Code    kernel.Code `json:"code"`
+	Epoch   uint64      `json:"epoch"`
+	InForce bool        `json:"in_force"`
+	Sheet   uint64      `json:"sheet_epoch"`
+}
+
+func (o operator) call(ctx kernel.Context, method, path string, body any) (answer orderAnswer, err error) {
+	var data []byte
+	if body != nil {
+		if data, err = json.Marshal(body); err != nil {
+			return answer, err
+		}
+	}
+	ctx, cancel := kernel.WithTimeout(ctx, 15*kernel.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.base+path, bytes.NewReader(data))
+	if err != nil {
+		return answer, err
+	}
+	req.Header.Set("Authorization", "Bearer ada's key")
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer, err
+	}
+	defer resp.Body.Close()
+	return answer, errors.Wrap(json.NewDecoder(resp.Body).Decode(&answer), "answer to an order")
+}
+
+// sheetOf is a sheet with a number of tenants, 11 models and shares in every
+// region.
+func (r *run) sheetOf() *sheet.Sheet {
+	s := &sheet.Sheet{Services: map[string]sheet.Service{}, Weights: map[string]map[string]float64{}, Tenants: map[string]sheet.Tenant{}}
+	for m := range 11 {
+		name := fmt.Sprintf("model%02d", m)
+		s.Services[name] = sheet.Service{Kind: "model"}
+		s.Weights[name] = map[string]float64{}
+		for region := range regions {
+			s.Weights[name][fmt.Sprintf("r%02d", region)] = float64(1 + region%10)
+		}
+	}
+	for t := range r.options.Tenants {
+		name := fmt.Sprintf("tenant%05d", t)
+		s.Tenants[name] = sheet.Tenant{Rate: 1600, Burst: 1600, KeyHashes: []string{fleet.Hash("key of " + name)}}
+	}
+	return s
+}
+
+// firstSheet waits until the sheet is in force everywhere, 60 s at the most.
+func (r *run) firstSheet(ctx kernel.Context, clock kernel.Clock, o operator) error {
+	var last orderAnswer
+	var err error
+	for range 60 {
+		last, err = o.call(ctx, http.MethodPut, "/v1/control/sheet", map[string]any{"order_id": "first", "base": 0, "sheet": r.sheetOf()})
+		if err == nil && last.Code == kernel.OK && last.InForce {
+			return nil
+		}
+		<-clock.After(kernel.Second)
+	}
+	return errors.Errorf("first sheet not in force: %+v, %v", last, err)
+}
+
+// orders puts changes in force one after another and notes how long each took.
+func (r *run) orders(ctx kernel.Context, clock kernel.Clock, o operator, result *Result) {
+	var took []float64
+	for i := range r.options.Orders {
+		current, err := o.call(ctx, http.MethodGet, "/v1/control/sheet", nil)
+		if err != nil {
+			result.Unmet++
+			continue
+		}
+		at := clock.Now()
+		answer, err := o.call(ctx, http.MethodPatch, "/v1/control/sheet", map[string]any{"order_id": fmt.Sprintf("change%d", i), "base": current.Sheet,
+			"changes": []map[string]any{{"path": "weights.model00.r00", "value": i + 2}}})
+		if err != nil || answer.Code != kernel.OK || !answer.InForce {
+			result.Unmet++
+			result.Why = fmt.Sprintf("on %+v: %+v %v", current, answer, err)
+			continue
+		}
+		took = append(took, clock.Now().Sub(at).Seconds()*1000)
+	}
+	if len(took) == 0 {
+		return
+	}
+	sort.Float64s(took)
+	result.InForceP50MS, result.InForceMaxMS = took[len(took)/2], took[len(took)-1]
+}
+
+// ruling counts the fronts that say they rule.
+func (r *run) ruling(ctx kernel.Context) (ruling int) {
+	type status struct {
+		Node struct {
+			Ruling bool `json:"ruling"`
+		} `json:"node"`
+	}
+	for i := range r.options.Fronts {
+		callCtx, cancel := kernel.WithTimeout(ctx, 2*kernel.Second)
+		req, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+r.address(100, i, 7000)+"/v1/control/status", nil)
+		if err == nil {
+			req.Header.Set("Authorization", "Bearer ada's key")
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				var s status
+				if json.NewDecoder(resp.Body).Decode(&s) == nil && s.Node.Ruling {
+					ruling++
+				}
+				resp.Body.Close()
+			}
+		}
+		cancel()
+	}
+	return ruling
+}
--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync/atomic"
 
@@ -14,13 +15,13 @@
 )
 
 const (
-	helloWhileAlone = 250 * kernel.Millisecond
-	helloInterval   = kernel.Second
-	helloTimeout    = 700 * kernel.Millisecond
-	helloFanout     = 3
-	helloSample     = 16
-	helloRecords    = 512
-	forgetAfter     = 10 * kernel.Minute
+	helloBusy     = 250 * kernel.Millisecond // while the table still grows
+	helloInterval = 4 * kernel.Second
+	helloSettle   = 2 * kernel.Second // without news after which the table counts as settled
+	helloTimeout  = 700 * kernel.Millisecond
+	helloSample   = 4
+	helloRecords  = 512
+	forgetAfter   = 10 * kernel.Minute
 )
 
 // Sight is what is known of a process and when it was last seen to live: by
@@ -32,8 +33,9 @@
 
 // Directory knows the processes of the fleet. It begins with the seeds'
 // addresses and learns the rest by exchanging hellos of constant size: oneself,
-// every core and a sample of the others. One goroutine owns it; readers load
-// an immutable table.
+// every core and a sample of the others, often while there is news and seldom
+// after. What a core's feed and pings tell of processes is taken in as well.
+// One goroutine owns it; readers load an immutable table.
 type Directory struct {
 	clock   kernel.Clock
 	pool    *Pool
@@ -41,6 +43,7 @@
 	self    func() *wire.Process
 	counter uint64
 	random  *rand.Rand
+	news    kernel.Time // when a process or an incarnation was last new
 	hellos  chan []*wire.Process
 	table   atomic.Pointer[map[string]Sight]
 }
@@ -120,11 +123,12 @@
 
 // Serve keeps the directory until the context ends.
 func (d *Directory) Serve(ctx kernel.Context) error {
+	d.news = d.clock.Now()
 	d.merge([]*wire.Process{d.ownRecord()})
 	for {
 		wait := helloInterval
-		if len(*d.table.Load()) < 2 {
-			wait = helloWhileAlone
+		if len(*d.table.Load()) < 2 || d.clock.Now().Sub(d.news) < helloSettle {
+			wait = helloBusy
 		}
 		d.greet(ctx)
 		wake, stop := kernel.Timer(wait)
@@ -153,22 +157,19 @@
 
 func (d *Directory) greet(ctx kernel.Context) {
 	own, _ := d.Process(d.self().Name)
-	targets := map[string]bool{}
-	if len(d.seeds) > 0 {
-		targets[d.seeds[d.random.IntN(len(d.seeds))]] = true
+	targets := append([]string(nil), d.seeds...)
+	for _, s := range d.Sights() {
+		targets = append(targets, s.Process.Address)
 	}
-	if len(*d.table.Load()) < 2 {
-		for _, seed := range d.seeds {
-			targets[seed] = true
-		}
+	targets = slices.DeleteFunc(targets, func(address string) bool { return address == own.Address })
+	if len(targets) == 0 {
+		return
 	}
-	sights := d.Sights()
-	for i := 0; i < helloFanout && len(sights) > 0; i++ {
-		targets[sights[d.random.IntN(len(sights))].Process.Address] = true
+	if len(*d.table.Load()) >= 2 {
+		targets = targets[d.random.IntN(len(targets)):][:1]
 	}
-	delete(targets, own.Address)
 	known := d.sample()
-	for address := range targets {
+	for _, address := range targets {
 		go func() {
 			callCtx, cancel := kernel.WithTimeout(ctx, helloTimeout)
 			defer cancel()
@@ -207,6 +208,9 @@
 			continue
 		}
 		have, ok := next[r.Name]
+		if !ok || r.Incarnation > have.Process.Incarnation || changed(r, have.Process) {
+			d.news = now
+		}
 		if !ok || newer(r, have.Process) {
 			next[r.Name] = Sight{Process: proto.Clone(r).(*wire.Process), Seen: now}
 		}
@@ -214,6 +218,21 @@
 	d.table.Store(&next)
 }
 
+// Learn takes in what other ways have told of processes. It never waits.
+func (d *Directory) Learn(records []*wire.Process) {
+	select {
+	case d.hellos <- records:
+	default:
+	}
+}
+
+// changed tells whether a newer record says something that others should know
+// soon.
+func changed(a, b *wire.Process) bool {
+	return newer(a, b) && (a.Address != b.Address || a.Standing != b.Standing || a.Formation != b.Formation ||
+		a.Ready != b.Ready || a.Leaving != b.Leaving)
+}
+
 func newer(a, b *wire.Process) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
--- a/internal/adapter/internalrpc/pool.go
+++ b/internal/adapter/internalrpc/pool.go
@@ -21,8 +21,10 @@
 const (
 	secretHeader = "Stepwick-Secret"
 	messageBound = 64 << 20
+	compressFrom = 16 << 10
 	headerBound  = 16 << 10
-	idleTimeout  = 90 * kernel.Second
+	idleClient   = 3 * kernel.Second // keeps the calls to cores on one connection, not those to seldom peers
+	idleServer   = 20 * kernel.Second
 )
 
 // Pool hands out clients by address. Calls to the process's own address stay
@@ -45,8 +47,8 @@
 		secret: secret, own: own,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         dial,
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     idleClient,
 			DisableCompression:  true,
 		}},
 	}
@@ -95,7 +97,8 @@
 // Handler serves the peer protocol to callers that know the fleet's secret;
 // others get kernel.BadSecret before their body is read.
 func Handler(peer wireconnect.PeerHandler, secret string) http.Handler {
-	path, inner := wireconnect.NewPeerHandler(peer, connect.WithReadMaxBytes(messageBound), connect.WithInterceptors(faultInterceptor()))
+	path, inner := wireconnect.NewPeerHandler(peer, connect.WithReadMaxBytes(messageBound),
+		connect.WithCompressMinBytes(compressFrom), connect.WithInterceptors(faultInterceptor()))
 	want := sha256.Sum256([]byte(secret))
 	mux := http.NewServeMux()
 	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -131,6 +134,6 @@
 func Server(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, MaxHeaderBytes: headerBound,
-		ReadHeaderTimeout: 5 * kernel.Second, ReadTimeout: 30 * kernel.Second, IdleTimeout: 2 * idleTimeout,
+		ReadHeaderTimeout: 5 * kernel.Second, ReadTimeout: 30 * kernel.Second, IdleTimeout: idleServer,
 	}
 }
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/merge"
@@ -36,7 +37,17 @@
 // member of the roster and a directory's sight for one that isn't on it yet.
 const (
 	pingFresh  = 1500 * kernel.Millisecond
-	sightFresh = 4 * kernel.Second
+	sightFresh = 30 * kernel.Second
+)
+
+// A roster of up to pingWhole members is pinged as a whole at each interval.
+// Of a larger one only pingShare members are, in turn, while the grant stands,
+// so that the cost of a node does not grow with the fleet; once no majority of
+// cores has renewed for half of the TTL all are, pingBurst at once.
+const (
+	pingWhole = 32
+	pingShare = 2
+	pingBurst = 64
 )
 
 // Follower owns a front's control state. All fields below inbox belong to the
@@ -67,6 +78,8 @@
 	pinging  map[string]bool
 	contact  map[string]kernel.Time // last answer of each peer
 	asked    map[string]kernel.Time // first ping of each peer that is still unanswered
+	words    map[string]word        // what each peer last said of itself
+	turn     int
 	again    map[string]bool
 	behind   map[string]uint64
 	fetching bool
@@ -82,6 +95,13 @@
 	open   bool
 }
 
+// word is what a peer says of itself in its answer to a ping; it is newer than
+// the directory's record of the same incarnation.
+type word struct {
+	incarnation    uint64
+	ready, leaving bool
+}
+
 type standing struct {
 	epoch       uint64
 	unconfirmed bool
@@ -93,7 +113,7 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, again: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, words: map[string]word{}, again: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -133,8 +153,9 @@
 	if !req.Unconfirmed {
 		f.post(func() { f.holder.Known(req.Epoch); f.judge() })
 	}
-	s := f.pinged.Load()
-	return &wire.PingResponse{Name: f.name, Incarnation: f.config.Self().Incarnation, Epoch: s.epoch, Unconfirmed: s.unconfirmed}, nil
+	s, own := f.pinged.Load(), f.config.Self()
+	return &wire.PingResponse{Name: f.name, Incarnation: own.Incarnation, Epoch: s.epoch, Unconfirmed: s.unconfirmed,
+		Ready: own.Ready, Leaving: own.Leaving}, nil
 }
 
 // Fetch answers a process that is behind with the whole state.
@@ -267,45 +288,67 @@
 	f.offset.Store(int64(all[(len(all)-1)/2]))
 }
 
+// pingAll pings those whose turn it is; see pingWhole.
 func (f *Follower) pingAll() {
-	own := f.config.Self()
-	s := f.pinged.Load()
-	for _, name := range rosterNames(f.state) {
-		peer, known := f.peers.Process(name)
-		if name == f.name || !known || f.pinging[name] {
-			continue
+	roster := rosterNames(f.state)
+	targets := roster
+	if len(roster) > pingWhole && !f.wavering() {
+		targets = nil
+		for range pingShare {
+			f.turn = (f.turn + 1) % len(roster)
+			targets = append(targets, roster[f.turn])
 		}
-		f.pinging[name] = true
-		sent := f.clock.Now()
-		if _, open := f.asked[name]; !open {
-			f.asked[name] = sent
+	}
+	for _, name := range targets {
+		if len(f.pinging) >= pingBurst {
+			break
 		}
-		go func() {
-			ctx, cancel := kernel.WithTimeout(f.ctx, f.config.PingEvery)
-			defer cancel()
-			resp, err := f.peers.Client(peer.Address).Ping(ctx, connect.NewRequest(&wire.PingRequest{
-				From: own.Name, Incarnation: own.Incarnation, Epoch: s.epoch, Unconfirmed: s.unconfirmed}))
-			f.post(func() {
-				f.pinging[name] = false
-				switch {
-				case err == nil && resp.Msg.Name == name:
-					f.contact[name] = f.clock.Now()
-					delete(f.asked, name)
-					f.heard(peer, sent, resp.Msg)
-				case err != nil && port.Refused(err):
-					delete(f.contact, name)
-					f.asked[name] = kernel.Time{}
-					f.holder.Refused(name, f.clock.Now())
-				}
-				f.judge()
-			})
-		}()
+		f.ping(name)
 	}
 	f.judge()
 }
 
+// wavering tells whether the grant is half way to its lapse.
+func (f *Follower) wavering() bool {
+	verdict := f.holder.Ruling(f.clock.Now())
+	return !verdict.Ruling || verdict.By != grant.ByGrant || verdict.Until.Sub(f.clock.Now()) < f.config.GrantTTL/2
+}
+
+func (f *Follower) ping(name string) {
+	peer, known := f.peers.Process(name)
+	if name == f.name || !known || f.pinging[name] {
+		return
+	}
+	f.pinging[name] = true
+	own, s, sent := f.config.Self(), f.pinged.Load(), f.clock.Now()
+	if _, open := f.asked[name]; !open {
+		f.asked[name] = sent
+	}
+	go func() {
+		ctx, cancel := kernel.WithTimeout(f.ctx, f.config.PingEvery)
+		defer cancel()
+		resp, err := f.peers.Client(peer.Address).Ping(ctx, connect.NewRequest(&wire.PingRequest{
+			From: own.Name, Incarnation: own.Incarnation, Epoch: s.epoch, Unconfirmed: s.unconfirmed}))
+		f.post(func() {
+			delete(f.pinging, name)
+			switch {
+			case err == nil && resp.Msg.Name == name:
+				f.contact[name] = f.clock.Now()
+				delete(f.asked, name)
+				f.heard(peer, sent, resp.Msg)
+			case err != nil && port.Refused(err):
+				delete(f.contact, name)
+				f.asked[name] = kernel.Time{}
+				f.holder.Refused(name, f.clock.Now())
+			}
+			f.judge()
+		})
+	}()
+}
+
 func (f *Follower) heard(peer *wire.Process, sent kernel.Time, resp *wire.PingResponse) {
 	f.holder.Heard(resp.Name, resp.Incarnation, sent, resp.Epoch, resp.Unconfirmed)
+	f.words[resp.Name] = word{incarnation: resp.Incarnation, ready: resp.Ready, leaving: resp.Leaving}
 	if resp.Epoch > f.state.Epoch && !resp.Unconfirmed {
 		f.fetch(peer.Address)
 	}
@@ -494,6 +537,10 @@
 	var live []*wire.Process
 	for _, s := range f.config.Sighted() {
 		p := s.Process
+		if said, ok := f.words[p.Name]; ok && said.incarnation >= p.Incarnation && (said.ready != p.Ready || said.leaving != p.Leaving) {
+			p = proto.Clone(p).(*wire.Process)
+			p.Ready, p.Leaving = said.ready, said.leaving
+		}
 		if !p.Front || p.Leaving {
 			continue
 		}
