--- a/sim/route/sim_test.go
+++ b/sim/route/sim_test.go
@@ -90,6 +90,27 @@
 	}
 }
 
+// TestQuickRestart crashes servers that are back, cold, before any watcher saw
+// them gone. Until their new status arrives the fronts know them only by the
+// refusals, so that the ramp's bound may be passed, but by few.
+func TestQuickRestart(t *testing.T) {
+	const most = 8
+	worst := 0
+	for _, seed := range seeds(4) {
+		cfg := today(seed)
+		for i := range 6 {
+			cfg.Faults = append(cfg.Faults, crash(20+4*i, 3*i), Fault{time.Duration(20+4*i)*time.Second + 200*time.Millisecond, 3 * i, "cold"})
+		}
+		for _, l := range Run(cfg).Servers {
+			worst = max(worst, l.Excess)
+			if l.Excess > most {
+				t.Errorf("seed %d: %s had %d in flight beyond its ramp", seed, l.Server, l.Excess)
+			}
+		}
+	}
+	t.Logf("at most %d beyond the ramp", worst)
+}
+
 func TestJudgeSeesFloods(t *testing.T) {
 	cfg := today(1)
 	cfg.Faults = []Fault{crash(20, 3), cold(22, 3)}
