Pass over holders that refuse connections, and tell the tally who is silent

Ruled out: taking the dead off the roster sooner, which the confirmation rule forbids. Change: the follower's view names the members that are not known to be gone (a refused ping until the next answer) and the silent ones among them; the tally chooses holders among the former. Conclusion: a refusal is seen by every front within a ping, so they agree on the next holder.

--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -78,6 +78,7 @@
 	pinging  map[string]bool
 	contact  map[string]kernel.Time // last answer of each peer
 	asked    map[string]kernel.Time // first ping of each peer that is still unanswered
+	refused  map[string]bool        // peers whose last answer was a refused connection
 	words    map[string]word        // what each peer last said of itself
 	turn     int
 	again    map[string]bool
@@ -113,7 +114,7 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, words: map[string]word{}, again: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]bool{}, words: map[string]word{}, again: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -335,10 +336,11 @@
 			case err == nil && resp.Msg.Name == name:
 				f.contact[name] = f.clock.Now()
 				delete(f.asked, name)
+				delete(f.refused, name)
 				f.heard(peer, sent, resp.Msg)
 			case err != nil && port.Refused(err):
 				delete(f.contact, name)
-				f.asked[name] = kernel.Time{}
+				f.asked[name], f.refused[name] = kernel.Time{}, true
 				f.holder.Refused(name, f.clock.Now())
 			}
 			f.judge()
@@ -557,6 +559,22 @@
 	return live
 }
 
+// split tells of the roster who is not known to be gone, and who of those is
+// silent. A peer that refuses connections is gone until it answers again.
+func (f *Follower) split(roster []string) (live, silent []string) {
+	now := f.clock.Now()
+	for _, name := range roster {
+		if f.refused[name] {
+			continue
+		}
+		live = append(live, name)
+		if asked, open := f.asked[name]; open && now.Sub(asked) >= pingFresh {
+			silent = append(silent, name)
+		}
+	}
+	return live, silent
+}
+
 // takePlan drops a plan of a lower (term, number).
 func (f *Follower) takePlan(plan *wire.Plan) bool {
 	if plan == nil {
@@ -577,6 +595,7 @@
 	if old.State.Epoch != f.state.Epoch {
 		view.Roster = rosterNames(f.state)
 	}
+	view.Live, view.Silent = f.split(view.Roster)
 	f.view.Store(view)
 	next := make(chan struct{})
 	close(*f.changed.Swap(&next))
--- a/internal/node/follow/view.go
+++ b/internal/node/follow/view.go
@@ -22,6 +22,8 @@
 	Verdict grant.Verdict
 	Fronts  []*wire.Process // live fronts by name; Ready tells which take traffic
 	Roster  []string        // names of the fronts on the roster, sorted
+	Live    []string        // those of them that are not known to be gone
+	Silent  []string        // those of the live ones that don't answer
 }
 
 // Status is the JSON form of a front's control state.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,8 +132,9 @@
 	var err error
 	p.spend, err = spend.New(spend.Config{
 		Self: p.base.Name, Incarnation: p.base.Incarnation, Metrics: registry,
+		Silent: func() []string { return p.follower.View().Silent },
 		Tally: tally.Config{Window: values.Duration("quota_window"), Slices: values.Int("quota_slices"), Interval: values.Duration("tally.interval")},
-	}, p.directory, clock, p.follower.FleetNow, func() []string { return p.follower.View().Roster }, log)
+	}, p.directory, clock, p.follower.FleetNow, func() []string { return p.follower.View().Live }, log)
 	if err != nil {
 		return nil, err
 	}
