Route a service where servers are when the plan names none of their regions

With the planner gone the last plan may name only regions that died since, while others came back. Such a service goes by shares worked out at the front from the sheet in force; all else stays with the plan.

--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -1,12 +1,15 @@
 package route
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"stepwick/internal/core/plan"
+	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
 )
 
 const (
@@ -172,35 +175,52 @@
 var noWheel wheel
 
 // turnWheels sets the wheels by the plan's shares, minus the regions that have
-// no server left. A plan older than the sheet in force is overruled by shares
-// worked out here from that sheet, so that no older sheet rules on through its
-// plan.
+// no server left. Two things are worked out here from the sheet in force: all
+// shares, when the plan is older than the sheet, so that no older sheet rules on
+// through its plan; and those of a service to which the plan gives no region
+// that has a server.
 func (t *Table) turnWheels() {
 	old := t.shares
 	t.shares = map[shareKey]*wheel{}
 	if t.view.Plan == nil || t.view.State.Sheet == nil {
 		return
 	}
-	shares := t.view.Plan.Shares
-	if t.view.Plan.Epoch < t.view.State.SheetEpoch {
-		shares = plan.Shares(t.view.State, t.view.Servers, nil, t.cfg.Policy)
+	if t.view.Plan.Epoch >= t.view.State.SheetEpoch {
+		t.spoke(t.view.Plan.Shares, func(string) bool { return true })
 	}
+	stranded := map[string]bool{}
+	for service := range t.view.State.Sheet.Services {
+		w := t.shares[shareKey{service, t.cfg.Region}]
+		if w == nil || w.peek() < 0 {
+			stranded[service] = true
+		}
+	}
+	if len(stranded) > 0 {
+		here := []sheet.Member{{Name: t.cfg.Self, Region: t.cfg.Region}}
+		t.spoke(plan.Shares(t.view.State, t.view.Servers, here, t.cfg.Policy), func(service string) bool { return stranded[service] })
+	}
+	for key, w := range t.shares {
+		t.settle(key, w, old[key])
+	}
+}
+
+// spoke replaces the wheels of the wanted services by those of the shares.
+func (t *Table) spoke(shares []*wire.Share, wanted func(service string) bool) {
+	fresh := map[shareKey]*wheel{}
 	for _, share := range shares {
-		if share.Share <= 0 {
+		if share.Share <= 0 || !wanted(share.Service) {
 			continue
 		}
 		key := shareKey{share.Service, share.FromRegion}
-		w := t.shares[key]
+		w := fresh[key]
 		if w == nil {
 			w = &wheel{}
-			t.shares[key] = w
+			fresh[key] = w
 		}
 		w.spokes = append(w.spokes, spoke{region: share.ToRegion, weight: share.Share,
 			pool: t.pools[poolKey{share.Service, share.ToRegion}]})
 	}
-	for key, w := range t.shares {
-		t.settle(key, w, old[key])
-	}
+	maps.Copy(t.shares, fresh)
 }
 
 func (t *Table) settle(key shareKey, w, old *wheel) {
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -97,6 +97,21 @@
 			So(table.Choose(req, start).Fault.Code, ShouldEqual, kernel.NoServer)
 			So(table.Choose(ask(2), start).Region, ShouldEqual, "lagos")
 		})
+		Convey("goes where servers are when the plan names none of their regions", func() {
+			servers := fleet(4)
+			for _, name := range []string{"m1", "m3"} {
+				servers = with(servers, name, func(s *wire.ServerStatus) { s.Reachable = false })
+			}
+			v := viewOf(servers)
+			v.Servers = fleet(4)
+			table.Update(v, start)
+			So(table.serve(ask(1), start).Region, ShouldEqual, "lagos")
+			for _, name := range []string{"m0", "m2"} {
+				v.Servers = with(v.Servers, name, func(s *wire.ServerStatus) { s.Reachable = false })
+			}
+			table.Update(v, start)
+			So(table.serve(ask(2), start).Region, ShouldEqual, "abeokuta")
+		})
 		Convey("goes by a newer sheet at once although the plan is older", func() {
 			v := viewOf(fleet(4))
 			v.State.Epoch, v.State.SheetEpoch = 9, 9
