Read and foresee orders by the sheet's own rules in the core

Cause: the core read orders' bodies by a parser of its own beside the sheet's; two readings of one body may differ. Change: sheet.ParseOrder and State.Foresee decide; a state read from a majority still confirms a decline that the learned state alone doesn't settle. The approved transcript of declined orders changes in its wording only (and asks by names, as the field is called). Members that join and grants that are declined are logged. Measured: go test -race ./internal/node/core ./internal/core/grant passes. Conclusion: one reading of an order at every place.

--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -40,6 +40,8 @@
 	SheetMax    int             // 16 MiB
 	Merge       merge.Config
 	Policy      plan.Policy
+	// Setting checks a run-time setting of a sheet; nil lets all pass.
+	Setting func(name, value string) error
 	// FleetNow gives fleet time; the clock's own when nil.
 	FleetNow func() kernel.Time
 }
@@ -361,7 +363,11 @@
 		if accepted > c.learned() {
 			return answer{fault: kernel.Decline(kernel.NoMajority, "the ballot of epoch %d is open", accepted)}
 		}
-		return answer{resp: c.ledger.Renew(req, c.learned(), c.clock.Now())}
+		resp := c.ledger.Renew(req, c.learned(), c.clock.Now())
+		if !resp.Granted {
+			c.log.Emit(events.GrantDeclined, "member", req.Self.Name, "code", kernel.Code(resp.Decline), "epoch", req.Epoch, "learned", resp.Learned)
+		}
+		return answer{resp: resp}
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -147,7 +147,7 @@
 			s.order("c1", "ada", "patch", `{"base":0}`, 0)
 			s.order("c1", "ada", "evacuate", `{}`, 0)
 			s.order("c1", "ada", "evacuate", `{"locality":"a/b/c"}`, 0)
-			s.order("c1", "ada", "remove", `{"name":"f99"}`, 0)
+			s.order("c1", "ada", "remove", `{"names":["f99"]}`, 0)
 			s.order("c1", "ada", "sing", `{}`, 0)
 			s.say("epochs used up: %d", s.agreed.Load().state.Epoch-before)
 		},
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -1,10 +1,7 @@
 package core
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
-	"strings"
 
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/sheet"
@@ -22,17 +19,6 @@
 
 const comeBack = kernel.Second
 
-// orderBody is the JSON body of any order.
-type orderBody struct {
-	OrderID  string          `json:"order_id"`
-	Base     *uint64         `json:"base"`
-	Sheet    json.RawMessage `json:"sheet"`
-	Changes  []sheet.Change  `json:"changes"`
-	Locality string          `json:"locality"`
-	Name     string          `json:"name"`
-	Names    []string        `json:"names"`
-}
-
 type orderAnswer struct {
 	Epoch      uint64 `json:"epoch"`
 	SheetEpoch uint64 `json:"sheet_epoch"`
@@ -83,7 +69,11 @@
 	case verbStatus:
 		return c.status(ctx)
 	}
-	command, fault := c.parse(req)
+	command, fault := sheet.ParseOrder(req.Verb, req.Operator, req.Body,
+		sheet.Limits{Bytes: c.config.SheetMax, Setting: c.config.Setting}, c.config.FleetNow().UnixMilli())
+	if req.Operator == "" {
+		fault = kernel.Decline(kernel.OperatorUnknown, "the order names no operator")
+	}
 	if fault != nil {
 		c.log.Emit(events.OrderDeclined, "verb", req.Verb, "operator", req.Operator, "code", fault.Code)
 		return faulty(fault, c.agreement.Current().Epoch, ""), nil
@@ -117,11 +107,10 @@
 func (c *Core) carry(ctx kernel.Context, req *wire.OrderRequest, command sheet.Command) *wire.OrderResponse {
 	order, _ := sheet.OrderOf(command)
 	id := order.OrderID
-	if earlier, known := c.agreement.Current().Applied(id); known && earlier.Digest == order.Digest {
-		c.log.Emit(events.OrderRepeated, "order", id, "epoch", earlier.Epoch)
-		return c.await(ctx, sheet.Result{Epoch: earlier.Epoch, SheetEpoch: earlier.SheetEpoch}, id)
-	}
-	if result, done := c.foretell(ctx, command); done {
+	if result, sure := c.foretell(ctx, command); sure && result.Code == kernel.OK {
+		c.log.Emit(events.OrderRepeated, "order", id, "epoch", result.Epoch)
+		return c.await(ctx, result, id)
+	} else if sure {
 		return c.declined(req, result, id)
 	}
 	c.log.Emit(events.OrderTaken, "order", id, "verb", req.Verb, "operator", req.Operator)
@@ -141,20 +130,23 @@
 	return c.await(ctx, result, id)
 }
 
-// foretell tries a command on the learned state, and where that declines it,
-// on one read from a majority: what can't be accepted costs no ballot and
-// leaves nothing behind.
-func (c *Core) foretell(ctx kernel.Context, command sheet.Command) (sheet.Result, bool) {
+// foretell returns the result that needs no ballot: what the learned state
+// settles, and what a state read from a majority declines. What can't be
+// accepted leaves nothing behind.
+func (c *Core) foretell(ctx kernel.Context, command sheet.Command) (result sheet.Result, sure bool) {
 	state := c.agreement.Current()
-	if _, result := command.Apply(state, state.Epoch+1); result.Code == kernel.OK {
+	if result, sure = state.Foresee(command); sure {
+		return result, true
+	}
+	if _, result = command.Apply(state, state.Epoch+1); result.Code == kernel.OK {
 		return result, false
 	}
 	state, err := c.agreement.ReadMajority(ctx)
 	if err != nil {
 		return sheet.Result{}, false
 	}
-	_, result := command.Apply(state, state.Epoch+1)
-	if result.Code != kernel.OK && result.Code != kernel.BaseMoved {
+	_, result = command.Apply(state, state.Epoch+1)
+	if result.Code != kernel.BaseMoved {
 		result.Epoch = state.Epoch
 	}
 	return result, result.Code != kernel.OK
@@ -196,80 +188,6 @@
 	}
 }
 
-// parse reads an order's body; what it declines is never put to a ballot.
-func (c *Core) parse(req *wire.OrderRequest) (sheet.Command, *kernel.Fault) {
-	if req.Operator == "" {
-		return nil, kernel.Decline(kernel.OperatorUnknown, "the order names no operator")
-	}
-	if len(req.Body) > c.config.SheetMax {
-		return nil, kernel.Decline(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(req.Body), c.config.SheetMax)
-	}
-	var body orderBody
-	if fault := decode(req.Body, &body); fault != nil {
-		return nil, fault
-	}
-	order := sheet.Order{OrderID: body.OrderID, Operator: req.Operator, AtMS: c.config.FleetNow().UnixMilli()}
-	if len(body.OrderID) > 256 {
-		return nil, kernel.Decline(kernel.BadField, "order_id is longer than 256 bytes")
-	}
-	switch req.Verb {
-	case sheet.VerbPut, sheet.VerbPatch:
-		if body.Base == nil {
-			return nil, kernel.Decline(kernel.MissingField, "base")
-		}
-		order.Base = *body.Base
-	}
-	switch req.Verb {
-	case sheet.VerbPut:
-		if len(body.Sheet) == 0 {
-			return nil, kernel.Decline(kernel.MissingField, "sheet")
-		}
-		parsed, fault := sheet.ParseSheet(body.Sheet, c.config.SheetMax)
-		if fault != nil {
-			return nil, fault
-		}
-		return sheet.PutSheet{Order: order, Sheet: parsed}, nil
-	case sheet.VerbPatch:
-		if len(body.Changes) == 0 {
-			return nil, kernel.Decline(kernel.MissingField, "changes")
-		}
-		return sheet.PatchSheet{Order: order, Changes: body.Changes}, nil
-	case sheet.VerbEvacuate, sheet.VerbRestore:
-		if body.Locality == "" {
-			return nil, kernel.Decline(kernel.MissingField, "locality")
-		}
-		if req.Verb == sheet.VerbEvacuate {
-			return sheet.Evacuate{Order: order, Locality: body.Locality}, nil
-		}
-		return sheet.Restore{Order: order, Locality: body.Locality}, nil
-	case sheet.VerbRemove:
-		names := body.Names
-		if body.Name != "" {
-			names = append(names, body.Name)
-		}
-		if len(names) == 0 {
-			return nil, kernel.Decline(kernel.MissingField, "names")
-		}
-		return sheet.RemoveMembers{Order: order, Names: names, By: req.Operator}, nil
-	}
-	return nil, kernel.Decline(kernel.UnknownPath, "no verb %.40q", req.Verb)
-}
-
-func decode(data []byte, into any) *kernel.Fault {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		if strings.HasPrefix(err.Error(), "json: unknown field") {
-			return kernel.Decline(kernel.UnknownField, "%.200s", strings.TrimPrefix(err.Error(), "json: "))
-		}
-		return kernel.Decline(kernel.BadJSON, "%.200s", err.Error())
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return kernel.Decline(kernel.BadJSON, "more than one JSON value")
-	}
-	return nil
-}
-
 func answered(body any, epoch uint64) *wire.OrderResponse {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/internal/node/core/roster.go
+++ b/internal/node/core/roster.go
@@ -77,7 +77,10 @@
 	}
 	c.settleRoster(now)
 	newcomers := c.ledger.Newcomers(c.state.Roster, now)
-	if c.waited("add", len(newcomers) > 0 && c.state.Settled(), c.config.BatchFor+c.turn(), now) {
+	if !c.jobs["add"] && c.waited("add", len(newcomers) > 0 && c.state.Settled(), c.config.BatchFor+c.turn(), now) {
+		for _, member := range newcomers {
+			c.log.Emit(events.MemberJoined, "member", member.Name, "locality", sheet.Locality(member.Region, member.Zone))
+		}
 		c.propose("add", sheet.AddMembers{Members: newcomers, By: c.config.Self})
 	}
 	departed := c.ledger.Departed(c.state.Roster, c.config.RemoveAfter, now)
