Explore the ballots exhaustively and at random, and let a core that lost its disk say so

Found by the model with three wipes: a core that came back last counted the empty answers of two others that had lost their disks and began anew from nothing. A core now keeps the life it is about to announce; one that knows of a lost life declines to be rebuilt from. Found by the random runs: an announcement of a later round could land after the core entered with an earlier life, and shut it out; rounds no longer overlap there (they never did in the replica).

--- a/internal/core/ballot/proposer.go
+++ b/internal/core/ballot/proposer.go
@@ -1,6 +1,7 @@
 package ballot
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 
@@ -188,3 +189,50 @@
 	next[key] = value
 	return next
 }
+
+// Key appends a canonical form of the proposer: two that behave alike from here
+// on have the same.
+func (p Proposer) Key(to []byte) []byte {
+	to = append(to, byte(p.Phase))
+	if p.Phase == Ended {
+		return to
+	}
+	to = append(p.Ballot.key(to), p.value...)
+	for _, core := range p.Voters {
+		given, promised := p.promises[core]
+		if promised {
+			to = append(given.accepted.key(append(to, 1, byte(given.life))), given.value...)
+		}
+		life, accepted := p.accepts[core]
+		if accepted {
+			to = append(to, 2, byte(life))
+		}
+		to = append(to, 3, byte(p.lives[core]))
+		if p.answered[core] {
+			to = append(to, 4)
+		}
+	}
+	return to
+}
+
+func (b Ballot) key(to []byte) []byte {
+	return append(append(binary.AppendUvarint(to, b.Number), b.Core...), 0)
+}
+
+// Key appends a canonical form of the state.
+func (s State) Key(to []byte) []byte {
+	to = append(to, s.Formation...)
+	for _, core := range s.Voters {
+		to = binary.AppendUvarint(to, s.Lives[core])
+	}
+	to = binary.AppendUvarint(binary.AppendUvarint(to, s.Announced), s.SnapshotEpoch)
+	for _, chosen := range s.Chosen {
+		to = append(append(to, 5), chosen.Command...)
+	}
+	for _, slot := range slices.Sorted(maps.Keys(s.Votes)) {
+		vote := s.Votes[slot]
+		to = vote.Accepted.key(vote.Promised.key(binary.AppendUvarint(append(to, 6), slot)))
+		to = append(to, vote.Value...)
+	}
+	return to
+}
--- a/internal/core/ballot/record.go
+++ b/internal/core/ballot/record.go
@@ -37,7 +37,7 @@
 }
 
 // Lived keeps the disk life that another core announced or, of the core itself,
-// its first life before it is announced.
+// the life that it is about to announce.
 type Lived struct {
 	Core string
 	Life uint64
--- a/internal/core/ballot/recovery.go
+++ b/internal/core/ballot/recovery.go
@@ -11,8 +11,8 @@
 
 // Recover answers a core that enters the formation with an empty disk. The new
 // life must be synced before the answer leaves. A core that has not entered
-// answers too: with its first life if its disk proves that it never voted, and
-// else with its own life at zero, which tells the asker not to count it.
+// answers too if its disk proves that it never voted; one that lost its disk
+// declines, and marks its answer to a probe with CoreAmnesiac.
 func (s State) Recover(req *wire.RecoverRequest) ([]Record, *wire.RecoverResponse) {
 	resp := &wire.RecoverResponse{Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives()}
 	decline := func(code kernel.Code) ([]Record, *wire.RecoverResponse) {
@@ -24,6 +24,9 @@
 		return decline(kernel.CoreBlank)
 	case req.Probe:
 		resp.Ok = true
+		if s.lost() {
+			return decline(kernel.CoreAmnesiac)
+		}
 		return nil, resp
 	case req.Formation != s.Formation:
 		return decline(kernel.WrongFormation)
@@ -31,6 +34,8 @@
 		return decline(kernel.NotCore)
 	case req.Life < s.Lives[req.Core] || req.Life == 0:
 		return decline(kernel.EpochBehind)
+	case s.Life() == 0 && s.Announced != 1:
+		return decline(kernel.CoreAmnesiac)
 	}
 	lived := Lived{Core: req.Core, Life: req.Life}
 	if s.Lives[req.Core] == req.Life {
@@ -40,22 +45,34 @@
 }
 
 // NextLife returns the life with which to recover, from a probe of all other
-// voters. Without all of them it says whom it waits for. The first life is to
-// be kept in a Lived record before it is announced.
+// voters; it is to be kept in a Lived record before it is announced. Without
+// all of them it says whom it waits for. A first life, which proves that this
+// core never voted, needs the word of one that did not lose its own disk.
 func (s State) NextLife(probes map[string]*wire.RecoverResponse) (life uint64, waiting string) {
+	sure := false
 	for _, name := range s.Others() {
 		probe := probes[name]
 		if probe == nil || !probe.Ok || probe.Formation != s.Formation {
 			return 0, name
 		}
 		life = max(life, probe.Lives[s.Self])
+		if probe.Decline == 0 {
+			sure = true
+		}
 	}
 	if s.Announced > 0 && life <= s.Announced {
 		return s.Announced, ""
 	}
+	if life == 0 && !sure {
+		return 0, "a core that has its disk"
+	}
 	return life + 1, ""
 }
 
+// lost tells whether the core knows that its disk forgot a life in which it may
+// have voted.
+func (s State) lost() bool { return s.Life() == 0 && s.Announced > 1 }
+
 // Enter merges the answers of all other voters to a Recover into the one record
 // by which this core enters. It waits, and says for whom, while an answer is
 // missing or is of a core that lost its disk and has not itself recovered since.
--- a/internal/core/ballot/state.go
+++ b/internal/core/ballot/state.go
@@ -21,8 +21,9 @@
 	// Lives holds the disk lives of all voters as known here; a core's own is
 	// zero until it has entered the formation by recovery from all others.
 	Lives map[string]uint64
-	// Announced is a core's first life, kept before it is announced and before
-	// it has entered: this disk proves that the core has never voted.
+	// Announced is the core's own life from before it is announced until it has
+	// entered. The first life proves that the core has never voted; a later one
+	// that its votes of an earlier life are lost.
 	Announced     uint64
 	SnapshotEpoch uint64
 	Snapshot      []byte         // the agreed state at SnapshotEpoch; opaque here
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -325,7 +325,7 @@
 		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once all others answer; it waits for %s", waiting))
 		return
 	}
-	if life == 1 && state.Announced == 0 && !r.join(ctx, ballot.Lived{Core: r.cfg.Self, Life: 1}, "announces its first life") {
+	if life != state.Announced && !r.join(ctx, ballot.Lived{Core: r.cfg.Self, Life: life}, "announces its disk life") {
 		return
 	}
 	if life > 1 {
--- /dev/null
+++ b/sim/ballots/random.go
@@ -0,0 +1,619 @@
+package ballots
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepwick/internal/core/ballot"
+	"stepwick/internal/wire"
+)
+
+// Faults are the rates of a random run. Times are in virtual milliseconds.
+type Faults struct {
+	Until     int64   // when faults end and the cores must come to agree
+	Loss      float64 // of a message
+	Duplicate float64 // of a request
+	Every     int64   // between two faults: a crash, a wipe, a cut or a slow disk
+	Wipes     float64 // share of the crashes that lose the disk
+	Late      float64 // share of the messages that take up to 2 s
+	Patience  int64   // how long a proposer waits for answers
+	TwoWipes  bool    // a second disk may be lost while the first is being rebuilt
+	Flaw      Flaw    // Sound, LifeForgotten or RebuildWithout
+}
+
+// Outcome of a random run.
+type Outcome struct {
+	Chosen    int // slots
+	Crashes   int
+	Wipes     int
+	Snapshots int
+	Events    int
+	Lost      bool // two disks were lost at once: the cores wait, as they must
+	Violation string
+}
+
+const (
+	compactEvery = 12
+	settleTime   = 20_000
+	entryTimeout = 600
+)
+
+// Run plays one seed: three cores found a formation and agree on commands
+// while messages are lost, doubled and overtaken, processes crash between an
+// append and its sync, disks are wiped and links are cut; then all heals.
+func Run(seed uint64, faults Faults) Outcome {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 7)), faults: faults, chosen: map[uint64][]byte{}}
+	for i := range s.cores {
+		s.cores[i] = &core{sim: s, index: i, state: ballot.Blank(names[i])}
+	}
+	for _, c := range s.cores {
+		s.boot(c)
+	}
+	s.after(s.between(1, faults.Every), s.fault)
+	s.after(faults.Until, s.heal)
+	for s.outcome.Violation == "" && len(s.queue) > 0 && s.now < faults.Until+settleTime {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		s.outcome.Events++
+		e.do()
+		if s.now > faults.Until && s.agreed() {
+			break
+		}
+	}
+	s.outcome.Chosen = len(s.chosen)
+	if s.outcome.Violation == "" && !s.outcome.Lost && !s.agreed() {
+		s.violate("%d ms after the last fault the cores don't agree: %s", settleTime, s.summary())
+	}
+	return s.outcome
+}
+
+type event struct {
+	at, order int64
+	do        func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type sim struct {
+	random  *rand.Rand
+	faults  Faults
+	now     int64
+	order   int64
+	queue   events
+	cores   [3]*core
+	cut     [3][3]bool
+	chosen  map[uint64][]byte
+	rolling []uint64 // digest of the first commands, by count
+	done    bool     // faults have ended
+	target  uint64   // all cores must learn this slot after the faults
+	outcome Outcome
+}
+
+// core is one process. Its state runs ahead of its disk: base and the first
+// synced records of log are what a crash leaves, and perhaps some more.
+type core struct {
+	sim       *sim
+	index     int
+	up        bool
+	life      int
+	base      ballot.State
+	log       []ballot.Record
+	synced    int
+	state     ballot.State
+	waiting   []held
+	slow      int64
+	proposals int
+	proposing int // number of the ballot under way, 0 is none
+	seen      uint64
+	entering  bool
+	round     int // of entering; answers to an earlier one come too late
+}
+
+type held struct {
+	place int
+	then  func()
+}
+
+func (s *sim) between(low, high int64) int64 { return low + s.random.Int64N(max(high-low, 1)) }
+func (s *sim) chance(p float64) bool         { return s.random.Float64() < p }
+
+func (s *sim) after(ms int64, do func()) {
+	s.order++
+	heap.Push(&s.queue, event{at: s.now + ms, order: s.order, do: do})
+}
+
+func (s *sim) violate(format string, args ...any) {
+	if s.outcome.Violation == "" {
+		s.outcome.Violation = fmt.Sprintf("at %d ms: ", s.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) summary() string {
+	text := ""
+	for _, c := range s.cores {
+		text += fmt.Sprintf("%s %s learned %d; ", c.state.Self, c.state.Standing(), c.state.Learned())
+	}
+	return text
+}
+
+// agreed tells whether all cores vote and have learned a slot chosen after the
+// last fault.
+func (s *sim) agreed() bool {
+	if !s.done || s.target == 0 {
+		return false
+	}
+	for _, c := range s.cores {
+		if c.state.Life() == 0 || c.state.Learned() < s.target {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) fault() {
+	if s.done {
+		return
+	}
+	c := s.cores[s.random.IntN(3)]
+	switch s.random.IntN(4) {
+	case 0, 1:
+		if c.up {
+			s.crash(c)
+		}
+	case 2:
+		from, to := s.random.IntN(3), s.random.IntN(3)
+		s.cut[from][to] = true
+		if s.chance(0.5) {
+			s.cut[to][from] = true
+		}
+		s.after(s.between(1, 3000), func() { s.cut[from][to], s.cut[to][from] = false, false })
+	case 3:
+		c.slow = s.between(0, 1500)
+		s.after(s.between(1, 3000), func() { c.slow = 0 })
+	}
+	s.after(s.between(1, 2*s.faults.Every), s.fault)
+}
+
+func (s *sim) heal() {
+	s.done = true
+	s.cut = [3][3]bool{}
+	for _, c := range s.cores {
+		c.slow = 0
+	}
+}
+
+func (s *sim) crash(c *core) {
+	s.outcome.Crashes++
+	c.up = false
+	c.life++
+	if s.chance(s.faults.Wipes) && s.wipeable(c) {
+		s.outcome.Wipes++
+		c.base, c.log, c.synced = ballot.Blank(c.state.Self), nil, 0
+	} else {
+		c.log = c.log[:s.random.IntN(len(c.log)-c.synced+1)+c.synced]
+	}
+	s.after(s.between(1, 600), func() { s.boot(c) })
+}
+
+// wipeable spares the last disk: with it, nothing would be left to judge by.
+func (s *sim) wipeable(c *core) bool {
+	blank := 0
+	for _, other := range s.cores {
+		if other != c && (other.durable().Life() == 0) {
+			blank++
+		}
+	}
+	if blank == 1 && s.faults.TwoWipes && c.durable().Life() != 0 && len(s.chosen) > 0 {
+		s.outcome.Lost = true
+		return true
+	}
+	return blank == 0
+}
+
+func (c *core) durable() ballot.State {
+	state := c.base
+	for _, record := range c.log[:c.synced] {
+		state = record.Fold(state)
+	}
+	return state
+}
+
+func (s *sim) boot(c *core) {
+	if c.base.Self == "" {
+		c.base = ballot.Blank(names[c.index])
+	}
+	c.up = true
+	c.state = c.base
+	for _, record := range c.log {
+		encoded, err := ballot.DecodeRecord(ballot.EncodeRecord(record))
+		if err != nil {
+			s.violate("a record can't be read back: %v", err)
+			return
+		}
+		c.state = encoded.Fold(c.state)
+	}
+	c.synced, c.waiting, c.proposing, c.entering, c.seen, c.slow = len(c.log), nil, 0, false, 0, 0
+	if s.faults.Flaw == RebuildWithout && c.state.Formation == "" && len(s.chosen) > 0 {
+		other := s.cores[(c.index+1)%3].state
+		joined := ballot.Joined{Formation: other.Formation, Voters: names}.Fold(c.state)
+		c.base = ballot.Entered{Lives: other.Lives}.Fold(joined)
+		c.state = c.base
+	}
+	c.tick(c.life)
+}
+
+func (c *core) tick(life int) {
+	if c.life != life || !c.up {
+		return
+	}
+	switch c.state.Standing() {
+	case wire.Standing_STANDING_BLANK:
+		c.seek()
+	case wire.Standing_STANDING_AMNESIAC:
+		c.enter()
+	default:
+		c.look()
+		if c.proposing == 0 {
+			c.propose()
+		}
+	}
+	c.sim.after(c.sim.between(40, 160), func() { c.tick(life) })
+}
+
+// commit appends records and folds them; a sync follows.
+func (c *core) commit(records []ballot.Record) {
+	if len(records) == 0 {
+		return
+	}
+	before := c.state
+	for _, record := range records {
+		c.log = append(c.log, record)
+		c.state = record.Fold(c.state)
+	}
+	c.check(before)
+	life := c.life
+	c.sim.after(c.sim.between(1, 8)+c.slow, func() {
+		if c.life == life {
+			c.sync()
+		}
+	})
+	if len(c.state.Chosen) > compactEvery && c.state.Life() != 0 {
+		epoch := c.state.SnapshotEpoch + uint64(c.sim.random.IntN(len(c.state.Chosen))) + 1
+		c.sim.outcome.Snapshots++
+		c.state = c.state.Compacted(epoch, binary.LittleEndian.AppendUint64(nil, c.sim.digest(epoch)))
+	}
+}
+
+func (c *core) sync() {
+	c.synced = len(c.log)
+	for len(c.waiting) > 0 && c.waiting[0].place <= c.synced {
+		then := c.waiting[0].then
+		c.waiting = c.waiting[1:]
+		then()
+	}
+	if c.synced > 40 && c.waiting == nil || c.synced > 200 {
+		whole, err := ballot.Decode(c.state.Encode())
+		if err != nil {
+			c.sim.violate("a state can't be read back: %v", err)
+		}
+		if c.state.Life() != 0 && len(c.waiting) == 0 {
+			c.base, c.log, c.synced = whole, nil, 0
+		}
+	}
+}
+
+func (c *core) whenSynced(then func()) {
+	if len(c.log) <= c.synced {
+		then()
+		return
+	}
+	c.waiting = append(c.waiting, held{place: len(c.log), then: then})
+}
+
+// check judges what the core has newly learned.
+func (c *core) check(before ballot.State) {
+	if c.state.SnapshotEpoch > before.Learned() {
+		epoch := c.state.SnapshotEpoch
+		if epoch > uint64(len(c.sim.rolling)) || !bytes.Equal(c.state.Snapshot, binary.LittleEndian.AppendUint64(nil, c.sim.digest(epoch))) {
+			c.sim.violate("%s took a snapshot of epoch %d that is not the agreed one", c.state.Self, epoch)
+		}
+	}
+	for _, chosen := range c.state.Chosen {
+		if chosen.Epoch > before.Learned() {
+			c.sim.decide(c.state.Self, chosen.Epoch, chosen.Command)
+		}
+	}
+}
+
+// decide judges that a core takes a value for chosen.
+func (s *sim) decide(who string, slot uint64, value []byte) {
+	if first, known := s.chosen[slot]; known {
+		if !bytes.Equal(first, value) {
+			s.violate("%s took %q for chosen in slot %d after %q", who, value, slot, first)
+		}
+		return
+	}
+	s.chosen[slot] = value
+	for next := uint64(len(s.rolling)) + 1; s.chosen[next] != nil; next++ {
+		s.rolling = append(s.rolling, xxhash.Sum64(binary.LittleEndian.AppendUint64(slices.Clone(s.chosen[next]), s.digest(next-1))))
+	}
+	if s.done && s.target == 0 {
+		s.target = slot
+	}
+}
+
+func (s *sim) digest(epoch uint64) uint64 {
+	if epoch == 0 || epoch > uint64(len(s.rolling)) {
+		return 0
+	}
+	return s.rolling[epoch-1]
+}
+
+// rpc calls one core: lost, doubled, late. The answer leaves when all that the
+// answerer has appended is synced, and is lost when the caller has crashed.
+func rpc[A any](from, to *core, handle func(*core) ([]ballot.Record, A), got func(A)) {
+	s, life := from.sim, from.life
+	deliver := func() {
+		if !to.up || s.cut[from.index][to.index] {
+			return
+		}
+		records, answer := handle(to)
+		to.commit(records)
+		to.whenSynced(func() {
+			if from != to && (s.chance(s.faults.Loss) && !s.done || s.cut[to.index][from.index]) {
+				return
+			}
+			s.after(s.latency(from, to), func() {
+				if from.life == life && from.up {
+					got(answer)
+				}
+			})
+		})
+	}
+	if from != to && s.chance(s.faults.Loss) && !s.done {
+		return
+	}
+	s.after(s.latency(from, to), deliver)
+	if from != to && s.chance(s.faults.Duplicate) {
+		s.after(s.latency(from, to)+s.between(0, 3000), deliver)
+	}
+}
+
+func (s *sim) latency(from, to *core) int64 {
+	if from == to {
+		return 0
+	}
+	if s.chance(s.faults.Late) && !s.done {
+		return s.between(1, 2000)
+	}
+	return s.between(1, 20)
+}
+
+// once lets only the first of several answers of a core count.
+func once[A any](do func(string, A)) func(string) func(A) {
+	heard := map[string]bool{}
+	return func(name string) func(A) {
+		return func(answer A) {
+			if !heard[name] {
+				heard[name] = true
+				do(name, answer)
+			}
+		}
+	}
+}
+
+func (c *core) others() []*core {
+	return slices.DeleteFunc(slices.Clone(c.sim.cores[:]), func(o *core) bool { return o == c })
+}
+
+func (c *core) probeAll(then func(map[string]*wire.RecoverResponse)) {
+	answers := map[string]*wire.RecoverResponse{}
+	take := once(func(name string, answer *wire.RecoverResponse) {
+		answers[name] = answer
+		if len(answers) == 2 {
+			then(answers)
+		}
+	})
+	for _, other := range c.others() {
+		rpc(c, other, func(o *core) ([]ballot.Record, *wire.RecoverResponse) {
+			return o.state.Recover(&wire.RecoverRequest{Core: c.state.Self, Probe: true})
+		}, take(other.state.Self))
+	}
+}
+
+func (c *core) seek() {
+	c.probeAll(func(answers map[string]*wire.RecoverResponse) {
+		for _, name := range names {
+			if answers[name] == nil {
+				continue
+			}
+			if record, ok := c.state.Rejoin(answers[name]); ok {
+				c.commit([]ballot.Record{record})
+				return
+			}
+		}
+		record, ok := c.state.Establish(fmt.Sprintf("%s-%d", c.state.Self, c.sim.now), 3, answers, 0, nil)
+		if !ok {
+			return
+		}
+		c.commit([]ballot.Record{record})
+		joined := record.(ballot.Joined)
+		c.whenSynced(func() {
+			for _, other := range c.others() {
+				rpc(c, other, func(o *core) ([]ballot.Record, *wire.FoundResponse) {
+					return o.state.Found(&wire.FoundRequest{Formation: joined.Formation, Voters: joined.Voters, Founder: c.state.Self})
+				}, func(*wire.FoundResponse) {})
+			}
+		})
+	})
+}
+
+func (c *core) enter() {
+	if c.entering {
+		return
+	}
+	c.entering = true
+	life := c.life
+	c.sim.after(entryTimeout+c.slow, func() {
+		if c.life == life {
+			c.entering = false
+		}
+	})
+	c.probeAll(func(probes map[string]*wire.RecoverResponse) {
+		for _, name := range names {
+			if probes[name] == nil {
+				continue
+			}
+			if record, ok := c.state.Rejoin(probes[name]); ok {
+				c.commit([]ballot.Record{record})
+				return
+			}
+		}
+		next, waiting := c.state.NextLife(probes)
+		if waiting != "" || c.state.Life() != 0 {
+			return
+		}
+		if next != c.state.Announced {
+			c.commit([]ballot.Record{ballot.Lived{Core: c.state.Self, Life: next}})
+		}
+		c.whenSynced(func() { c.announce(next) })
+	})
+}
+
+func (c *core) announce(life uint64) {
+	formation := c.state.Formation
+	c.round++
+	round := c.round
+	answers := map[string]*wire.RecoverResponse{}
+	take := once(func(name string, answer *wire.RecoverResponse) {
+		answers[name] = answer
+		if len(answers) < 2 || c.round != round || c.state.Life() != 0 || c.state.Formation != formation {
+			return
+		}
+		if record, waiting := c.state.Enter(life, answers); waiting == "" {
+			c.commit([]ballot.Record{record})
+		}
+	})
+	for _, other := range c.others() {
+		rpc(c, other, func(o *core) ([]ballot.Record, *wire.RecoverResponse) {
+			records, answer := o.state.Recover(&wire.RecoverRequest{Formation: formation, Core: c.state.Self, Life: life})
+			if c.sim.faults.Flaw == LifeForgotten {
+				records = nil
+			}
+			return records, answer
+		}, take(other.state.Self))
+	}
+}
+
+// look fetches from another core what is missing here.
+func (c *core) look() {
+	other := c.others()[c.sim.random.IntN(2)]
+	c.fetch(other)
+}
+
+func (c *core) fetch(from *core) {
+	req := &wire.FetchRequest{Formation: c.state.Formation, After: c.state.Learned()}
+	rpc(c, from, func(o *core) ([]ballot.Record, *wire.FetchResponse) {
+		resp, fault := o.state.Fetch(req)
+		if fault != nil {
+			return nil, nil
+		}
+		return nil, resp
+	}, func(resp *wire.FetchResponse) {
+		if resp != nil {
+			c.commit(c.state.Fetched(resp))
+		}
+	})
+}
+
+func (c *core) propose() {
+	s := c.sim
+	slot := c.state.Learned() + 1
+	c.proposals++
+	c.proposing = c.proposals
+	run := c.proposing
+	own := fmt.Appendf(nil, "%s/%d/%d", c.state.Self, c.life, run)
+	p, prepare := ballot.Propose(c.state, slot, max(c.state.NextNumber(slot), c.seen+1), own)
+	life := c.life
+	end := func() {
+		c.seen = p.Seen.Number
+		if c.proposing == run {
+			s.after(s.between(1, 120), func() {
+				if c.proposing == run && c.life == life {
+					c.proposing = 0
+				}
+			})
+		}
+	}
+	s.after(s.faults.Patience+c.slow, func() {
+		if c.life == life && c.proposing == run {
+			end()
+		}
+	})
+	var step ballot.Step
+	var proceed func()
+	takeAccepted := once(func(_ string, answer *wire.AcceptResponse) {
+		if c.proposing != run {
+			return
+		}
+		p, step = p.Accepted(answer)
+		proceed()
+	})
+	proceed = func() {
+		switch {
+		case step.Accept != nil:
+			accept := step.Accept
+			for _, to := range s.cores {
+				rpc(c, to, func(o *core) ([]ballot.Record, *wire.AcceptResponse) { return o.state.Accept(accept) }, takeAccepted(to.state.Self))
+			}
+		case step.Chosen:
+			s.decide(c.state.Self, slot, step.Value)
+			c.seen = 0
+			c.proposing = 0
+			learn := &wire.LearnRequest{Formation: p.Formation, Chosen: []*wire.Chosen{{Epoch: slot, Command: step.Value}}}
+			for _, to := range s.cores {
+				rpc(c, to, func(o *core) ([]ballot.Record, *wire.LearnResponse) {
+					records, resp, _ := o.state.Learn(learn)
+					return records, resp
+				}, func(*wire.LearnResponse) {})
+			}
+		case step.Behind != "":
+			for _, o := range s.cores {
+				if o.state.Self == step.Behind {
+					c.fetch(o)
+				}
+			}
+			end()
+		case step.Lost:
+			end()
+		}
+	}
+	takePrepared := once(func(_ string, answer *wire.PrepareResponse) {
+		if c.proposing != run {
+			return
+		}
+		p, step = p.Promise(answer)
+		proceed()
+	})
+	for _, to := range s.cores {
+		rpc(c, to, func(o *core) ([]ballot.Record, *wire.PrepareResponse) { return o.state.Prepare(prepare) }, takePrepared(to.state.Self))
+	}
+}
--- /dev/null
+++ b/sim/ballots/random_test.go
@@ -0,0 +1,57 @@
+package ballots
+
+import (
+	"flag"
+	"testing"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "first seed of the random runs")
+	seeds     = flag.Int("seeds", 80, "random runs for each mix of faults")
+)
+
+var mixes = map[string]Faults{
+	"calm":          {Until: 3_000, Every: 1 << 40, Patience: 300},
+	"lossy":         {Until: 8_000, Loss: 0.1, Duplicate: 0.05, Late: 0.1, Every: 4_000, Patience: 300},
+	"stormy":        {Until: 8_000, Loss: 0.05, Duplicate: 0.1, Late: 0.1, Every: 400, Wipes: 0.3, Patience: 300},
+	"wiped":         {Until: 8_000, Loss: 0.05, Duplicate: 0.1, Late: 0.1, Every: 500, Wipes: 1, Patience: 300},
+	"patient":       {Until: 8_000, Duplicate: 0.1, Late: 0.2, Every: 1_500, Wipes: 1, Patience: 1_500},
+	"wiped at once": {Until: 8_000, Loss: 0.02, Duplicate: 0.1, Late: 0.1, Every: 800, Wipes: 1, TwoWipes: true, Patience: 300},
+}
+
+func TestRandom(t *testing.T) {
+	for name, faults := range mixes {
+		t.Run(name, func(t *testing.T) {
+			var sum Outcome
+			lost := 0
+			for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+				out := Run(seed, faults)
+				if out.Violation != "" {
+					t.Fatalf("seed %d: %s", seed, out.Violation)
+				}
+				sum.Chosen += out.Chosen
+				sum.Crashes += out.Crashes
+				sum.Wipes += out.Wipes
+				sum.Snapshots += out.Snapshots
+				sum.Events += out.Events
+				if out.Lost {
+					lost++
+				}
+			}
+			t.Logf("%d seeds: %d slots chosen, %d crashes, %d wipes, %d snapshots, %d events, %d seeds lost two disks",
+				*seeds, sum.Chosen, sum.Crashes, sum.Wipes, sum.Snapshots, sum.Events, lost)
+		})
+	}
+}
+
+func TestRandomFindsAFlaw(t *testing.T) {
+	faults := mixes["wiped"]
+	faults.Flaw = RebuildWithout
+	for seed := uint64(1); seed <= 300; seed++ {
+		if out := Run(seed, faults); out.Violation != "" {
+			t.Logf("seed %d: %s", seed, out.Violation)
+			return
+		}
+	}
+	t.Error("none of 300 seeds shows that a wiped core votes at once")
+}
