Walk whole nodes through faults in virtual time, judged by the keys they take

Cause: the decision packages are explored by themselves; their wiring wasn't, and runs of real processes are slow. Change: sim/fleet starts nine nodes by the program's own RunIn over a network in memory inside a synctest bubble; kills, wiped disks, isolated nodes and splits of any shape come at random while an operator replaces the only key; a node that takes an older key 2.5 s after a newer one was acknowledged, steps back, or loses an acknowledged key at the end is a violation. The pool of the tally's reply channels belongs to its owner now: a pool of the package carried channels from one bubble into the next.

--- a/internal/node/spend/shard.go
+++ b/internal/node/spend/shard.go
@@ -24,7 +24,9 @@
 	answer chan tally.Decision
 }
 
-var asks = sync.Pool{New: func() any { return &ask{answer: make(chan tally.Decision, 1)} }}
+func newAsks() *sync.Pool {
+	return &sync.Pool{New: func() any { return &ask{answer: make(chan tally.Decision, 1)} }}
+}
 
 type hold struct {
 	*ask
--- a/internal/node/spend/spend.go
+++ b/internal/node/spend/spend.go
@@ -4,6 +4,8 @@
 package spend
 
 import (
+	"sync"
+
 	"slices"
 
 	"connectrpc.com/connect"
@@ -43,6 +45,7 @@
 	metrics  *metrics
 	shards   []*shard
 	keeper   *keeper
+	asks     *sync.Pool // of *ask
 }
 
 // New returns the tally's runtime; it decides nothing before Serve runs.
@@ -70,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "register the tally's metrics")
 	}
-	s := &Spend{config: config, peers: peers, clock: clock, fleetNow: fleetNow, roster: roster, log: log, metrics: metrics}
+	s := &Spend{config: config, peers: peers, clock: clock, fleetNow: fleetNow, roster: roster, log: log, metrics: metrics, asks: newAsks()}
 	s.keeper = newKeeper(s)
 	for i := range config.Shards {
 		s.shards = append(s.shards, newShard(s, i))
@@ -102,7 +105,7 @@
 // well below its limit for an exchange with the holder, HoldFor at the longest.
 // When ctx ends first the request is declined and adds nothing.
 func (s *Spend) Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision {
-	ask := asks.Get().(*ask)
+	ask := s.asks.Get().(*ask)
 	ask.ended, ask.tenant, ask.tokens, ask.terms = ctx.Done(), tenant, tokens, terms
 	select {
 	case s.shardOf(tenant).asks <- ask:
@@ -112,7 +115,7 @@
 	select {
 	case decision := <-ask.answer:
 		ask.ended = nil
-		asks.Put(ask)
+		s.asks.Put(ask)
 		s.metrics.count(decision)
 		return decision
 	case <-ctx.Done():
--- /dev/null
+++ b/sim/fleet/fleet.go
@@ -0,0 +1,279 @@
+// Package fleet runs whole nodes, as the program runs them, over a network in
+// memory and in virtual time. It must be used inside a synctest bubble. What
+// it judges is seen from outside: which key a node takes tells the epoch that
+// it rules by.
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node"
+	"stepwick/internal/settings"
+	"stepwick/sim/memnet"
+)
+
+const (
+	cores       = 3
+	operatorKey = "the operator's key"
+	servers     = "127.0.3.1"
+	outside     = "127.0.4.1"
+)
+
+// Place of node i: three zones in two regions.
+func place(i int) (region, zone string) {
+	return []string{"lagos", "lagos", "abeokuta"}[i%3], []string{"a", "b", "a"}[i%3]
+}
+
+// Fleet is a number of nodes with one web server and a platform beside them.
+type Fleet struct {
+	Net    *memnet.Network
+	ctx    kernel.Context
+	folder string
+	nodes  []*member
+	client *http.Client
+	served map[string]string
+}
+
+type member struct {
+	index int
+	stop  kernel.Cancel
+	ended chan error
+}
+
+func host(i int) string { return fmt.Sprintf("127.0.2.%d", i+1) }
+
+// Start starts a fleet of n nodes of which the first three are cores; their
+// disks lie in folder. The fleet ends with the context.
+func Start(ctx kernel.Context, n int, folder string) (*Fleet, error) {
+	f := &Fleet{Net: memnet.New(ctx), ctx: ctx, folder: folder}
+	f.client = &http.Client{Transport: &http.Transport{DialContext: f.Net.Dialer(outside), DisableKeepAlives: true}}
+	if err := f.standIns(); err != nil {
+		return nil, err
+	}
+	for i := range n {
+		f.nodes = append(f.nodes, &member{index: i})
+		if err := f.Up(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) standIns() error {
+	platform := map[string]any{"servers": []map[string]any{{"name": "web1", "address": servers + ":80", "kind": "web",
+		"services": []string{"outage"}, "region": "lagos", "zone": "a", "state": "ready"}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/servers", func(w http.ResponseWriter, r *http.Request) { kernel.Reply(w, http.StatusOK, platform) })
+	mux.HandleFunc("/v1/status", func(w http.ResponseWriter, r *http.Request) {
+		kernel.Reply(w, http.StatusOK, map[string]any{"server": "web1", "incarnation": 1, "state": "ready", "slots": 64, "answered": 1000})
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Stepwick-Request-Id", r.Header.Get("Stepwick-Request-Id"))
+		kernel.Reply(w, http.StatusOK, map[string]any{"ran": r.Header.Get("Stepwick-Request-Id")})
+	})
+	listener, err := f.Net.Listen(servers + ":80")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: mux}
+	kernel.AfterFunc(f.ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (f *Fleet) settings(i int) ([]byte, string) {
+	region, zone := place(i)
+	role := node.RoleFront
+	var seeds []string
+	for step := 1; step <= 3; step++ {
+		seeds = append(seeds, host((i+step)%max(4, len(f.nodes)))+":7001")
+	}
+	s := map[string]string{"name": fmt.Sprintf("n%d", i), "region": region, "zone": zone,
+		"listen.caller": host(i) + ":7000", "listen.internal": host(i) + ":7001", "seeds": strings.Join(seeds, ","),
+		"platform.url": "http://" + servers + ":80/servers", "fleet.secret": "a secret of the simulated fleet",
+		"operator.keys": "ada:" + sheet.HashKey(operatorKey), "drain.grace": "1s"}
+	if i < cores {
+		role = node.RoleCore
+		s["data"] = f.disk(i)
+	}
+	text, _ := yaml.Marshal(s)
+	return text, role
+}
+
+func (f *Fleet) disk(i int) string { return filepath.Join(f.folder, fmt.Sprintf("n%d", i)) }
+
+// Up starts node i, which must be down.
+func (f *Fleet) Up(i int) error {
+	m := f.nodes[i]
+	text, role := f.settings(i)
+	if role == node.RoleCore {
+		if err := os.MkdirAll(f.disk(i), 0o700); err != nil {
+			return err
+		}
+	}
+	values, problems := settings.Read("simulated", text, nil, role)
+	if len(problems) > 0 {
+		return errors.New(problems[0].String())
+	}
+	ctx, stop := kernel.WithCancel(f.ctx)
+	m.stop, m.ended = stop, make(chan error, 1)
+	world := node.World{Clock: kernel.System(), Listen: f.Net.Listen, Dial: f.Net.Dialer(host(i))}
+	go func() { m.ended <- node.RunIn(ctx, world, role, values, events.Discard) }()
+	return nil
+}
+
+// Kill ends node i as a lost process does: its connections break at once and
+// nothing that it does afterwards is heard.
+func (f *Fleet) Kill(i int) {
+	m := f.nodes[i]
+	f.Net.Down(host(i))
+	for j := range f.nodes {
+		f.Net.Cut(host(i), host(j), true)
+	}
+	f.Net.Cut(host(i), servers, true)
+	m.stop()
+	<-m.ended
+	f.Net.Down(host(i))
+	for j := range f.nodes {
+		f.Net.Cut(host(i), host(j), false)
+	}
+	f.Net.Cut(host(i), servers, false)
+	m.stop = nil
+}
+
+// Running tells whether node i is up.
+func (f *Fleet) Running(i int) bool { return f.nodes[i].stop != nil }
+
+// Wipe empties the disk of core i, which must be down.
+func (f *Fleet) Wipe(i int) error { return os.RemoveAll(f.disk(i)) }
+
+// Split cuts the nodes of one side from all others, in silence; callers and
+// operators reach both sides.
+func (f *Fleet) Split(side map[int]bool, cut bool) {
+	for i := range f.nodes {
+		for j := range i {
+			if side[i] != side[j] {
+				f.Net.Cut(host(i), host(j), cut)
+			}
+		}
+	}
+}
+
+// Close ends every node and the network.
+func (f *Fleet) Close() {
+	for i, m := range f.nodes {
+		if m.stop != nil {
+			f.Kill(i)
+		}
+	}
+	f.Net.Close()
+}
+
+// Answer is what a caller or an operator got. Status 0 means none.
+type Answer struct {
+	Status     int
+	Code       kernel.Code  `json:"code"`
+	Epoch      uint64       `json:"epoch"`
+	SheetEpoch uint64       `json:"sheet_epoch"`
+	InForce    bool         `json:"in_force"`
+	Sheet      *sheet.Sheet `json:"sheet"`
+}
+
+func (f *Fleet) call(i int, method, path, key string, body any, wait kernel.Duration) (answer Answer) {
+	var data io.Reader
+	if body != nil {
+		text, _ := json.Marshal(body)
+		data = bytes.NewReader(text)
+	}
+	ctx, cancel := kernel.WithTimeout(f.ctx, wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+host(i)+":7000"+path, data)
+	if err != nil {
+		return answer
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return answer
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&answer) == nil {
+		answer.Status = resp.StatusCode
+	}
+	return answer
+}
+
+// Key k belongs to the sheets from order k on, until the next.
+func key(k int) string { return fmt.Sprintf("key %d", k) }
+
+// Ask sends a one-shot with key k to node i.
+func (f *Fleet) Ask(i, k int) Answer {
+	return f.call(i, http.MethodGet, "/v1/call/outage/map", key(k), nil, kernel.Second)
+}
+
+// First puts the first sheet, with key 0, in force.
+func (f *Fleet) First(i int) Answer {
+	return f.call(i, http.MethodPut, "/v1/control/sheet", operatorKey, map[string]any{"order_id": "first", "base": 0, "sheet": sheetOf()}, 10*kernel.Second)
+}
+
+func sheetOf() *sheet.Sheet {
+	return &sheet.Sheet{Services: map[string]sheet.Service{"outage": {Kind: "web"}},
+		Weights: map[string]map[string]float64{"outage": {"lagos": 1}},
+		Tenants: map[string]sheet.Tenant{"civic": {Rate: 1e6, Burst: 1e6, KeyHashes: []string{sheet.HashKey(key(0))}}}}
+}
+
+// Change puts key k in the place of the one before, on a base, through node i.
+func (f *Fleet) Change(i, k int, base uint64) Answer {
+	return f.call(i, http.MethodPatch, "/v1/control/sheet", operatorKey, map[string]any{"order_id": fmt.Sprintf("order %d", k), "base": base,
+		"changes": []map[string]any{{"path": "tenants.civic.keys", "value": []string{sheet.HashKey(key(k))}}}}, 10*kernel.Second)
+}
+
+// Read reads the sheet back through node i.
+func (f *Fleet) Read(i int) Answer {
+	return f.call(i, http.MethodGet, "/v1/control/sheet", operatorKey, nil, 5*kernel.Second)
+}
+
+// Holds tells whether a sheet that was read back holds key k.
+func (a Answer) Holds(k int) bool {
+	return a.Sheet != nil && len(a.Sheet.Tenants["civic"].KeyHashes) == 1 && a.Sheet.Tenants["civic"].KeyHashes[0] == sheet.HashKey(key(k))
+}
+
+// Draw returns a random source that a seed reproduces.
+func Draw(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0x5749434b)) }
+
+// standing asks core i for its standing.
+func (f *Fleet) standing(i int) string {
+	ctx, cancel := kernel.WithTimeout(f.ctx, 2*kernel.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host(i)+":7000/v1/control/status", nil)
+	if err != nil {
+		return ""
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var status struct {
+		Node struct {
+			Standing string `json:"standing"`
+		} `json:"node"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&status)
+	return status.Node.Standing
+}
--- a/sim/memnet/memnet.go
+++ b/sim/memnet/memnet.go
@@ -6,6 +6,7 @@
 
 import (
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 
@@ -14,6 +15,8 @@
 	"stepwick/internal/kernel"
 )
 
+const dialTimeout = 2 * kernel.Second
+
 // Network connects hosts named by their IP numbers.
 type Network struct {
 	calls chan func(*state)
@@ -99,6 +102,20 @@
 	})
 }
 
+// Close resets every connection and closes every listener.
+func (n *Network) Close() {
+	n.do(func(s *state) {
+		for address, l := range s.listeners {
+			l.shut()
+			delete(s.listeners, address)
+		}
+		for c := range s.conns {
+			_ = c.Conn.Close()
+			delete(s.conns, c)
+		}
+	})
+}
+
 // Listen opens a listener at an address, ip:port.
 func (n *Network) Listen(address string) (net.Listener, error) {
 	l := &listener{network: n, address: address, accepted: make(chan net.Conn, 128), closed: make(chan struct{})}
@@ -118,12 +135,12 @@
 func (n *Network) Dialer(host string) func(ctx kernel.Context, network, address string) (net.Conn, error) {
 	return func(ctx kernel.Context, network, address string) (net.Conn, error) {
 		var l *listener
-		var cut *atomic.Bool
+		ended, cut := true, false
 		var near, far *conn
 		to := hostOf(address)
 		n.do(func(s *state) {
-			cut = s.flag(host, to)
-			if l = s.listeners[address]; l == nil || cut.Load() {
+			ended, cut = false, s.flag(host, to).Load()
+			if l = s.listeners[address]; l == nil || cut {
 				return
 			}
 			a, b := net.Pipe()
@@ -132,12 +149,11 @@
 			near.other, far.other = far, near
 			s.conns[near], s.conns[far] = struct{}{}, struct{}{}
 		})
-		if cut == nil {
+		if ended {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: net.ErrClosed}
 		}
-		if cut.Load() {
-			<-ctx.Done()
-			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		if cut {
+			return nil, n.unanswered(ctx, network)
 		}
 		if l == nil {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
@@ -153,6 +169,18 @@
 	}
 }
 
+// unanswered waits as long as a dial without an answer does.
+func (n *Network) unanswered(ctx kernel.Context, network string) error {
+	wait, stop := kernel.Timer(dialTimeout)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-wait:
+	case <-n.ended:
+	}
+	return &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+}
+
 type listener struct {
 	network  *Network
 	address  string
