Log what peers, grants, keys and localities do, and name the cores that can't be reached

Cause: the catalogue names events that on-call people are told to look for and that nothing emitted; an unreachable control said only how many cores are known. Change: the follower emits grants gained and lapsed, ruling by the roster, peers that refuse, fall silent, come back or restart, keys revoked and localities evacuated or restored with an epoch; the directory says when no seed answers, a secret differs or a name is taken twice; an order's fault names each core with refused or silent; status tells how long ago a process was seen. Conclusion: nothing decides by these; they are for people.

--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
@@ -39,6 +40,7 @@
 type Directory struct {
 	clock   kernel.Clock
 	pool    *Pool
+	log     events.Log
 	seeds   []string
 	self    func() *wire.Process
 	counter uint64
@@ -50,10 +52,10 @@
 
 // NewDirectory returns a directory. Self gives the process's own record
 // without counter at each call; seeds are internal addresses, ip:port.
-func NewDirectory(pool *Pool, clock kernel.Clock, seeds []string, self func() *wire.Process) *Directory {
+func NewDirectory(pool *Pool, clock kernel.Clock, log events.Log, seeds []string, self func() *wire.Process) *Directory {
 	name := self().Name
 	d := &Directory{
-		clock: clock, pool: pool, seeds: seeds, self: self,
+		clock: clock, pool: pool, log: log, seeds: seeds, self: self,
 		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
 		hellos: make(chan []*wire.Process, 64),
 	}
@@ -175,6 +177,7 @@
 			defer cancel()
 			resp, err := d.pool.Client(address).Hello(callCtx, connect.NewRequest(&wire.HelloRequest{Self: own, Known: known}))
 			if err != nil {
+				d.failed(address, err)
 				return
 			}
 			records := resp.Msg.Known
@@ -189,6 +192,17 @@
 	}
 }
 
+// failed logs a hello that a stranger declined, and while nobody else is known
+// any that failed.
+func (d *Directory) failed(address string, err error) {
+	switch {
+	case connect.CodeOf(err) == connect.CodePermissionDenied:
+		d.log.Emit(events.SecretDeclined, "address", address)
+	case len(*d.table.Load()) < 2:
+		d.log.Emit(events.SeedsUnreachable, "address", address, "error", err)
+	}
+}
+
 // merge keeps the record with the higher (incarnation, counter) of each name.
 func (d *Directory) merge(records []*wire.Process) {
 	now := d.clock.Now()
@@ -205,6 +219,9 @@
 			continue
 		}
 		if r.Name == own.Name && r.Incarnation != own.Incarnation {
+			if r.Incarnation > own.Incarnation && r.Address != own.Address {
+				d.log.Emit(events.NameTaken, "name", r.Name, "address", r.Address)
+			}
 			continue
 		}
 		have, ok := next[r.Name]
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -86,6 +86,9 @@
 	fetching bool
 	feed     place
 	ruling   bool
+	ruledBy  grant.By
+	presence map[string]presence
+	lives    map[string]uint64
 }
 
 type place struct {
@@ -114,7 +117,7 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]bool{}, words: map[string]word{}, again: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]bool{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -337,11 +340,15 @@
 				f.contact[name] = f.clock.Now()
 				delete(f.asked, name)
 				delete(f.refused, name)
+				f.noticePeer(name, answers, resp.Msg.Incarnation)
 				f.heard(peer, sent, resp.Msg)
 			case err != nil && port.Refused(err):
 				delete(f.contact, name)
 				f.asked[name], f.refused[name] = kernel.Time{}, true
+				f.noticePeer(name, refuses, 0)
 				f.holder.Refused(name, f.clock.Now())
+			case f.clock.Now().Sub(f.asked[name]) >= pingFresh && !f.refused[name]:
+				f.noticePeer(name, silent, 0)
 			}
 			f.judge()
 		})
@@ -365,13 +372,9 @@
 	}
 	f.lapse.Store(&until)
 	f.pinged.Store(&standing{epoch: f.state.Epoch, unconfirmed: f.holder.Unconfirmed()})
+	f.noticeVerdict(verdict)
 	if verdict.Ruling != f.ruling {
 		f.ruling = verdict.Ruling
-		if f.ruling {
-			f.log.Emit(events.RulingRegained, "by", verdict.By, "epoch", f.state.Epoch)
-		} else {
-			f.log.Emit(events.RulingLost, "epoch", f.state.Epoch)
-		}
 		f.publish()
 	}
 }
@@ -427,11 +430,12 @@
 
 // rule takes up a newer state: it is published before it is confirmed.
 func (f *Follower) rule(state sheet.State) {
+	old := f.state
 	f.state, f.held = state, true
 	f.holder.SetRoster(state.Roster, state.PriorRoster)
 	f.publish()
 	f.holder.Confirm(state.Epoch)
-	f.log.Emit(events.EpochLearned, "epoch", state.Epoch, "sheet_epoch", state.SheetEpoch)
+	f.noticeState(old, state)
 	f.judge()
 	for _, core := range f.cores() {
 		f.renew(core)
@@ -467,9 +471,12 @@
 			f.feed.open = false
 			if err != nil {
 				f.feed = place{}
-				f.log.Emit(events.FeedSwitched, "core", core.Name, "error", err)
+				f.log.Emit(events.FeedBehind, "core", core.Name, "error", err)
 				return
 			}
+			if at.core != "" && at.core != core.Name {
+				f.log.Emit(events.FeedSwitched, "from", at.core, "to", core.Name)
+			}
 			f.takeFeed(core.Name, resp.Msg)
 		})
 	}()
--- /dev/null
+++ b/internal/node/follow/notice.go
@@ -0,0 +1,93 @@
+package follow
+
+import (
+	"slices"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+)
+
+// noticeVerdict logs when what the node rules by changes.
+func (f *Follower) noticeVerdict(verdict grant.Verdict) {
+	if verdict.By == f.ruledBy {
+		return
+	}
+	was := f.ruledBy
+	f.ruledBy = verdict.By
+	epoch := f.state.Epoch
+	if was == grant.ByGrant {
+		f.log.Emit(events.GrantLapsed, "epoch", epoch)
+	}
+	switch verdict.By {
+	case grant.ByGrant:
+		f.log.Emit(events.GrantGained, "epoch", epoch)
+	case grant.ByRoster:
+		f.log.Emit(events.RulingByRoster, "epoch", epoch)
+	}
+	if (was == grant.ByNone || was == "") != (verdict.By == grant.ByNone) {
+		if verdict.Ruling {
+			f.log.Emit(events.RulingRegained, "by", verdict.By, "epoch", epoch)
+		} else {
+			f.log.Emit(events.RulingLost, "epoch", epoch)
+		}
+	}
+}
+
+// noticeState logs what a newer state takes away or gives back.
+func (f *Follower) noticeState(old, state sheet.State) {
+	f.log.Emit(events.EpochLearned, "epoch", state.Epoch, "sheet_epoch", state.SheetEpoch)
+	for locality := range state.Evacuated {
+		if _, before := old.Evacuated[locality]; !before {
+			f.log.Emit(events.LocalityEvacuated, "locality", locality, "epoch", state.Epoch)
+		}
+	}
+	for locality := range old.Evacuated {
+		if _, still := state.Evacuated[locality]; !still {
+			f.log.Emit(events.LocalityRestored, "locality", locality, "epoch", state.Epoch)
+		}
+	}
+	if old.Sheet == nil || state.Sheet == nil || old.Sheet == state.Sheet {
+		return
+	}
+	for name, tenant := range old.Sheet.Tenants {
+		kept := state.Sheet.Tenants[name].KeyHashes
+		for _, hash := range tenant.KeyHashes {
+			if !slices.Contains(kept, hash) {
+				f.log.Emit(events.KeyRevoked, "tenant", name, "epoch", state.Epoch)
+			}
+		}
+	}
+}
+
+// presence is how a peer last met a ping.
+type presence string
+
+const (
+	answers presence = "answers"
+	silent  presence = "silent"
+	refuses presence = "refuses"
+)
+
+// noticePeer logs when a peer's presence changes or it has restarted.
+func (f *Follower) noticePeer(name string, now presence, incarnation uint64) {
+	was, known := f.presence[name]
+	f.presence[name] = now
+	if now == answers {
+		if before := f.lives[name]; before != 0 && incarnation > before {
+			f.log.Emit(events.PeerRestarted, "peer", name, "incarnation", incarnation)
+		}
+		f.lives[name] = max(f.lives[name], incarnation)
+	}
+	if was == now || (!known && now == answers) {
+		return
+	}
+	switch now {
+	case answers:
+		f.log.Emit(events.PeerBack, "peer", name)
+	case refuses:
+		f.log.Emit(events.PeerRefused, "peer", name)
+	case silent:
+		f.log.Emit(events.PeerSilent, "peer", name)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 		Incarnation: uint64(clock.Now().UnixNano()),
 	}
 	p.pool = internalrpc.NewPool(world.Dial, p.base.Address, values.String("fleet.secret"))
-	p.directory = internalrpc.NewDirectory(p.pool, clock, values.Strings("seeds"), p.self)
+	p.directory = internalrpc.NewDirectory(p.pool, clock, log, values.Strings("seeds"), p.self)
 	p.follower = follow.New(follow.Config{
 		Self: p.self, GrantTTL: values.Duration("grant.ttl"), RenewEvery: values.Duration("grant.renew"),
 		PingEvery: values.Duration("ping.interval"), FeedWait: values.Duration("feed.wait"),
@@ -133,7 +133,7 @@
 	p.spend, err = spend.New(spend.Config{
 		Self: p.base.Name, Incarnation: p.base.Incarnation, Metrics: registry,
 		Silent: func() []string { return p.follower.View().Silent },
-		Tally: tally.Config{Window: values.Duration("quota_window"), Slices: values.Int("quota_slices"), Interval: values.Duration("tally.interval")},
+		Tally:  tally.Config{Window: values.Duration("quota_window"), Slices: values.Int("quota_slices"), Interval: values.Duration("tally.interval")},
 	}, p.directory, clock, p.follower.FleetNow, func() []string { return p.follower.View().Live }, log)
 	if err != nil {
 		return nil, err
@@ -271,7 +271,8 @@
 	Caller   string `json:"caller"`
 	Core     bool   `json:"core"`
 	Standing string `json:"standing,omitempty"`
-	Ready    bool   `json:"ready"`
+	Ready    bool   `json:"ready"`   // as it last said
+	SeenMS   int64  `json:"seen_ms"` // since it was last seen to live
 }
 
 func standingName(s wire.Standing) string {
@@ -289,9 +290,14 @@
 	if p.replica != nil {
 		s.Standing, s.Formation = standingName(p.replica.Standing()), p.replica.Formation()
 	}
-	for _, known := range p.directory.Processes() {
-		record := processRecord{Name: known.Name, Locality: sheet.Locality(known.Region, known.Zone),
-			Address: known.Address, Caller: known.CallerAddress, Core: known.Core, Ready: known.Ready}
+	ready := map[string]bool{}
+	for _, live := range p.follower.View().Fronts {
+		ready[live.Name] = live.Ready
+	}
+	for _, sight := range p.directory.Sights() {
+		known := sight.Process
+		record := processRecord{Name: known.Name, Locality: sheet.Locality(known.Region, known.Zone), Address: known.Address,
+			Caller: known.CallerAddress, Core: known.Core, Ready: ready[known.Name], SeenMS: p.clock.Now().Sub(sight.Seen).Milliseconds()}
 		if known.Core {
 			record.Standing = standingName(known.Standing)
 		}
@@ -331,6 +337,8 @@
 		supervisor.Add(service{"core", p.core.Serve})
 	}
 	done := supervisor.ServeBackground(serving)
+	p.log.Emit(events.ListenerOpened, "listener", "caller", "address", p.caller.Addr().String())
+	p.log.Emit(events.ListenerOpened, "listener", "internal", "address", p.internal.Addr().String())
 	p.log.Emit(events.ProcessStarted, "name", p.base.Name, "role", p.role, "locality", sheet.Locality(p.base.Region, p.base.Zone),
 		"caller", p.base.CallerAddress, "internal", p.base.Address, "incarnation", p.base.Incarnation)
 	select {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"sort"
+	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"stepwick/internal/kernel"
 	"stepwick/internal/port"
@@ -48,6 +50,7 @@
 		answers <- relayed{resp: resp.Msg, core: core.Name}
 	}
 	next, open, reached := 0, 0, false
+	var met []string
 	send := func() {
 		if next < len(cores) {
 			go ask(cores[next])
@@ -62,7 +65,7 @@
 		select {
 		case <-ctx.Done():
 			stop()
-			return pending(req, last)
+			return pending(req, last, met)
 		case <-hedge:
 			send()
 		case got := <-answers:
@@ -74,14 +77,17 @@
 			if got.err == nil {
 				last = got.resp
 			}
-			reached = reached || (got.err != nil && !port.Refused(got.err) && kernel.AsFault(got.err).Code == kernel.Internal)
+			if got.err != nil {
+				reached = reached || !port.Refused(got.err)
+				met = append(met, got.core+" "+how(got.err))
+			}
 			send()
 		}
 	}
 	if last == nil && !reached {
-		return nil, kernel.Decline(kernel.CoreUnreachable, "%d of %d cores known, none could be reached", len(cores), len(cores)).After(kernel.Second)
+		return nil, kernel.Decline(kernel.CoreUnreachable, "no core of %d could be reached: %s", len(cores), strings.Join(met, ", ")).After(kernel.Second)
 	}
-	return pending(req, last)
+	return pending(req, last, met)
 }
 
 // settles tells whether a core's answer ends the call; other cores may do
@@ -94,14 +100,29 @@
 	return true
 }
 
-func pending(req *wire.OrderRequest, last *wire.OrderResponse) (*wire.OrderResponse, error) {
+func pending(req *wire.OrderRequest, last *wire.OrderResponse, met []string) (*wire.OrderResponse, error) {
 	if last != nil {
 		return last, nil
 	}
+	why := "no core answered in time"
+	if len(met) > 0 {
+		why += ": " + strings.Join(met, ", ")
+	}
 	if readOnly(req.Verb) {
-		return nil, kernel.Decline(kernel.NoMajority, "no core answered in time").After(kernel.Second)
+		return nil, kernel.Decline(kernel.NoMajority, "%s", why).After(kernel.Second)
 	}
-	return nil, kernel.Decline(kernel.OutcomePending, "no core answered in time; send the order again with its id").After(kernel.Second)
+	return nil, kernel.Decline(kernel.OutcomePending, "%s; send the order again with its id", why).After(kernel.Second)
+}
+
+// how says in a word what became of a call.
+func how(err error) string {
+	switch {
+	case port.Refused(err):
+		return "refused"
+	case errors.Is(err, kernel.DeadlineExceeded), errors.Is(err, kernel.Canceled):
+		return "silent"
+	}
+	return err.Error()
 }
 
 func readOnly(verb string) bool { return verb == "get" || verb == "history" || verb == "status" }
