Let answers go out at the end, and decline a stream that can't be seen to be cut

Cause: the end of the listener closed connections on which the last answers were still being written; a write deadline of one call outlived it on a kept-alive connection and met /metrics and the operators' calls; over HTTP/1.0 a cut stream ends like a whole one.

--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -80,6 +80,7 @@
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, fault := requestID(r.Header)
 	w.Header().Set(HeaderRequestID, id)
+	_ = http.NewResponseController(w).SetWriteDeadline(kernel.Time{})
 	for path, handler := range a.mounts {
 		if r.URL.Path == path || strings.HasSuffix(path, "/") && strings.HasPrefix(r.URL.Path, path) {
 			handler.ServeHTTP(w, r)
@@ -88,7 +89,6 @@
 	}
 	x := &exchange{api: a, writer: w, r: r, head: Head{ID: id, Arrived: a.calls.Arrived()}}
 	defer x.recover()
-	_ = http.NewResponseController(w).SetWriteDeadline(kernel.Time{})
 	if fault == nil {
 		fault = x.answer()
 	}
@@ -225,6 +225,9 @@
 }
 
 func servePrompt(x *exchange) *kernel.Fault {
+	if !x.r.ProtoAtLeast(1, 1) {
+		return kernel.Decline(kernel.BadField, "a stream needs HTTP/1.1, in which a cut can be told from an end")
+	}
 	data, fault := x.body()
 	if fault != nil {
 		return fault
--- a/internal/adapter/clientapi/clientapi_test.go
+++ b/internal/adapter/clientapi/clientapi_test.go
@@ -209,6 +209,7 @@
 		{"a bad request id", get("/v1/connect", "Authorization: Bearer k\nStepwick-Request-Id: a b\n"), kernel.BadField},
 		{"a long request id", get("/v1/connect", "Stepwick-Request-Id: "+strings.Repeat("x", 200)+"\n"), kernel.BadField},
 		{"an unknown path", get("/v2/else", keyed), kernel.UnknownPath},
+		{"a protocol that ends by closing", strings.Replace(post(whole), "HTTP/1.1", "HTTP/1.0", 1), kernel.BadField},
 		{"a climbing path", get("/v1/../../etc", keyed), kernel.UnknownPath},
 		{"another method", request("DELETE", "/v1/prompt", keyed, ""), kernel.BadMethod},
 		{"a trace", request("TRACE", "/v1/call/s/", keyed, ""), kernel.BadMethod},
@@ -305,7 +306,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			calls := &fakeCalls{events: []string{`{"seq":0}`}, ended: make(chan error, 1)}
 			listener := newPipeListener()
-			api := New(Limits{Requests: 1, Connections: 2}, calls, kernel.System(), nil)
+			mounts := map[string]http.Handler{"/metrics": http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "up 1") })}
+			api := New(Limits{Requests: 1, Connections: 2}, calls, kernel.System(), mounts)
 			server := api.Server()
 			go server.Serve(api.Bounded(listener))
 			defer server.Close()
@@ -314,8 +316,8 @@
 			bufio.NewReader(first).ReadString('}')
 			second := listener.dial()
 			reader := bufio.NewReader(second)
-			ask := func() int {
-				go io.WriteString(second, "GET /v1/connect HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer k\r\n\r\n")
+			ask := func(target string) int {
+				go io.WriteString(second, "GET "+target+" HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer k\r\n\r\n")
 				answer, err := http.ReadResponse(reader, nil)
 				if err != nil {
 					t.Fatal(err)
@@ -323,14 +325,17 @@
 				io.Copy(io.Discard, answer.Body)
 				return answer.StatusCode
 			}
-			if status := ask(); status != 503 {
+			if status := ask("/v1/connect"); status != 503 {
 				t.Errorf("status %d while the bound is reached", status)
 			}
 			first.Close()
 			<-calls.ended
 			<-time.After(20 * time.Second)
-			if status := ask(); status != 200 {
-				t.Errorf("status %d on the kept connection later", status)
+			for _, target := range []string{"/v1/connect", "/metrics"} {
+				if status := ask(target); status != 200 {
+					t.Errorf("status %d on the kept connection later", status)
+				}
+				<-time.After(20 * time.Second)
 			}
 			second.Close()
 		})
--- a/internal/adapter/clientapi/parse.go
+++ b/internal/adapter/clientapi/parse.go
@@ -99,6 +99,9 @@
 }
 
 func (l Limits) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *kernel.Fault) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
 	if r.ContentLength > l.BodyMax {
 		return nil, kernel.Decline(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
 	}
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -89,12 +89,12 @@
 	if err != nil {
 		return nil, err
 	}
-	metrics, err := newMetrics(registry)
+	scribe := newScribe()
+	metrics, err := newMetrics(registry, scribe)
 	if err != nil {
 		return nil, errors.Wrap(err, "register the front's metrics")
 	}
-	f := &Front{config: config, views: views, admit: admit, clock: clock, log: log, client: client, metrics: metrics, ended: make(chan struct{})}
-	f.scribe = newScribe()
+	f := &Front{config: config, views: views, admit: admit, clock: clock, log: log, client: client, metrics: metrics, scribe: scribe, ended: make(chan struct{})}
 	f.pulse = newPulse(clock)
 	f.keeper = newKeeper(views, clock, config.CutAfter, f.ended)
 	f.router = newRouter(route.New(config.Route), config.Name, views, clock, log, f.ended)
@@ -134,14 +134,22 @@
 // Handler answers callers.
 func (f *Front) Handler() http.Handler { return f.api }
 
-// Listen answers callers on a listener until the context ends; then it closes
-// what is still open. Drain comes before.
+// Listen answers callers on a listener until the context ends; then it lets
+// answers that are being written go out, for a second at most, and closes what
+// is still open. Drain comes before.
 func (f *Front) Listen(ctx kernel.Context, listener net.Listener) error {
 	server := f.api.Server()
-	stop := kernel.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := kernel.AfterFunc(ctx, func() {
+		defer close(closed)
+		last, cancel := kernel.WithTimeout(kernel.Background(), kernel.Second)
+		defer cancel()
+		_ = server.Shutdown(last)
+		_ = server.Close()
+	})
 	err := server.Serve(f.api.Bounded(listener))
-	if errors.Is(err, http.ErrServerClosed) {
+	if !stop() {
+		<-closed
 		return ctx.Err()
 	}
 	return errors.Wrap(err, "serve callers")
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -706,6 +706,22 @@
 			f.expect("drained", <-drained, nil)
 		})
 	})
+	Convey("An answer that is being written when the listener ends goes out whole", t, func() {
+		within(t, func(t *testing.T) {
+			body := strings.Repeat("x", 1<<19)
+			f := newFleet(t, "web", 8, saying("HTTP/1.1 200 OK\nStepwick-Request-Id: ID\nContent-Length: 524288\n\n"+body))
+			caller := f.call()
+			caller.send("GET", "/v1/call/orders/", "r1", "", "")
+			if _, err := caller.reader.Peek(10); err != nil {
+				f.t.Fatal(err)
+			}
+			stopped := make(chan struct{})
+			go func() { f.stop(); close(stopped) }()
+			synctest.Wait()
+			f.expect("answer", caller.answer() == answer{200, 0, body, true}, true)
+			<-stopped
+		})
+	})
 	Convey("What outlasts the grace is cut with an error event", t, func() {
 		within(t, func(t *testing.T) {
 			f := newFleet(t, "model", 8, streaming(50, time.Second))
--- a/internal/node/front/metrics.go
+++ b/internal/node/front/metrics.go
@@ -18,7 +18,7 @@
 	store      prometheus.Counter
 }
 
-func newMetrics(registry prometheus.Registerer) (*metrics, error) {
+func newMetrics(registry prometheus.Registerer, scribe *scribe) (*metrics, error) {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "stepwick_requests_total",
 			Help: "Requests by service and result code."}, []string{"service", "code"}),
@@ -37,7 +37,10 @@
 		store: prometheus.NewCounter(prometheus.CounterOpts{Name: "stepwick_tally_unreachable_declines_total",
 			Help: "Requests declined because the tenant's count is out of reach and this node's share is spent."}),
 	}
-	for _, collector := range []prometheus.Collector{m.requests, m.firstEvent, m.eventGap, m.inFlight, m.retries, m.quota, m.store} {
+	for _, collector := range []prometheus.Collector{m.requests, m.firstEvent, m.eventGap, m.inFlight, m.retries, m.quota, m.store,
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stepwick_explain_dropped_total",
+			Help: "Entries of the explain journal that were dropped because its owner was behind."},
+			func() float64 { return float64(scribe.dropped.Load()) })} {
 		if err := registry.Register(collector); err != nil {
 			return nil, err
 		}
