--- a/internal/core/tally/blend.go
+++ b/internal/core/tally/blend.go
@@ -95,7 +95,7 @@
 	}
 	half := min(tokens, e.limit) / 2
 	switch {
-	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit-e.kept):
+	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit*(1+c.Slack)-e.kept):
 		return overLimit
 	case c.has(Bound) && e.recent+half > e.limit*(1+c.Band)-e.kept && e.recent > 0:
 		return overLimit
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -12,7 +12,7 @@
 	holdBelow   = 0.9 // part of the limit below which a request may be held for an exchange
 	sendAt      = 0.25
 	usageOf     = 8   // of a window, the part over which usage is weighed, up to where all is known
-	askFor      = 3   // intervals after its last request for which a tenant's totals are asked for
+	askFor      = 2   // intervals after its last request for which a tenant's totals are asked for
 	activeFor   = 4   // intervals without counts after which a front is missed
 	missedFor   = 12  // intervals for which a missed front of which nothing is told is taken for silent
 	unsure      = 0.1 // part of its budget that a front spends before the first answer after a silence of its own
@@ -132,6 +132,10 @@
 		d.Hold = b.config.has(Hold) && e.recent+tokens/2 <= holdBelow*e.limit
 		b.hurry(a, true)
 	}
+	if d.Hold {
+		d.RetryAfter = b.config.Interval
+		return d
+	}
 	if d.RetryAfter = a.opens(&b.config, b.grid, now, tokens); !b.config.has(MarkEnds) {
 		d.RetryAfter = max(d.RetryAfter, a.marked.Sub(now))
 	}
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -173,9 +173,9 @@
 // keep sets apart what silent fronts may spend on their own: the higher of an
 // even part and the middle between that and the share last told. A front is
 // silent if it is told so, or if it stopped in the middle of an exchange and
-// nothing is told of it yet. Of what even parts add to the middles, a quarter
-// of the limit is let go, and a quarter is never kept, so that neither side of
-// a cut starves.
+// nothing is told of it yet. Of what even parts add to the middles, 0.15 of
+// the limit is let go, and a quarter is never kept, so that neither side of a
+// cut starves.
 func (l *Ledger) keep(t *held, now kernel.Time) {
 	t.kept, t.met = 0, 0
 	even := 1 / float64(max(1, len(l.roster)))
@@ -204,7 +204,7 @@
 			most += even
 		}
 	}
-	t.kept = min(0.75, max(least, most-0.25))
+	t.kept = min(0.75, max(least, most-0.15))
 }
 
 func (l *Ledger) restarted(t *held, front source) bool {
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -34,8 +34,8 @@
 	Interval kernel.Duration // between two exchanges with a holder, 200 ms
 	Lag      kernel.Duration // how far a holder's totals may be behind the other fronts' adds, 300 ms
 	Band     float64         // part of the limit by which the spend of the last window's span may pass it while the blend is below, 0.06
-	Floor    float64         // part of the room that is shared evenly, whatever the usage, 0.4
-	Slack    float64         // part of the limit that all fronts together may overspend, 0.04
+	Floor    float64         // part of the room that is shared evenly, whatever the usage, 0.6
+	Slack    float64         // part of the limit that all fronts together may overspend, 0.045
 	Without  Exception       // exceptions left out, for measurement
 }
 
@@ -56,10 +56,10 @@
 		c.Band = 0.06
 	}
 	if c.Floor <= 0 {
-		c.Floor = 0.4
+		c.Floor = 0.6
 	}
 	if c.Slack <= 0 {
-		c.Slack = 0.04
+		c.Slack = 0.045
 	}
 	return c
 }
