Leave a node without a caller address of its own out of connect

Cause: the answering node named itself with an empty address when its configuration gave none. Change: it is then named by its record in the view, like the others. Also tested: a process that thaws without ruling passes no event on.

--- a/internal/node/front/connect.go
+++ b/internal/node/front/connect.go
@@ -42,9 +42,14 @@
 		}
 		places = append(places, p)
 	}
-	add(f.config.Name, f.config.Address, f.config.Region, f.config.Zone)
+	if f.config.Address != "" {
+		add(f.config.Name, f.config.Address, f.config.Region, f.config.Zone)
+	}
 	for _, front := range view.Fronts {
-		if front.Name != f.config.Name && front.Front && front.Ready && !front.Leaving && front.CallerAddress != "" {
+		if front.Name == f.config.Name && f.config.Address != "" {
+			continue
+		}
+		if front.Front && front.Ready && !front.Leaving && front.CallerAddress != "" {
 			add(front.Name, front.CallerAddress, front.Region, front.Zone)
 		}
 	}
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -646,6 +646,18 @@
 			f.expect("runs of the declined one", f.runs("r2"), 0)
 		})
 	})
+	Convey("A process that was frozen, and thaws without ruling, passes no event on", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(100, time.Second))
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", 100*time.Second)
+			caller.event()
+			f.views.ruling.Store(false)
+			f.clock.by.Add(int64(5 * time.Second))
+			f.expect("cut", strings.Contains(caller.event(), "2006"), true)
+		})
+	})
 	Convey("A process that was frozen past a stream's deadline passes no event on after the thaw", t, func() {
 		within(t, func(t *testing.T) {
 			f := newFleet(t, "model", 8, streaming(100, time.Second))
