Log by number what calls come to: cut, crossed, amiss, short, unknown, ejected

Cause: the front had three events with numbers of its own outside the catalogue, and said nothing of cut streams, crossed answers, unknown outcomes, ejected servers or a plan grown stale. Change: events come from the catalogue, one by each final code and one by each bad answer, with request, service and server; once a second at most the routing table is surveyed for ejections and the plan's age.

--- a/internal/adapter/backend/backend.go
+++ b/internal/adapter/backend/backend.go
@@ -72,11 +72,13 @@
 	Refused   Kind = "refused"   // unsent, because the server refused the connection
 	Barred    Kind = "barred"    // unsent, because the request may no longer be sent
 	Withdrawn Kind = "withdrawn" // unsent, because the caller or the front gave the request up
-	Busy    Kind = "busy"    // the server said that it did not start
-	Dark    Kind = "dark"    // written; the server was silent for too long
-	Broken  Kind = "broken"  // written; the connection ended early
-	Crossed Kind = "crossed" // the answer is another request's or breaks the protocol
-	Gone    Kind = "gone"    // written; the caller or the front gave the request up
+	Busy      Kind = "busy"      // the server said that it did not start
+	Dark      Kind = "dark"      // written; the server was silent for too long
+	Broken    Kind = "broken"    // written; the connection ended early
+	Short     Kind = "short"     // written; the answer's body is not whole
+	Crossed   Kind = "crossed"   // the answer is another request's or breaks the protocol
+	Amiss     Kind = "amiss"     // an event is missing or came twice, or the count is wrong
+	Gone      Kind = "gone"      // written; the caller or the front gave the request up
 )
 
 // Failure is what became of an attempt that gave no whole answer.
--- a/internal/adapter/backend/call.go
+++ b/internal/adapter/backend/call.go
@@ -47,11 +47,11 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.BodyMax+1))
 	switch {
 	case err != nil:
-		return nil, record.failure(ctx, err)
+		return nil, short(record.failure(ctx, err))
 	case int64(len(body)) > c.config.BodyMax:
 		return nil, &Failure{Kind: Crossed, Detail: "the answer is over " + strconv.FormatInt(c.config.BodyMax, 10) + " bytes"}
 	case !measured(shot.Method, response):
-		return nil, &Failure{Kind: Broken, Detail: "the answer tells no length, so that it can't be known to be whole"}
+		return nil, &Failure{Kind: Short, Detail: "the answer tells no length, so that it can't be known to be whole"}
 	case response.Header.Get(HeaderRequestID) != attempt.ID:
 		return nil, &Failure{Kind: Crossed, Detail: "the answer names request " + strconv.Quote(response.Header.Get(HeaderRequestID))}
 	case response.StatusCode < 200 || response.StatusCode > 599:
@@ -60,6 +60,13 @@
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+func short(failure *Failure) *Failure {
+	if failure.Kind == Broken {
+		failure.Kind = Short
+	}
+	return failure
+}
+
 // measured tells whether an answer's end can be told from a cut.
 func measured(method string, response *http.Response) bool {
 	return method == http.MethodHead || response.ContentLength >= 0 ||
--- a/internal/adapter/backend/stream.go
+++ b/internal/adapter/backend/stream.go
@@ -150,11 +150,11 @@
 	case body.Final && body.Count == nil:
 		return Event{}, &Failure{Kind: Crossed, Detail: "the final event has no count"}
 	case body.Final && *body.Count != next:
-		return Event{}, &Failure{Kind: Crossed, Detail: "the final event counts " + strconv.Itoa(*body.Count) + " of " + strconv.Itoa(next) + " events"}
+		return Event{}, &Failure{Kind: Amiss, Detail: "the final event counts " + strconv.Itoa(*body.Count) + " of " + strconv.Itoa(next) + " events"}
 	case body.Final:
 		return Event{Data: data, Seq: -1, Final: true}, nil
 	case body.Seq == nil || *body.Seq != next:
-		return Event{}, &Failure{Kind: Crossed, Detail: "an event is out of its order after " + strconv.Itoa(next) + " events"}
+		return Event{}, &Failure{Kind: Amiss, Detail: "an event is out of its order after " + strconv.Itoa(next) + " events"}
 	}
 	return Event{Data: data, Seq: next}, nil
 }
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -119,7 +119,7 @@
 	}()
 	supervisor := suture.New("front", suture.Spec{EventHook: func(event suture.Event) {
 		if failed, ok := event.(suture.EventServicePanic); ok {
-			f.log.Emit(OwnerBroke, "owner", failed.ServiceName, "panic", failed.PanicMsg)
+			f.log.Emit(events.OwnerBroke, "owner", failed.ServiceName, "panic", failed.PanicMsg)
 		}
 	}})
 	supervisor.Add(f.pulse)
@@ -180,7 +180,7 @@
 
 // Broke logs a panic while a request was served.
 func (f *Front) Broke(id string, panicked any) {
-	f.log.Emit(RequestBroke, "request", id, "panic", panicked)
+	f.log.Emit(events.RequestBroke, "request", id, "panic", panicked)
 }
 
 // rules tells whether this node may decide on a new request now.
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -30,6 +30,7 @@
 	numbers atomic.Uint64
 	seen    *follow.View
 	pending map[string]*seat
+	survey  survey
 }
 
 // seat is one request's place at a server, or among the pending requests.
@@ -103,7 +104,7 @@
 		if panicked == nil {
 			return
 		}
-		r.log.Emit(RouteBroke, "panic", panicked)
+		r.log.Emit(events.RouteBroke, "panic", panicked)
 		if s != nil {
 			r.deliver(s, route.Choice{Fault: kernel.Decline(kernel.NoServer, "a fault of the program; see the log").After(kernel.Second)})
 		}
@@ -126,7 +127,9 @@
 		return
 	}
 	r.seen = view
-	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, r.clock.Now())
+	now := r.clock.Now()
+	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, now)
+	r.survey.look(r.table, view.Plan, now, r.log)
 }
 
 func readyFronts(fronts []*wire.Process) []string {
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -11,6 +11,7 @@
 	"stepwick/internal/core/route"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/stage"
 )
@@ -24,7 +25,7 @@
 	id      string
 	service string // as metrics name it
 	arrived kernel.Time
-	tokens  float64
+	server  string // the last one tried
 	request route.Request
 }
 
@@ -40,7 +41,12 @@
 }
 
 // Declined counts a request that never became a call.
-func (f *Front) Declined(fault *kernel.Fault) { f.metrics.ended(unknownService, fault) }
+func (f *Front) Declined(fault *kernel.Fault) {
+	f.metrics.ended(unknownService, fault)
+	if fault.Code == kernel.SlowBody {
+		f.log.Emit(events.SlowCaller, "detail", fault.Detail)
+	}
+}
 
 func tenantOf(index *sheet.Index, key string) (string, sheet.Tenant, bool) {
 	if index == nil || index.Sheet() == nil {
@@ -91,9 +97,45 @@
 	}
 	c.note(Entry{Outcome: c.outcome(fault)})
 	c.front.metrics.ended(c.service, fault)
+	c.report(fault)
 	return fault
 }
 
+var reports = map[kernel.Code]events.Event{
+	kernel.OutcomeUnknown: events.OutcomeUnknown,
+	kernel.StreamCut:      events.StreamCut,
+	kernel.KeyRevoked:     events.StreamKeyRevoked,
+	kernel.PendingFull:    events.PendingFull,
+	kernel.DeadlinePassed: events.DeadlineRanOut,
+	kernel.CallerGone:     events.CallerGone,
+}
+
+func (c *call) report(fault *kernel.Fault) {
+	if fault == nil {
+		return
+	}
+	event, own := reports[fault.Code]
+	if !own {
+		event = events.RequestDeclined
+	}
+	c.front.log.Emit(event, "request", c.id, "service", c.service, "tenant", c.tenant, "server", c.server, "code", uint32(fault.Code), "detail", fault.Detail)
+}
+
+var answerReports = map[backend.Kind]events.Event{
+	backend.Crossed: events.AnswerCrossed,
+	backend.Amiss:   events.EventOutOfOrder,
+	backend.Short:   events.AnswerNotWhole,
+}
+
+func (c *call) reportAnswer(failure *backend.Failure) {
+	if failure == nil {
+		return
+	}
+	if event, found := answerReports[failure.Kind]; found {
+		c.front.log.Emit(event, "request", c.id, "service", c.service, "server", c.server, "detail", failure.Detail)
+	}
+}
+
 func (c *call) outcome(fault *kernel.Fault) *Outcome {
 	o := &Outcome{Name: kernel.OK.String(), TookMS: inMS(c.front.clock.Now().Sub(c.arrived))}
 	if fault != nil {
@@ -179,6 +221,9 @@
 		choice.Fault = c.ended(ctx, "the deadline passed while the request was pending")
 	}
 	c.note(Entry{Routing: routingOf(choice, f.clock.Now().Sub(asked))})
+	if choice.Fault != nil && choice.Fault.Code == kernel.BudgetSpent {
+		f.log.Emit(events.BudgetSpent, "request", c.id, "service", c.service, "tried", len(c.request.Tried))
+	}
 	if choice.Fault == nil {
 		choice.Fault = c.maySend()
 	}
@@ -209,12 +254,14 @@
 }
 
 func (c *call) attempt(choice route.Choice) *backend.Attempt {
+	c.server = choice.Server
 	return &backend.Attempt{ID: c.id, Server: choice.Server, Address: choice.Address, Deadline: c.request.Deadline,
 		Now: c.front.clock.Now, Allow: c.maySend}
 }
 
 func (c *call) retried(server string) {
 	c.request.Tried = append(c.request.Tried, server)
+	c.front.log.Emit(events.RequestRetried, "request", c.id, "service", c.service, "server", server)
 	c.front.metrics.retries.WithLabelValues(c.service).Inc()
 }
 
@@ -231,7 +278,7 @@
 		outcome.Refused = true
 	case backend.Busy:
 		outcome.Busy = true
-	case backend.Unsent, backend.Dark, backend.Broken, backend.Crossed:
+	case backend.Unsent, backend.Dark, backend.Broken, backend.Short, backend.Crossed, backend.Amiss:
 		outcome.Timeout = true
 	}
 	return outcome
@@ -272,6 +319,7 @@
 	var got *backend.Answer
 	got, failure = f.client.Call(ctx, c.attempt(choice), &backend.Shot{Method: shot.Method, Path: shot.Path, Query: shot.Query, Header: shot.Header, Body: shot.Body})
 	c.note(Entry{Attempt: attemptOf(choice.Server, failure, f.clock.Now().Sub(began))})
+	c.reportAnswer(failure)
 	switch {
 	case failure == nil:
 		if fault := c.late(); fault != nil {
@@ -353,6 +401,7 @@
 		failure = nil
 		return "", nil
 	}
+	c.reportAnswer(failure)
 	return c.broken(ctx, choice.Server, failure, out.Begun())
 }
 
