Take the bounds of deadlines from the sheet at run time

Cause: settings.deadline.* of a sheet were checked, agreed and in force, and changed nothing. Change: the router's owner hands each new sheet's settings to Tune, and the next request goes by them. Test: a prompt that was served is declined by the new bound.

--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"stepwick/internal/kernel"
 )
@@ -35,7 +36,7 @@
 
 // API answers callers.
 type API struct {
-	limits Limits
+	limits atomic.Pointer[Limits]
 	calls  Calls
 	clock  kernel.Clock
 	mounts map[string]http.Handler
@@ -46,16 +47,33 @@
 // their path by their own rules.
 func New(limits Limits, calls Calls, clock kernel.Clock, mounts map[string]http.Handler) *API {
 	limits = limits.withDefaults()
-	return &API{limits: limits, calls: calls, clock: clock, mounts: mounts, slots: make(chan struct{}, limits.Requests)}
+	a := &API{calls: calls, clock: clock, mounts: mounts, slots: make(chan struct{}, limits.Requests)}
+	a.limits.Store(&limits)
+	return a
+}
+
+// Tune sets the bounds of deadlines for requests read from now on. Zero
+// leaves a bound as it is. It has one caller at a time.
+func (a *API) Tune(deadlineMax, deadlineDefault kernel.Duration) {
+	next := *a.limits.Load()
+	if deadlineMax > 0 {
+		next.DeadlineMax = deadlineMax
+	}
+	if deadlineDefault > 0 {
+		next.DeadlineDefault = deadlineDefault
+	}
+	next.DeadlineDefault = min(next.DeadlineDefault, next.DeadlineMax)
+	a.limits.Store(&next)
 }
 
 // Server returns a server for the API with the bounds of its limits.
 func (a *API) Server() *http.Server {
+	limits := a.limits.Load()
 	return &http.Server{
 		Handler:           a,
-		ReadHeaderTimeout: a.limits.HeaderTimeout,
-		IdleTimeout:       a.limits.IdleTimeout,
-		MaxHeaderBytes:    2 * a.limits.HeaderMax,
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    2 * limits.HeaderMax,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 }
@@ -63,11 +81,12 @@
 // Bounded returns a listener with no more connections open at once than the
 // limits allow; further ones wait to be accepted.
 func (a *API) Bounded(listener net.Listener) net.Listener {
-	return &boundedListener{Listener: listener, free: make(chan struct{}, a.limits.Connections), closed: make(chan struct{})}
+	return &boundedListener{Listener: listener, free: make(chan struct{}, a.limits.Load().Connections), closed: make(chan struct{})}
 }
 
 type exchange struct {
 	api    *API
+	limits *Limits
 	writer http.ResponseWriter
 	r      *http.Request
 	head   Head
@@ -87,7 +106,7 @@
 			return
 		}
 	}
-	x := &exchange{api: a, writer: w, r: r, head: Head{ID: id, Arrived: a.calls.Arrived()}}
+	x := &exchange{api: a, limits: a.limits.Load(), writer: w, r: r, head: Head{ID: id, Arrived: a.calls.Arrived()}}
 	defer x.recover()
 	if fault == nil {
 		fault = x.answer()
@@ -98,8 +117,8 @@
 }
 
 func (x *exchange) answer() *kernel.Fault {
-	if size := headerSize(x.r); size > x.api.limits.HeaderMax {
-		return kernel.Decline(kernel.HeaderTooLarge, "the header has %d bytes of at most %d", size, x.api.limits.HeaderMax)
+	if size := headerSize(x.r); size > x.limits.HeaderMax {
+		return kernel.Decline(kernel.HeaderTooLarge, "the header has %d bytes of at most %d", size, x.limits.HeaderMax)
 	}
 	route, fault := find(x.r.Method, x.r.URL.Path)
 	if fault != nil {
@@ -113,9 +132,9 @@
 	case x.api.slots <- struct{}{}:
 		defer func() { <-x.api.slots }()
 	default:
-		return kernel.Decline(kernel.PendingFull, "the node serves %d requests", x.api.limits.Requests).After(kernel.Second)
+		return kernel.Decline(kernel.PendingFull, "the node serves %d requests", x.limits.Requests).After(kernel.Second)
 	}
-	span, given, fault := x.api.limits.headerDeadline(x.r.Header)
+	span, given, fault := x.limits.headerDeadline(x.r.Header)
 	if fault != nil {
 		return fault
 	}
@@ -167,11 +186,11 @@
 }
 
 func (x *exchange) bound() {
-	_ = http.NewResponseController(x.writer).SetWriteDeadline(in(x.api.limits.WriteTimeout))
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(in(x.limits.WriteTimeout))
 }
 
 func (x *exchange) body() ([]byte, *kernel.Fault) {
-	body, fault := x.api.limits.readBody(x.writer, x.r)
+	body, fault := x.limits.readBody(x.writer, x.r)
 	x.read = fault == nil
 	return body, fault
 }
@@ -232,13 +251,13 @@
 	if fault != nil {
 		return fault
 	}
-	prompt, fault := x.api.limits.parsePrompt(x.head, data)
+	prompt, fault := x.limits.parsePrompt(x.head, data)
 	if fault != nil {
 		return fault
 	}
 	ctx, cancel := x.context(prompt.Deadline)
 	defer cancel()
-	x.stream = &Stream{writer: x.writer, control: http.NewResponseController(x.writer), id: x.head.ID, bound: x.api.limits.WriteTimeout}
+	x.stream = &Stream{writer: x.writer, control: http.NewResponseController(x.writer), id: x.head.ID, bound: x.limits.WriteTimeout}
 	x.taken = true
 	fault = x.api.calls.Prompt(ctx, prompt, x.stream)
 	if fault == nil && !x.stream.begun {
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -18,6 +18,7 @@
 	"stepwick/internal/adapter/backend"
 	"stepwick/internal/adapter/clientapi"
 	"stepwick/internal/core/route"
+	"stepwick/internal/core/sheet"
 	"stepwick/internal/core/tally"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -38,10 +39,20 @@
 	Events      int             // events buffered between a server and a slow caller; default 64
 	CutAfter    kernel.Duration // from the loss of ruling to the cut of running calls; default 2s
 
+	// Tune reads what a sheet sets at run time; nil for nothing. It is asked at
+	// each new sheet.
+	Tune func(settings map[string]string) Tuned
+
 	Control http.Handler // answers below /v1/control/; may be nil
 	Metrics http.Handler // answers /metrics; may be nil
 }
 
+// Tuned is what a sheet can set at run time. Zero leaves a value as it is.
+type Tuned struct {
+	DeadlineMax     kernel.Duration
+	DeadlineDefault kernel.Duration
+}
+
 // Views is where a front reads the control state that it decides by.
 type Views interface {
 	View() *follow.View
@@ -106,6 +117,7 @@
 		mounts["/metrics"] = config.Metrics
 	}
 	f.api = clientapi.New(config.Limits, f, clock, mounts)
+	f.router.tune = f.tune
 	return f, nil
 }
 
@@ -131,6 +143,14 @@
 
 func (f *Front) String() string { return "front" }
 
+func (f *Front) tune(sheet *sheet.Sheet) {
+	if f.config.Tune == nil || sheet == nil {
+		return
+	}
+	tuned := f.config.Tune(sheet.Settings)
+	f.api.Tune(tuned.DeadlineMax, tuned.DeadlineDefault)
+}
+
 // Handler answers callers.
 func (f *Front) Handler() http.Handler { return f.api }
 
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -139,7 +139,7 @@
 	f.views.view.Store(view)
 	f.views.publish(withKeys("k"))
 	f.views.ruling.Store(true)
-	front, err := New(Config{Name: "n1", Address: "127.0.0.1:1", Region: "lagos", Zone: "a", Backend: backend.Config{Dial: f.dial}}, f.views, f.tally,
+	front, err := New(Config{Name: "n1", Address: "127.0.0.1:1", Region: "lagos", Zone: "a", Backend: backend.Config{Dial: f.dial}, Tune: tuned}, f.views, f.tally,
 		f.clock, events.Discard, prometheus.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
@@ -153,6 +153,11 @@
 	return f
 }
 
+func tuned(settings map[string]string) Tuned {
+	most, _ := time.ParseDuration(settings["deadline.max"])
+	return Tuned{DeadlineMax: most}
+}
+
 func (f *fleet) Accept() (net.Conn, error) {
 	conn, open := <-f.callers
 	if !open {
@@ -789,6 +794,23 @@
 			f.expect("from afar", names("/v1/connect?region=abeokuta&zone=a")[0], "far")
 		})
 	})
+	Convey("What a sheet sets at run time holds for the next request", t, func() {
+		within(t, func(t *testing.T) {
+			f := newFleet(t, "model", 8, streaming(1, 0))
+			defer f.stop()
+			caller := f.call()
+			caller.prompt("r1", time.Minute)
+			f.expect("before", caller.answer().status, 200)
+			f.views.publish(func(v *follow.View) {
+				next := *v.State.Sheet
+				next.Settings = map[string]string{"deadline.max": "30s"}
+				v.State.Sheet = &next
+			})
+			synctest.Wait()
+			caller.prompt("r2", time.Minute)
+			f.expect("after", caller.answer().code, kernel.BadDeadline)
+		})
+	})
 	Convey("A request's way is told from the journal, the newest of an id", t, func() {
 		within(t, func(t *testing.T) {
 			f := newFleet(t, "model", 8, &server{refuse: true}, streaming(2, time.Second))
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"stepwick/internal/core/route"
+	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/node/follow"
@@ -31,6 +32,8 @@
 	seen    *follow.View
 	pending map[string]*seat
 	survey  survey
+	tune    func(*sheet.Sheet) // takes in what a new sheet sets at run time
+	sheet   *sheet.Sheet
 }
 
 // seat is one request's place at a server, or among the pending requests.
@@ -127,6 +130,10 @@
 		return
 	}
 	r.seen = view
+	if view.State.Sheet != r.sheet {
+		r.sheet = view.State.Sheet
+		r.tune(r.sheet)
+	}
 	now := r.clock.Now()
 	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, now)
 	r.survey.look(r.table, view.Plan, now, r.log)
