Wait for slow majorities, rebuild from fronts when every disk is lost, and test fleets under faults

A ballot's calls wait longer each time that no majority answers, so two slow disks make a slow fleet, not a dead one. Once any other core is known to have lost its disk, a core is taken for new only on the word of one that is sure of its own. When all cores are blank, the founder begins from the highest state that fronts still hold, if more than half of that state's roster answers. Ruled out: a 3-wipe world without sparing the last disk; nothing is left to judge by.

--- /dev/null
+++ b/internal/core/ballot/ballot_test.go
@@ -0,0 +1,233 @@
+package ballot
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+var voters = []string{"a", "b", "c"}
+
+func entered(name string) State {
+	joined := Joined{Formation: "f", Voters: voters}.Fold(Blank(name))
+	return Entered{Lives: map[string]uint64{"a": 1, "b": 1, "c": 1}}.Fold(joined)
+}
+
+func fold(s State, records []Record) State {
+	for _, record := range records {
+		s = record.Fold(s)
+	}
+	return s
+}
+
+func prepare(s State, slot, number uint64, core string) (State, *wire.PrepareResponse) {
+	records, resp := s.Prepare(&wire.PrepareRequest{Formation: "f", Slot: slot, Ballot: Ballot{number, core}.Wire()})
+	return fold(s, records), resp
+}
+
+func accept(s State, slot, number uint64, core, value string, lives map[string]uint64) (State, *wire.AcceptResponse) {
+	records, resp := s.Accept(&wire.AcceptRequest{Formation: "f", Slot: slot, Ballot: Ballot{number, core}.Wire(), Value: []byte(value), PromisedLives: lives})
+	return fold(s, records), resp
+}
+
+func TestAcceptor(t *testing.T) {
+	Convey("A ballot is promised once and binds against lower ones", t, func() {
+		s, resp := prepare(entered("a"), 1, 5, "b")
+		So(resp.Promised, ShouldBeTrue)
+		_, resp = prepare(s, 1, 5, "b")
+		So(resp.Promised, ShouldBeFalse)
+		So(Of(resp.PromisedBallot), ShouldResemble, Ballot{5, "b"})
+		_, resp = prepare(s, 1, 5, "a")
+		So(resp.Promised, ShouldBeFalse)
+		_, lower := accept(s, 1, 4, "c", "x", nil)
+		So(lower.Accepted, ShouldBeFalse)
+		s, same := accept(s, 1, 5, "b", "y", nil)
+		So(same.Accepted, ShouldBeTrue)
+		_, again := accept(s, 1, 5, "b", "y", nil)
+		So(again.Accepted, ShouldBeTrue)
+		_, other := accept(s, 1, 5, "b", "z", nil)
+		So(kernel.Code(other.Decline), ShouldEqual, kernel.Internal)
+		_, resp = prepare(s, 1, 6, "c")
+		So(Of(resp.AcceptedBallot), ShouldResemble, Ballot{5, "b"})
+		So(string(resp.AcceptedValue), ShouldEqual, "y")
+	})
+	Convey("A value that rests on the promise of a lost disk is declined", t, func() {
+		s := Lived{Core: "c", Life: 2}.Fold(entered("a"))
+		_, resp := accept(s, 1, 5, "b", "y", map[string]uint64{"a": 1, "c": 1})
+		So(kernel.Code(resp.Decline), ShouldEqual, kernel.CoreAmnesiac)
+		_, resp = accept(s, 1, 5, "b", "y", map[string]uint64{"a": 1, "c": 2})
+		So(resp.Accepted, ShouldBeTrue)
+	})
+	Convey("Blank, strange and amnesiac cores neither promise nor accept", t, func() {
+		joined := Joined{Formation: "f", Voters: voters}.Fold(Blank("a"))
+		strange := entered("a")
+		strange.Formation = "g"
+		for code, s := range map[kernel.Code]State{kernel.CoreBlank: Blank("a"), kernel.CoreAmnesiac: joined, kernel.WrongFormation: strange} {
+			_, p := prepare(s, 1, 1, "b")
+			So(kernel.Code(p.Decline), ShouldEqual, code)
+			_, a := accept(s, 1, 1, "b", "x", nil)
+			So(kernel.Code(a.Decline), ShouldEqual, code)
+			So(kernel.Code(s.Read(&wire.ReadRequest{Formation: "f"}).Decline), ShouldEqual, code)
+		}
+	})
+	Convey("A learned slot answers with its value, a compacted one says it is behind", t, func() {
+		s := entered("a")
+		records, resp, behind := s.Learn(&wire.LearnRequest{Formation: "f", Chosen: []*wire.Chosen{{Epoch: 1, Command: []byte("one")}, {Epoch: 2, Command: []byte("two")}, {Epoch: 4, Command: []byte("four")}}})
+		So(resp.Learned, ShouldEqual, 2)
+		So(behind, ShouldBeTrue)
+		s = fold(s, records)
+		_, p := prepare(s, 2, 9, "b")
+		So(string(p.ChosenValue), ShouldEqual, "two")
+		s = s.Compacted(2, []byte("both"))
+		_, p = prepare(s, 2, 9, "b")
+		So(kernel.Code(p.Decline), ShouldEqual, kernel.EpochBehind)
+		fetched, fault := s.Fetch(&wire.FetchRequest{Formation: "f", After: 0})
+		So(fault, ShouldBeNil)
+		other := fold(entered("b"), entered("b").Fetched(fetched))
+		So(other.Learned(), ShouldEqual, 2)
+		So(string(other.Snapshot), ShouldEqual, "both")
+	})
+}
+
+func TestProposer(t *testing.T) {
+	Convey("A promise of an earlier disk life is not counted", t, func() {
+		p, _ := Propose(entered("a"), 1, 1, []byte("own"))
+		p, step := p.Promise(&wire.PrepareResponse{Core: "b", Promised: true, PromisedBallot: p.Ballot.Wire(), Lives: map[string]uint64{"a": 1, "b": 1, "c": 1}})
+		So(step, ShouldResemble, Step{})
+		p, step = p.Promise(&wire.PrepareResponse{Core: "c", Promised: true, PromisedBallot: p.Ballot.Wire(), Lives: map[string]uint64{"a": 1, "b": 2, "c": 1}})
+		So(step, ShouldResemble, Step{})
+		_, step = p.Promise(&wire.PrepareResponse{Core: "a", Promised: true, PromisedBallot: p.Ballot.Wire(), Lives: map[string]uint64{"a": 1, "b": 1, "c": 1}})
+		So(step.Accept.PromisedLives, ShouldResemble, map[string]uint64{"a": 1, "c": 1})
+	})
+	Convey("Without a possible majority the ballot is lost; a learned slot ends it at once", t, func() {
+		p, _ := Propose(entered("a"), 1, 1, []byte("own"))
+		q, step := p.Failed("b")
+		So(step.Lost, ShouldBeFalse)
+		_, step = q.Promise(&wire.PrepareResponse{Core: "c", PromisedBallot: Ballot{7, "c"}.Wire()})
+		So(step.Lost, ShouldBeTrue)
+		_, step = p.Promise(&wire.PrepareResponse{Core: "c", Chosen: true, ChosenValue: []byte("x"), Learned: 1})
+		So(step.Chosen, ShouldBeTrue)
+		_, step = p.Promise(&wire.PrepareResponse{Core: "c", Decline: uint32(kernel.EpochBehind), Learned: 9})
+		So(step.Behind, ShouldEqual, "c")
+	})
+}
+
+func TestRecovery(t *testing.T) {
+	wiped := Joined{Formation: "f", Voters: voters}.Fold(Blank("a"))
+	probe := func(s State) *wire.RecoverResponse {
+		_, resp := s.Recover(&wire.RecoverRequest{Core: "a", Probe: true})
+		return resp
+	}
+	announce := func(s State, life uint64) (State, *wire.RecoverResponse) {
+		records, resp := s.Recover(&wire.RecoverRequest{Formation: "f", Core: "a", Life: life})
+		return fold(s, records), resp
+	}
+	Convey("A wiped core takes the next life and the highest of what both others hold", t, func() {
+		b, _ := prepare(entered("b"), 1, 3, "b")
+		b, _ = accept(b, 1, 3, "b", "three", nil)
+		c, _ := prepare(entered("c"), 1, 5, "c")
+		life, waiting := wiped.NextLife(map[string]*wire.RecoverResponse{"b": probe(b), "c": probe(c)})
+		So(waiting, ShouldBeEmpty)
+		So(life, ShouldEqual, 2)
+		b, fromB := announce(b, life)
+		_, fromC := announce(c, life)
+		So(b.Lives["a"], ShouldEqual, 2)
+		_, waiting = wiped.Enter(life, map[string]*wire.RecoverResponse{"b": fromB})
+		So(waiting, ShouldEqual, "c")
+		record, waiting := wiped.Enter(life, map[string]*wire.RecoverResponse{"b": fromB, "c": fromC})
+		So(waiting, ShouldBeEmpty)
+		s := record.Fold(wiped)
+		So(s.Life(), ShouldEqual, 2)
+		So(s.Votes[1], ShouldResemble, Vote{Promised: Ballot{5, "c"}, Accepted: Ballot{3, "b"}, Value: []byte("three")})
+		_, late := announce(b, 1)
+		So(kernel.Code(late.Decline), ShouldEqual, kernel.EpochBehind)
+	})
+	Convey("Nobody is rebuilt from a core that lost its disk, nor proved new by it alone", t, func() {
+		lost := Lived{Core: "c", Life: 2}.Fold(Joined{Formation: "f", Voters: voters}.Fold(Blank("c")))
+		_, resp := announce(lost, 2)
+		So(kernel.Code(resp.Decline), ShouldEqual, kernel.CoreAmnesiac)
+		unsure := Joined{Formation: "f", Voters: voters}.Fold(Blank("b"))
+		_, waiting := wiped.NextLife(map[string]*wire.RecoverResponse{"b": probe(unsure), "c": probe(lost)})
+		So(waiting, ShouldNotBeEmpty)
+		_, fromB := announce(entered("b"), 2)
+		stale := Lived{Core: "c", Life: 1}.Fold(Joined{Formation: "f", Voters: voters}.Fold(Blank("c")))
+		_, fromC := announce(stale, 2)
+		fromB.Lives["c"] = 2
+		_, waiting = wiped.Enter(2, map[string]*wire.RecoverResponse{"b": fromB, "c": fromC})
+		So(waiting, ShouldStartWith, "c")
+	})
+	Convey("A first formation needs every core, blank, and the lowest name", t, func() {
+		blank := &wire.RecoverResponse{Decline: uint32(kernel.CoreBlank)}
+		record, ok := Blank("a").Establish("id", 3, map[string]*wire.RecoverResponse{"b": blank, "c": blank}, 0, nil)
+		So(ok, ShouldBeTrue)
+		So(record.(Joined).Voters, ShouldResemble, voters)
+		for _, present := range []map[string]*wire.RecoverResponse{{"b": blank}, {"b": blank, "c": nil}, {"b": blank, "c": {Ok: true}}} {
+			_, ok = Blank("a").Establish("id", 3, present, 0, nil)
+			So(ok, ShouldBeFalse)
+		}
+		_, ok = Blank("b").Establish("id", 3, map[string]*wire.RecoverResponse{"a": blank, "c": blank}, 0, nil)
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func drawRecord(t *rapid.T) Record {
+	ballot := Ballot{rapid.Uint64().Draw(t, "number"), rapid.SampledFrom(voters).Draw(t, "core")}
+	slot, value := rapid.Uint64Range(1, 1<<40).Draw(t, "slot"), rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "value")
+	lives := map[string]uint64{"a": rapid.Uint64().Draw(t, "life")}
+	return rapid.SampledFrom([]Record{
+		Joined{Formation: "f", Voters: voters, SnapshotEpoch: slot, Snapshot: value},
+		Lived{Core: "b", Life: slot}, Promised{Slot: slot, Ballot: ballot}, Accepted{Slot: slot, Ballot: ballot, Value: value},
+		Learned{Epoch: slot, Command: value}, Learned{Epoch: slot, AsAccepted: true}, Installed{Epoch: slot, Snapshot: value},
+		Entered{Lives: lives, SnapshotEpoch: slot, Snapshot: value, Chosen: []*wire.Chosen{{Epoch: slot + 1, Command: value}},
+			Votes: map[uint64]Vote{slot + 2: {Promised: ballot, Accepted: ballot, Value: value}}},
+	}).Draw(t, "record")
+}
+
+func TestRecordsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := drawRecord(t)
+		data := EncodeRecord(record)
+		back, err := DecodeRecord(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again := EncodeRecord(back); !reflect.DeepEqual(again, data) {
+			t.Fatalf("%#v came back as %#v", record, back)
+		}
+		s := entered("a")
+		if !proto.Equal(record.Fold(s).message(), back.Fold(s).message()) {
+			t.Fatalf("%#v folds otherwise when read back", record)
+		}
+		whole, err := Decode(record.Fold(s).Encode())
+		if err != nil || !proto.Equal(whole.message(), record.Fold(s).message()) {
+			t.Fatalf("a state with %#v does not read back: %v", record, err)
+		}
+		for cut := range data {
+			_, _ = DecodeRecord(data[:cut])
+		}
+	})
+}
+
+func TestFetchIsBounded(t *testing.T) {
+	Convey("Large commands are fetched some at a time", t, func() {
+		s := entered("a")
+		for epoch := range uint64(6) {
+			s = Learned{Epoch: epoch + 1, Command: fmt.Appendf(make([]byte, fetchBytes/2), "%d", epoch)}.Fold(s)
+		}
+		other, rounds := entered("b"), 0
+		for ; other.Learned() < 6; rounds++ {
+			resp, fault := s.Fetch(&wire.FetchRequest{Formation: "f", After: other.Learned()})
+			So(fault, ShouldBeNil)
+			So(len(resp.Chosen), ShouldBeBetween, 0, 3)
+			other = fold(other, other.Fetched(resp))
+		}
+		So(rounds, ShouldBeGreaterThan, 2)
+	})
+}
--- a/internal/core/ballot/recovery.go
+++ b/internal/core/ballot/recovery.go
@@ -47,23 +47,23 @@
 // NextLife returns the life with which to recover, from a probe of all other
 // voters; it is to be kept in a Lived record before it is announced. Without
 // all of them it says whom it waits for. A first life, which proves that this
-// core never voted, needs the word of one that did not lose its own disk.
+// core never voted, needs the word of one that is sure of its own disk, once
+// any other core has lost its disk.
 func (s State) NextLife(probes map[string]*wire.RecoverResponse) (life uint64, waiting string) {
-	sure := false
+	sure, lost := false, false
 	for _, name := range s.Others() {
 		probe := probes[name]
 		if probe == nil || !probe.Ok || probe.Formation != s.Formation {
 			return 0, name
 		}
 		life = max(life, probe.Lives[s.Self])
-		if probe.Decline == 0 {
-			sure = true
-		}
+		sure = sure || probe.Decline == 0 && probe.Lives[name] > 0
+		lost = lost || probe.Decline != 0
 	}
 	if s.Announced > 0 && life <= s.Announced {
 		return s.Announced, ""
 	}
-	if life == 0 && !sure {
+	if life == 0 && lost && !sure {
 		return 0, "a core that has its disk"
 	}
 	return life + 1, ""
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -14,6 +14,7 @@
 
 const (
 	soon       = 100 * kernel.Millisecond
+	fetchLimit = 1500 * kernel.Millisecond
 	staleLooks = 4
 )
 
@@ -162,7 +163,7 @@
 		if err != nil {
 			return err
 		}
-		bound, cancel := kernel.WithTimeout(ctx, r.cfg.EntryTimeout)
+		bound, cancel := kernel.WithTimeout(ctx, fetchLimit)
 		resp, err := call(bound, r, from, &wire.FetchRequest{Formation: state.Formation, After: state.Learned()}, r.Fetch, wireconnect.PeerClient.Fetch)
 		cancel()
 		if err != nil {
@@ -328,7 +329,7 @@
 	if life != state.Announced && !r.join(ctx, ballot.Lived{Core: r.cfg.Self, Life: life}, "announces its disk life") {
 		return
 	}
-	if life > 1 {
+	if life > 1 && life != state.Announced {
 		r.events.Emit(events.RecoveryBegun, "core", r.cfg.Self, "life", life)
 	}
 	req := &wire.RecoverRequest{Formation: state.Formation, Core: r.cfg.Self, Life: life}
@@ -348,6 +349,8 @@
 		decided(o, []ballot.Record{record}, toVote, "", nil, reply)
 	})
 	switch {
+	case err != nil && kernel.AsFault(err).Code == kernel.DiskFull:
+		r.waits(ctx, events.DiskFull, "the rebuilt state does not fit on the disk")
 	case err != nil:
 	case entered != "":
 		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once all others answer; it waits for %s", entered))
--- a/internal/node/replica/propose.go
+++ b/internal/node/replica/propose.go
@@ -13,8 +13,9 @@
 
 const (
 	firstBackoff = 10 * kernel.Millisecond
-	lastBackoff  = 400 * kernel.Millisecond
+	lastBackoff  = kernel.Second
 	pauseUnheard = 50 * kernel.Millisecond
+	mostPatience = 4 // doublings of the calls' timeout while no majority answers
 )
 
 // proposal is a command to be agreed or, without one, a target up to which all
@@ -54,7 +55,7 @@
 // agree tries slot after slot until the proposal's end is met.
 func (r *Replica) agree(ctx, alive kernel.Context, p proposal, random *rand.Rand) outcome {
 	var begun, seen uint64
-	first, sent, losses := true, false, 0
+	first, sent, losses, silent := true, false, 0, 0
 	code, detail := kernel.NoMajority, "no ballot was held"
 	for ctx.Err() == nil {
 		state, err := r.whole(ctx)
@@ -74,13 +75,14 @@
 			command = sheet.Encode(sheet.Noop{})
 		}
 		sent = true
-		ended, step, heard := r.ballot(ctx, state, slot, max(state.NextNumber(slot), seen+1), command)
+		timeout := r.cfg.CallTimeout << min(silent, mostPatience)
+		ended, step, heard := r.ballot(ctx, state, slot, max(state.NextNumber(slot), seen+1), command, timeout)
 		switch {
 		case step.Chosen:
 			if err := r.learn(ctx, alive, slot, step.Value); err != nil {
 				return outcome{err: err}
 			}
-			losses, seen = 0, 0
+			losses, silent, seen = 0, 0, 0
 			continue
 		case step.Behind != "" || ended.Learned >= slot:
 			from := step.Behind
@@ -88,7 +90,7 @@
 				from = ended.Tip
 			}
 			if r.catchUp(ctx, from) == nil {
-				losses, seen = 0, 0
+				losses, silent, seen = 0, 0, 0
 				continue
 			}
 		}
@@ -98,6 +100,7 @@
 		if heard < state.Majority() {
 			code, detail = kernel.NoMajority, "no majority of the cores answers"
 			wait = max(wait, pauseUnheard)
+			silent++
 		} else {
 			r.events.Emit(events.BallotContended, "slot", slot, "number", seen)
 		}
@@ -143,14 +146,14 @@
 	accepted *wire.AcceptResponse
 }
 
-// ballot holds one ballot. Voters are called at once and none is waited for
+// ballot holds one ballot. Heard counts the voters that answered its last phase. Voters are called at once and none is waited for
 // beyond a majority; late answers still reach the proposer while it runs.
-func (r *Replica) ballot(ctx kernel.Context, state ballot.State, slot, number uint64, own []byte) (ended ballot.Proposer, step ballot.Step, heard int) {
+func (r *Replica) ballot(ctx kernel.Context, state ballot.State, slot, number uint64, own []byte, timeout kernel.Duration) (ended ballot.Proposer, step ballot.Step, heard int) {
 	p, prepare := ballot.Propose(state, slot, number, own)
 	answers := make(chan answer, 2*len(p.Voters))
 	for _, core := range p.Voters {
 		go func() {
-			callCtx, cancel := kernel.WithTimeout(ctx, r.cfg.CallTimeout)
+			callCtx, cancel := kernel.WithTimeout(ctx, timeout)
 			defer cancel()
 			resp, _ := call(callCtx, r, core, prepare, r.Prepare, wireconnect.PeerClient.Prepare)
 			answers <- answer{core: core, phase: ballot.Preparing, prepared: resp}
@@ -170,12 +173,14 @@
 			answered[a.core] = true
 			p, step = p.Promise(a.prepared)
 		case a.accepted != nil:
+			answered[a.core] = true
 			p, step = p.Accepted(a.accepted)
 		case a.phase == p.Phase:
 			p, step = p.Failed(a.core)
 		}
 		if step.Accept != nil {
-			r.sendAccept(ctx, p.Voters, step.Accept, answers)
+			answered = map[string]bool{}
+			r.sendAccept(ctx, p.Voters, step.Accept, timeout, answers)
 		}
 		if p.Phase == ballot.Ended {
 			return p, step, len(answered)
@@ -183,10 +188,10 @@
 	}
 }
 
-func (r *Replica) sendAccept(ctx kernel.Context, voters []string, req *wire.AcceptRequest, answers chan<- answer) {
+func (r *Replica) sendAccept(ctx kernel.Context, voters []string, req *wire.AcceptRequest, timeout kernel.Duration, answers chan<- answer) {
 	for _, core := range voters {
 		go func() {
-			callCtx, cancel := kernel.WithTimeout(ctx, r.cfg.CallTimeout)
+			callCtx, cancel := kernel.WithTimeout(ctx, timeout)
 			defer cancel()
 			resp, _ := call(callCtx, r, core, req, r.Accept, wireconnect.PeerClient.Accept)
 			answers <- answer{core: core, phase: ballot.Accepting, accepted: resp}
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -27,23 +29,26 @@
 type fleet struct {
 	t     testing.TB
 	root  string
-	cores map[string]*Replica
+	cores map[string]*atomic.Pointer[Replica]
 	stop  map[string]func()
 	cut   map[string]*atomic.Bool
 	disk  map[string]disklog.Config
 	cfg   Config
+	front *wire.FetchResponse // what a front still holds, if there is one
 }
 
 func newFleet(t testing.TB, names ...string) *fleet {
-	f := &fleet{t: t, root: t.TempDir(), cores: map[string]*Replica{}, stop: map[string]func(){}, cut: map[string]*atomic.Bool{}, disk: map[string]disklog.Config{}}
+	f := &fleet{t: t, root: t.TempDir(), cores: map[string]*atomic.Pointer[Replica]{}, stop: map[string]func(){}, cut: map[string]*atomic.Bool{}, disk: map[string]disklog.Config{}}
 	for _, name := range names {
 		f.cut[name] = &atomic.Bool{}
-		f.cores[name] = nil
+		f.cores[name] = &atomic.Pointer[Replica]{}
 		f.disk[name] = disklog.Config{Folder: filepath.Join(f.root, name)}
 	}
 	return f
 }
 
+func (f *fleet) core(name string) *Replica { return f.cores[name].Load() }
+
 func (f *fleet) start(names ...string) {
 	for _, name := range names {
 		cfg := f.cfg
@@ -52,8 +57,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { _ = r.Serve(ctx); close(done) }()
-		f.cores[name] = r
-		f.stop[name] = func() { cancel(); <-done; f.cores[name] = nil }
+		f.cores[name].Store(r)
+		f.stop[name] = func() { cancel(); <-done; f.cores[name].Store(nil) }
 	}
 }
 
@@ -77,7 +82,7 @@
 func (f *fleet) voting(names ...string) func() bool {
 	return func() bool {
 		for _, name := range names {
-			if f.cores[name].Standing() != wire.Standing_STANDING_VOTING {
+			if f.core(name).Standing() != wire.Standing_STANDING_VOTING {
 				return false
 			}
 		}
@@ -88,7 +93,7 @@
 func (f *fleet) at(epoch uint64, names ...string) func() bool {
 	return func() bool {
 		for _, name := range names {
-			if f.cores[name].Current().Epoch < epoch {
+			if f.core(name).Current().Epoch < epoch {
 				return false
 			}
 		}
@@ -98,7 +103,7 @@
 
 func (f *fleet) stopAll() {
 	for name, stop := range f.stop {
-		if f.cores[name] != nil {
+		if f.cores[name].Load() != nil {
 			stop()
 		}
 	}
@@ -111,14 +116,19 @@
 
 func (p peers) Process(name string) (*wire.Process, bool) {
 	_, known := p.f.cores[name]
+	if name == "front" {
+		return &wire.Process{Name: name, Address: name, Front: true}, true
+	}
 	return &wire.Process{Name: name, Address: name, Core: true}, known
 }
 
 func (p peers) Processes() (all []*wire.Process) {
 	for _, name := range []string{"a", "b", "c"} {
-		if process, known := p.Process(name); known {
-			all = append(all, process)
-		}
+		process, _ := p.Process(name)
+		all = append(all, process)
+	}
+	if p.f.front != nil {
+		all = append(all, &wire.Process{Name: "front", Address: "front", Front: true})
 	}
 	return all
 }
@@ -138,7 +148,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	to := c.f.cores[c.to]
+	to := c.f.cores[c.to].Load()
 	if to == nil {
 		return nil, syscall.ECONNREFUSED
 	}
@@ -174,6 +184,9 @@
 	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.ReadRequest) (*wire.ReadResponse, error) { return r.Read })
 }
 func (c client) Fetch(ctx context.Context, q *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	if c.to == "front" {
+		return connect.NewResponse(c.f.front), nil
+	}
 	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.FetchRequest) (*wire.FetchResponse, error) { return r.Fetch })
 }
 
@@ -211,18 +224,18 @@
 		So(f.until(2*time.Second, f.voting("a")), ShouldBeFalse)
 		f.start("c")
 		So(f.until(5*time.Second, f.voting("a", "b", "c")), ShouldBeTrue)
-		So(f.cores["a"].Formation(), ShouldEqual, f.cores["c"].Formation())
-		So(f.cores["b"].Voters(), ShouldResemble, []string{"a", "b", "c"})
+		So(f.core("a").Formation(), ShouldEqual, f.core("c").Formation())
+		So(f.core("b").Voters(), ShouldResemble, []string{"a", "b", "c"})
 
-		epoch, result, err := f.cores["b"].Propose(within(time.Second), evacuate("one"))
+		epoch, result, err := f.core("b").Propose(within(time.Second), evacuate("one"))
 		So(err, ShouldBeNil)
 		So(epoch, ShouldEqual, 1)
 		So(result.Code, ShouldEqual, kernel.OK)
-		state, err := f.cores["c"].ReadMajority(within(time.Second))
+		state, err := f.core("c").ReadMajority(within(time.Second))
 		So(err, ShouldBeNil)
 		So(state.Epoch, ShouldEqual, 1)
 		So(f.until(time.Second, f.at(1, "a", "b", "c")), ShouldBeTrue)
-		chosen, whole := f.cores["a"].Learned(0)
+		chosen, whole := f.core("a").Learned(0)
 		So(whole, ShouldBeTrue)
 		So(len(chosen), ShouldEqual, 1)
 	})
@@ -231,7 +244,7 @@
 		results := make(chan sheet.Result, 3)
 		for _, name := range []string{"a", "b", "c"} {
 			go func() {
-				_, result, err := f.cores[name].Propose(within(5*time.Second), evacuate("two"))
+				_, result, err := f.core(name).Propose(within(5*time.Second), evacuate("two"))
 				if err != nil {
 					result.Code = kernel.AsFault(err).Code
 				}
@@ -246,11 +259,11 @@
 	inBubble(t, "A minority says so, reads and proposals alike, and catches up later", func(f *fleet) {
 		f.form()
 		f.cut["a"].Store(true)
-		_, _, err := f.cores["a"].Propose(within(time.Second), evacuate("three"))
+		_, _, err := f.core("a").Propose(within(time.Second), evacuate("three"))
 		So(kernel.AsFault(err).Code, ShouldBeIn, kernel.NoMajority, kernel.OutcomePending)
-		_, err = f.cores["a"].ReadMajority(within(time.Second))
+		_, err = f.core("a").ReadMajority(within(time.Second))
 		So(kernel.AsFault(err).Code, ShouldEqual, kernel.NoMajority)
-		epoch, _, err := f.cores["b"].Propose(within(time.Second), evacuate("four"))
+		epoch, _, err := f.core("b").Propose(within(time.Second), evacuate("four"))
 		So(err, ShouldBeNil)
 		f.cut["a"].Store(false)
 		So(f.until(2*time.Second, f.at(epoch, "a")), ShouldBeTrue)
@@ -260,14 +273,14 @@
 		f.form()
 		So(f.until(5*time.Second, f.at(1, "a", "b", "c")), ShouldBeTrue)
 		<-time.After(3 * time.Second)
-		So(f.cores["a"].Current().SheetEpoch, ShouldBeGreaterThan, 0)
-		So(len(f.cores["a"].Current().History), ShouldEqual, 1)
+		So(f.core("a").Current().SheetEpoch, ShouldBeGreaterThan, 0)
+		So(len(f.core("a").Current().History), ShouldEqual, 1)
 	})
 }
 
 func (f *fleet) orders(through string, from, count int) int {
 	for n := range count {
-		_, result, err := f.cores[through].Propose(within(5*time.Second), evacuate(fmt.Sprint(from+n)))
+		_, result, err := f.core(through).Propose(within(5*time.Second), evacuate(fmt.Sprint(from+n)))
 		So(err, ShouldBeNil)
 		So(result.Code, ShouldEqual, kernel.OK)
 	}
@@ -294,7 +307,7 @@
 			So(f.until(5*time.Second, f.voting(name)), ShouldBeTrue)
 		}
 		for _, name := range []string{"a", "b", "c"} {
-			state, err := f.cores[name].ReadMajority(within(time.Second))
+			state, err := f.core(name).ReadMajority(within(time.Second))
 			So(err, ShouldBeNil)
 			So(len(state.History), ShouldEqual, count)
 		}
@@ -302,8 +315,8 @@
 		f.wipe("b")
 		f.start("a", "b")
 		So(f.until(5*time.Second, func() bool { return f.voting("a")() || f.voting("b")() }), ShouldBeFalse)
-		So(f.cores["a"].Ready().Code, ShouldEqual, kernel.CoreAmnesiac)
-		_, err := f.cores["c"].ReadMajority(within(time.Second))
+		So(f.core("a").Ready().Code, ShouldEqual, kernel.CoreAmnesiac)
+		_, err := f.core("c").ReadMajority(within(time.Second))
 		So(kernel.AsFault(err).Code, ShouldEqual, kernel.NoMajority)
 	})
 }
@@ -331,13 +344,116 @@
 				Sheet: &sheet.Sheet{Settings: map[string]string{"log.level": string(bytes.Repeat([]byte("x"), 30<<10))}}})
 		}
 		for i := range 8 {
-			_, _, err := f.cores["a"].Propose(within(5*time.Second), large(i))
+			_, _, err := f.core("a").Propose(within(5*time.Second), large(i))
 			So(err, ShouldBeNil)
 		}
 		So(f.until(time.Second, f.at(8, "a", "c")), ShouldBeTrue)
-		So(f.cores["b"].Standing(), ShouldEqual, wire.Standing_STANDING_DISK_FULL)
+		So(f.core("b").Standing(), ShouldEqual, wire.Standing_STANDING_DISK_FULL)
 		f.stop["c"]()
-		_, _, err := f.cores["a"].Propose(within(time.Second), large(8))
+		_, _, err := f.core("a").Propose(within(time.Second), large(8))
 		So(kernel.AsFault(err).Code, ShouldBeIn, kernel.NoMajority, kernel.OutcomePending)
 	})
 }
+
+func TestAllDisksLost(t *testing.T) {
+	inBubble(t, "After the loss of every disk the cores begin from what a front still holds", func(f *fleet) {
+		f.form()
+		count := f.orders("a", 0, 5)
+		roster := sheet.Encode(sheet.AddMembers{Members: []sheet.Member{{Name: "front", Front: true}}})
+		_, _, err := f.core("a").Propose(within(time.Second), roster)
+		So(err, ShouldBeNil)
+		held := f.core("a").Current()
+		So(len(held.Roster), ShouldEqual, 1)
+		f.front = &wire.FetchResponse{SnapshotEpoch: held.Epoch, Snapshot: held.Encode(), Learned: held.Epoch}
+		for _, name := range []string{"a", "b", "c"} {
+			f.wipe(name)
+		}
+		f.form()
+		state, err := f.core("c").ReadMajority(within(time.Second))
+		So(err, ShouldBeNil)
+		So(state.Epoch, ShouldEqual, held.Epoch)
+		So(len(state.History), ShouldEqual, count)
+		f.orders("b", count, 3)
+	})
+}
+
+// TestFleetUnderFaults sends orders through changing cores, each again until
+// it is answered, while cores are killed, wiped, cut off and slowed. Every
+// order that was answered must be there in the end, once, in the same place.
+func TestFleetUnderFaults(t *testing.T) {
+	for seed := uint64(1); seed <= uint64(*fleetSeeds); seed++ {
+		inBubble(t, fmt.Sprint("seed ", seed), func(f *fleet) {
+			f.cfg.SnapshotRecords = 40
+			f.form()
+			random := rand.New(rand.NewPCG(seed, 3))
+			names := []string{"a", "b", "c"}
+			ended, stopped := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for {
+					select {
+					case <-ended:
+						return
+					case <-time.After(time.Duration(random.IntN(2500)) * time.Millisecond):
+					}
+					name := names[random.IntN(3)]
+					pause := time.Duration(1+random.IntN(1500)) * time.Millisecond
+					switch random.IntN(4) {
+					case 0:
+						f.stop[name]()
+						<-time.After(pause)
+						f.start(name)
+					case 1:
+						f.cut[name].Store(true)
+						<-time.After(pause)
+						f.cut[name].Store(false)
+					case 2:
+						if f.voting("a", "b", "c")() {
+							f.wipe(name)
+							<-time.After(pause / 10)
+							f.start(name)
+						}
+					case 3:
+						f.stop[name]()
+						slow := f.disk[name]
+						slow.SyncDelay = pause / 5 * time.Duration(random.IntN(2))
+						f.disk[name] = slow
+						f.start(name)
+					}
+				}
+			}()
+			answered := map[string]sheet.Result{}
+			for n := range 60 {
+				id := fmt.Sprint(n)
+				for try := 0; ; try++ {
+					So(try, ShouldBeLessThan, 100)
+					core := f.core(names[(n+try)%3])
+					if core == nil {
+						<-time.After(50 * time.Millisecond)
+						continue
+					}
+					_, result, err := core.Propose(within(2*time.Second), evacuate(id))
+					if err == nil {
+						So(result.Code, ShouldEqual, kernel.OK)
+						answered[id] = result
+						break
+					}
+					<-time.After(50 * time.Millisecond)
+				}
+			}
+			close(ended)
+			<-stopped
+			So(f.until(60*time.Second, f.voting("a", "b", "c")), ShouldBeTrue)
+			for _, name := range names {
+				state, err := f.core(name).ReadMajority(within(10 * time.Second))
+				So(err, ShouldBeNil)
+				So(len(state.History), ShouldEqual, 60)
+				for _, order := range state.History {
+					So(answered[order.OrderID].Epoch, ShouldEqual, order.Epoch)
+				}
+			}
+		})
+	}
+}
+
+var fleetSeeds = flag.Int("fleetseeds", 6, "random fleets to run")
--- a/sim/ballots/model.go
+++ b/sim/ballots/model.go
@@ -33,8 +33,8 @@
 
 // Bounds of an exploration.
 type Bounds struct {
-	Ballots    []int // by core, how many each may open
-	Wipes      int
+	Ballots    []int  // by core, how many each may open
+	Wipes      int    // never of the last disk
 	Wiped      string // which cores may be; empty is all
 	Crashes    int
 	Rebuilds   int // attempts of wiped cores to recover; 0 is one for each wipe and crash
@@ -282,6 +282,9 @@
 	if w.bounds.Wipes == 0 || w.bounds.Wiped != "" && !strings.Contains(w.bounds.Wiped, names[i]) {
 		return false
 	}
+	if w.cores[(i+1)%3].state.Life() == 0 && w.cores[(i+2)%3].state.Life() == 0 {
+		return false
+	}
 	w.bounds.Wipes--
 	n := w.cores[i]
 	state := ballot.Joined{Formation: "f", Voters: names}.Fold(ballot.Blank(names[i]))
--- a/sim/ballots/model_test.go
+++ b/sim/ballots/model_test.go
@@ -36,6 +36,7 @@
 	explore(t, "two proposers, a wipe", Bounds{Ballots: []int{1, 1, 0}, Wipes: 1, Eager: true, States: limit})
 	explore(t, "two proposers, late answers", Bounds{Ballots: []int{1, 1, 0}, States: limit})
 	explore(t, "two proposers, a wipe and a crash", Bounds{Ballots: []int{1, 1, 0}, Wipes: 1, Crashes: 1, Eager: true, States: limit})
+	explore(t, "one ballot, two wipes, a crash", Bounds{Ballots: []int{1, 0, 0}, Wipes: 2, Crashes: 1, Eager: true, States: limit})
 	explore(t, "one ballot, three wipes", Bounds{Ballots: []int{1, 0, 0}, Wipes: 3, Eager: true, States: limit})
 	explore(t, "two proposers, two wipes", Bounds{Ballots: []int{1, 1, 0}, Wipes: 2, Eager: true, States: limit})
 	explore(t, "three ballots, a wipe", Bounds{Ballots: []int{2, 1, 0}, Wipes: 1, Eager: true, States: limit})
