Count only members that hold a state when a fleet is founded anew, and log waits that last

A restarted member has nothing to confirm by, so it can't stand for the half of the roster that an acknowledged epoch was confirmed by. The waits of an ordinary first start (0.3 s) are no longer warnings.

--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -16,6 +16,7 @@
 	soon       = 100 * kernel.Millisecond
 	fetchLimit = 1500 * kernel.Millisecond
 	staleLooks = 4
+	patience   = 2 * kernel.Second
 )
 
 // tip is the core that was found to have learned most.
@@ -246,7 +247,7 @@
 
 // survivors finds the highest agreed state that any process still holds after
 // the loss of every core's disk. An acknowledged epoch was confirmed by more
-// than half of its roster, so more than half must have answered.
+// than half of its roster, so more than half must answer and hold a state.
 func (r *Replica) survivors(ctx kernel.Context) (epoch uint64, snapshot []byte, missing string) {
 	var names []string
 	for _, process := range r.peers.Processes() {
@@ -268,12 +269,12 @@
 	}
 	present := 0
 	for name := range highest.Roster {
-		if answers[name] != nil || name == r.cfg.Self {
+		if answer := answers[name]; answer != nil && answer.SnapshotEpoch > 0 {
 			present++
 		}
 	}
 	if count := len(highest.Roster); count > 0 && present <= count/2 {
-		return 0, nil, fmt.Sprintf("all cores are blank, though epoch %d is still held: %d of the %d members of its roster must answer", highest.Epoch, count/2+1, count)
+		return 0, nil, fmt.Sprintf("all cores are blank, though epoch %d is still held: %d of the %d members of its roster must answer from memory", highest.Epoch, count/2+1, count)
 	}
 	return highest.Epoch, snapshot, ""
 }
@@ -290,16 +291,23 @@
 	return err == nil && joined
 }
 
+// waits keeps what the core waits for; when it takes long, it is logged.
 func (r *Replica) waits(ctx kernel.Context, event events.Event, what string) {
-	changed, err := ask(ctx, r, func(o *owner, reply func(bool, error)) {
-		changed := o.waiting != what
-		o.waiting = what
-		if changed {
+	tell, err := ask(ctx, r, func(o *owner, reply func(bool, error)) {
+		if o.waiting != what {
+			o.waiting = what
 			o.republish()
 		}
-		reply(changed, nil)
+		if o.waitingSince.IsZero() {
+			o.waitingSince = r.clock.Now()
+		}
+		tell := o.told != what && r.clock.Now().Sub(o.waitingSince) >= patience
+		if tell {
+			o.told = what
+		}
+		reply(tell, nil)
 	})
-	if err == nil && changed {
+	if err == nil && tell {
 		r.events.Emit(event, "core", r.cfg.Self, "waiting", what)
 	}
 }
--- a/internal/node/replica/owner.go
+++ b/internal/node/replica/owner.go
@@ -34,7 +34,10 @@
 	synced  uint64
 	full    bool // no room for an ordinary record
 	stuck   bool // no room for an epoch that was chosen
-	waiting string
+	waiting string // for what, while the core does not vote
+
+	waitingSince kernel.Time
+	told         string
 
 	records      int // since the last snapshot
 	bytes        int64
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -247,6 +247,9 @@
 func (r *Replica) Found(ctx kernel.Context, req *wire.FoundRequest) (*wire.FoundResponse, error) {
 	return ask(ctx, r, func(o *owner, reply func(*wire.FoundResponse, error)) {
 		records, resp := o.state.Found(req)
+		if len(records) > 0 {
+			o.waiting = "joins the formation " + req.Formation
+		}
 		decided(o, records, toVote, resp, nil, reply)
 	})
 }
