--- a/internal/node/replica/owner.go
+++ b/internal/node/replica/owner.go
@@ -32,8 +32,8 @@
 	recent  []*wire.Chosen // of the last epochs
 	waiters []waiter       // in the order of their places
 	synced  uint64
-	full    bool // no room for an ordinary record
-	stuck   bool // no room for an epoch that was chosen
+	full    bool   // no room for an ordinary record
+	stuck   bool   // no room for an epoch that was chosen
 	waiting string // for what, while the core does not vote
 
 	waitingSince kernel.Time
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -311,16 +311,30 @@
 			So(err, ShouldBeNil)
 			So(len(state.History), ShouldEqual, count)
 		}
+		f.stopAll()
+		f.form()
+		state, err := f.core("b").ReadMajority(within(time.Second))
+		So(err, ShouldBeNil)
+		So(len(state.History), ShouldEqual, count)
 		f.wipe("a")
 		f.wipe("b")
 		f.start("a", "b")
 		So(f.until(5*time.Second, func() bool { return f.voting("a")() || f.voting("b")() }), ShouldBeFalse)
 		So(f.core("a").Ready().Code, ShouldEqual, kernel.CoreAmnesiac)
-		_, err := f.core("c").ReadMajority(within(time.Second))
+		_, err = f.core("c").ReadMajority(within(time.Second))
 		So(kernel.AsFault(err).Code, ShouldEqual, kernel.NoMajority)
 	})
 }
 
+// dying is a log on which a write fails for lack of room.
+type dying struct {
+	Log
+	dead chan struct{}
+}
+
+func (d *dying) Dead() <-chan struct{} { return d.dead }
+func (d *dying) Err() error            { return kernel.Decline(kernel.DiskFull, "no room") }
+
 func TestSlowAndFullDisks(t *testing.T) {
 	inBubble(t, "A slow disk delays nobody else", func(f *fleet) {
 		slow := f.disk["c"]
@@ -333,6 +347,42 @@
 		count = f.orders("c", count, 1)
 		So(f.until(20*time.Second, f.at(uint64(count), "a", "b", "c")), ShouldBeTrue)
 	})
+	inBubble(t, "Two slow disks make orders slow, not impossible", func(f *fleet) {
+		for _, name := range []string{"b", "c"} {
+			slow := f.disk[name]
+			slow.SyncDelay = 2 * time.Second
+			f.disk[name] = slow
+		}
+		f.form()
+		_, result, err := f.core("a").Propose(within(30*time.Second), evacuate("one"))
+		So(err, ShouldBeNil)
+		So(result.Code, ShouldEqual, kernel.OK)
+	})
+	inBubble(t, "A log that dies stops the vote, and a new start goes on from the disk", func(f *fleet) {
+		f.form()
+		count := f.orders("a", 0, 3)
+		f.stop["b"]()
+		log := &dying{dead: make(chan struct{})}
+		cfg := f.cfg
+		cfg.Self = "b"
+		b := New(cfg, func() (Log, Replay, error) {
+			opened, replay, err := OnDisk(f.disk["b"])()
+			log.Log = opened
+			return log, replay, err
+		}, peers{f, "b"}, kernel.System(), events.Discard)
+		served := make(chan error)
+		go func() { served <- b.Serve(context.Background()) }()
+		f.cores["b"].Store(b)
+		So(f.until(5*time.Second, f.voting("b")), ShouldBeTrue)
+		close(log.dead)
+		So(kernel.AsFault(<-served).Code, ShouldEqual, kernel.DiskFull)
+		So(b.Ready().Code, ShouldEqual, kernel.DiskFull)
+		_, err := b.Prepare(within(time.Second), &wire.PrepareRequest{Formation: f.core("a").Formation(), Slot: 9})
+		So(kernel.AsFault(err).Code, ShouldEqual, kernel.CoreUnreachable)
+		count = f.orders("a", count, 3)
+		f.start("b")
+		So(f.until(5*time.Second, f.at(uint64(count), "b")), ShouldBeTrue)
+	})
 	inBubble(t, "A full disk declines to vote, says so, and the others carry on", func(f *fleet) {
 		small := f.disk["b"]
 		small.Quota = 64 << 10
