--- a/internal/core/tally/blend.go
+++ b/internal/core/tally/blend.go
@@ -6,10 +6,11 @@
 type account struct {
 	tenant string
 	own    ring // this front's adds
-	others ring // the other fronts' adds, as far as learned
+	all    ring // every front's, the others' as far as learned
 
 	terms  Terms
 	used   kernel.Time // last request
+	sent   kernel.Time // last ask
 	asOf   kernel.Time // when the totals learned last were asked for; zero: never
 	asked  kernel.Time // first ask that has no answer yet; zero: none
 	share  float64     // this front's part of the room
@@ -37,28 +38,21 @@
 	budget                          float64 // bound of since
 }
 
-func (a *account) span(first, last int64) float64 {
-	return a.own.sum(first, last) + a.others.sum(first, last)
-}
-
 func (a *account) at(c *Config, g grid, now kernel.Time) estimate {
 	slice, passed := g.at(now)
 	first := g.window(slice) * g.slices
-	newest := max(a.own.top, a.others.top, slice)
-	var e estimate
-	e.limit = a.terms.Limit(c.Window)
-	e.prev = a.span(first-g.slices, first-1)
-	e.cur = a.span(first, newest)
+	oldest := slice - g.slices
+	newest := max(a.all.top, slice)
+	early, late := a.all.sum(first-g.slices, oldest), a.all.sum(oldest+1, first-1)
+	e := estimate{limit: a.terms.Limit(c.Window), prev: early + late, cur: a.all.sum(first, newest)}
 	over := (float64(slice-first) + passed) / float64(g.slices)
 	e.blend = e.prev*(1-over) + e.cur
-	oldest := slice - g.slices
-	e.recent = a.span(oldest+1, newest) + (a.own.get(oldest)+a.others.get(oldest))*(1-passed)
+	e.recent = late + e.cur + a.all.get(oldest)*(1-passed)
 
-	e.since = a.own.sum(oldest+1, newest) + a.own.get(oldest)*(1-passed)
-	if !a.asOf.IsZero() {
-		if sure, part := g.at(a.asOf.Add(-c.Lag)); sure > oldest {
-			e.since = a.own.sum(sure+1, newest) + a.own.get(sure)*(1-part)
-		}
+	if sure, part := g.at(a.asOf.Add(-c.Lag)); sure > oldest && !a.asOf.IsZero() {
+		e.since = a.own.sum(sure+1, newest) + a.own.get(sure)*(1-part)
+	} else {
+		e.since = a.own.sum(oldest+1, newest) + a.own.get(oldest)*(1-passed)
 	}
 	e.kept = max(0, a.kept*e.limit-a.met)
 	silent, blind := a.silent(c, now), a.asOf.IsZero() || a.asked.Sub(a.asOf) > silentAfter*c.Interval
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -13,6 +13,8 @@
 	sendAt      = 0.25
 	usageOf     = 8   // of a window, the part over which usage is weighed, up to where all is known
 	askFor      = 2   // intervals after its last request for which a tenant's totals are asked for
+	quietFor    = 3   // intervals between two asks for a tenant far below its limit
+	quietBelow  = 0.5 // part of the limit that is far below
 	activeFor   = 4   // intervals without counts after which a front is missed
 	missedFor   = 12  // intervals for which a missed front of which nothing is told is taken for silent
 	unsure      = 0.1 // part of its budget that a front spends before the first answer after a silence of its own
@@ -84,7 +86,7 @@
 func (b *Book) open(tenant string, now kernel.Time) *account {
 	a := b.accounts[tenant]
 	if a == nil {
-		a = &account{tenant: tenant, own: newRing(b.grid), others: newRing(b.grid),
+		a = &account{tenant: tenant, own: newRing(b.grid), all: newRing(b.grid),
 			share: 1 / float64(len(b.roster)), even: 1 / float64(len(b.roster)), turn: b.turnOf(tenant)}
 		b.accounts[tenant] = a
 	}
@@ -113,6 +115,7 @@
 	if ruling == passes {
 		slice, _ := b.grid.at(now)
 		a.own.add(slice, tokens)
+		a.all.add(slice, tokens)
 		a.unsent += tokens
 		d.Pass = true
 		d.Send = b.config.has(Share) && a.unsent > sendAt*e.budget
@@ -171,6 +174,7 @@
 			continue
 		}
 		switch {
+		case b.quiet(a, now):
 		case idle <= askFor*b.config.Interval || a.unsent > 0:
 			b.pack(batches, a, now, holderOf)
 		case !a.left:
@@ -192,6 +196,15 @@
 	return batches
 }
 
+// quiet tells that a tenant far below its limit was asked for just before.
+func (b *Book) quiet(a *account, now kernel.Time) bool {
+	if now.Sub(a.sent) >= (quietFor-1)*b.config.Interval+b.config.Interval/2 {
+		return false
+	}
+	e := a.at(&b.config, b.grid, now)
+	return max(e.blend, e.recent) < quietBelow*e.limit
+}
+
 // Urgent returns the counts that should not wait for the next interval, by
 // holder, for which ready holds; the others stay urgent.
 func (b *Book) Urgent(now kernel.Time, holderOf func(tenant string) string, ready func(holder string) bool) map[string][]*wire.Count {
@@ -221,7 +234,7 @@
 	if a.asked.IsZero() {
 		a.asked = now
 	}
-	a.unsent = 0
+	a.unsent, a.sent = 0, now
 	sight := b.holders[holder]
 	teach := !a.asOf.IsZero() && (sight.fresh || a.from != source{holder, sight.incarnation})
 	slice, _ := b.grid.at(now)
@@ -237,15 +250,7 @@
 	last := first + b.grid.slices - 1
 	c := &wire.Count{Tenant: a.tenant, Window: window, Own: a.own.sum(first, last), Slices: a.own.window(b.grid, window)}
 	if teach {
-		c.Learned = a.span(first, last)
-		c.LearnedSlices = a.others.window(b.grid, window)
-		for i, own := range c.Slices {
-			if i < len(c.LearnedSlices) {
-				c.LearnedSlices[i] += own
-			} else {
-				c.LearnedSlices = append(c.LearnedSlices, own)
-			}
-		}
+		c.Learned, c.LearnedSlices = a.all.sum(first, last), a.all.window(b.grid, window)
 	}
 	return c
 }
@@ -277,7 +282,7 @@
 				tokens -= total.AckedSlices[k]
 			}
 			if tokens > 0 && int64(k) < b.grid.slices {
-				a.others.raise(first+int64(k), tokens)
+				a.all.raise(first+int64(k), tokens+a.own.get(first+int64(k)))
 			}
 		}
 	}
--- /dev/null
+++ b/internal/core/tally/book_test.go
@@ -0,0 +1,308 @@
+package tally
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const second = kernel.Second
+
+var start = kernel.UnixMicro(1_800_000_000_000_000)
+
+func after(seconds float64) kernel.Time {
+	return start.Add(kernel.Duration(seconds * float64(second)))
+}
+
+func one(string) string { return "a" }
+
+// exchange sends a Book's counts to a Ledger and takes the answer back at once.
+func exchange(b *Book, l *Ledger, now kernel.Time) {
+	for _, counts := range b.Outgoing(now, one) {
+		b.Learn(l.Add(&wire.AddRequest{Front: b.self, Incarnation: 1, Counts: counts}, now), now, now)
+	}
+}
+
+func TestBlend(t *testing.T) {
+	Convey("The blend is the previous window's part that still overlaps and the current window", t, func() {
+		b := NewBook("a", Config{Without: Ordinary})
+		terms := Terms{Rate: 50.0 / 8}
+		So(b.Admit("t", 42, terms, after(1)).Pass, ShouldBeTrue)
+		So(b.Admit("t", 18, terms, after(8.5)).Pass, ShouldBeTrue)
+		d := b.Admit("t", 1, terms, after(10))
+		So(d.Prev, ShouldEqual, 42)
+		So(d.Cur, ShouldEqual, 18)
+		So(d.Blend, ShouldAlmostEqual, 42*0.75+18)
+		So(d.Pass, ShouldBeTrue)
+		Convey("and a limit that is reached declines, adds nothing and marks until the window's end", func() {
+			d := b.Admit("t", 1, terms, after(10))
+			So(d.Pass, ShouldBeFalse)
+			So(d.Marked, ShouldBeTrue)
+			So(d.Code, ShouldEqual, kernel.QuotaExceeded)
+			So(b.Admit("t", 1, terms, after(15.9)).Pass, ShouldBeFalse)
+			So(b.Admit("t", 1, terms, after(16)).Pass, ShouldBeTrue)
+		})
+	})
+}
+
+func TestExceptions(t *testing.T) {
+	terms := Terms{Rate: 100, Burst: 200}
+	spend := func(b *Book, from, until float64) (passed float64) {
+		for at := from; at < until; at += 0.01 {
+			if b.Admit("t", 10, terms, after(at)).Pass {
+				passed += 10
+			}
+		}
+		return passed
+	}
+	Convey("A mark ends when the blend falls below the limit", t, func() {
+		marked := NewBook("a", Config{Without: Ordinary})
+		ended := NewBook("a", Config{Without: Ordinary &^ MarkEnds})
+		spend(marked, 0, 24)
+		spend(ended, 0, 24)
+		So(spend(marked, 24, 32), ShouldBeLessThan, 600)
+		So(spend(ended, 24, 32), ShouldBeGreaterThan, 900)
+	})
+	Convey("Late in one window and early in the next, the bound holds what the blend lets pass", t, func() {
+		for _, without := range []Exception{Ordinary &^ MarkEnds, Ordinary &^ (MarkEnds | Bound)} {
+			b := NewBook("a", Config{Without: without})
+			passed := spend(b, 7, 8) + spend(b, 8, 9) + spend(b, 14, 15)
+			if without&Bound != 0 {
+				So(passed, ShouldBeGreaterThan, 1500)
+			} else {
+				So(passed, ShouldBeLessThanOrEqualTo, 1.15*1000)
+			}
+		}
+	})
+	Convey("A tenant below its limit passes although its early window makes the blend decline", t, func() {
+		for _, without := range []Exception{Ordinary &^ (MarkEnds | Bound), Ordinary &^ (MarkEnds | Bound | Room)} {
+			b := NewBook("a", Config{Without: without})
+			So(b.Admit("t", 700, terms, after(0)).Pass, ShouldBeTrue)
+			So(b.Admit("t", 600, terms, after(8.3)).Pass, ShouldBeTrue)
+			So(b.Admit("t", 10, terms, after(8.4)).Pass, ShouldEqual, without&Room == 0)
+		}
+	})
+	Convey("Retry-after is when the request passes if nobody spends", t, func() {
+		b := NewBook("a", Config{})
+		b.SetRoster([]string{"a"})
+		l := NewLedger("a", 1, Config{})
+		l.SetReach([]string{"a"}, nil, start)
+		for at := 0.0; at < 3; at += 0.01 {
+			b.Admit("t", 10, terms, after(at))
+			exchange(b, l, after(at))
+		}
+		d := b.Admit("t", 10, terms, after(3))
+		So(d.Pass, ShouldBeFalse)
+		So(b.Admit("t", 10, terms, after(3).Add(d.RetryAfter/2)).Pass, ShouldBeFalse)
+		b.Learn(l.Add(&wire.AddRequest{Front: "a", Incarnation: 1, Counts: b.Outgoing(after(3).Add(d.RetryAfter), one)["a"]}, after(3).Add(d.RetryAfter)), after(3).Add(d.RetryAfter), after(3).Add(d.RetryAfter))
+		So(b.Admit("t", 10, terms, after(3).Add(d.RetryAfter)).Pass, ShouldBeTrue)
+	})
+}
+
+func TestOutOfReach(t *testing.T) {
+	terms := Terms{Rate: 100, Burst: 200}
+	roster := []string{"a", "b", "c", "d"}
+	Convey("With a silent holder a front spends its share and no more, and says that it is not the quota", t, func() {
+		b := NewBook("b", Config{})
+		b.SetRoster(roster)
+		passed, code := 0.0, kernel.OK
+		for at := 0.0; at < 30; at += 0.01 {
+			d := b.Admit("t", 5, terms, after(at))
+			if d.Pass && at > 16 && at <= 24 {
+				passed += 5
+			}
+			if !d.Pass {
+				code = d.Code
+			}
+			b.Outgoing(after(at), one)
+		}
+		So(code, ShouldEqual, kernel.ShareExceeded)
+		So(passed, ShouldBeBetween, 0.85*250, 1.15*250)
+	})
+	Convey("A tenant idle for two windows is dropped", t, func() {
+		b := NewBook("b", Config{})
+		b.Admit("t", 5, terms, start)
+		b.Outgoing(after(15.9), one)
+		So(b.Active(), ShouldEqual, 1)
+		b.Outgoing(after(16.1), one)
+		So(b.Active(), ShouldEqual, 0)
+	})
+	Convey("A small step back of fleet time takes nothing from what was spent; a step forth neither adds", t, func() {
+		b := NewBook("a", Config{})
+		b.Admit("t", 100, terms, after(4))
+		So(b.Admit("t", 0, terms, after(3)).Recent, ShouldEqual, 100)
+		So(b.Admit("t", 0, terms, after(5)).Recent, ShouldEqual, 100)
+	})
+}
+
+func TestLedger(t *testing.T) {
+	count := func(own ...float64) *wire.Count { return &wire.Count{Tenant: "t", Window: 225_000_000, Slices: own} }
+	add := func(l *Ledger, front string, incarnation uint64, at float64, c *wire.Count) *wire.Total {
+		return l.Add(&wire.AddRequest{Front: front, Incarnation: incarnation, Counts: []*wire.Count{c}}, after(at)).Totals[0]
+	}
+	Convey("Totals sum the fronts and stay true when counts come again, late or out of order", t, func() {
+		l := NewLedger("a", 1, Config{})
+		So(add(l, "a", 1, 1, count(10, 5)).Total, ShouldEqual, 15)
+		So(add(l, "b", 1, 1, count(7)).Total, ShouldEqual, 22)
+		So(add(l, "a", 1, 1, count(4)).Total, ShouldEqual, 22)
+		got := add(l, "a", 1, 1, count(10, 6))
+		So(got.Total, ShouldEqual, 23)
+		So(got.Acked, ShouldEqual, 16)
+		So(add(l, "a", 2, 2, count(1)).Total, ShouldEqual, 24)
+	})
+	Convey("A new holder takes the highest totals learned, so that a dead front's adds stay counted", t, func() {
+		before, fresh := NewLedger("a", 1, Config{}), NewLedger("a", 2, Config{})
+		b := NewBook("b", Config{})
+		add(before, "dead", 1, 1, count(30))
+		b.Admit("t", 12, Terms{Rate: 100}, after(1))
+		for i, holder := range []*Ledger{before, fresh, fresh} {
+			now := after(1.1 + 0.6*float64(i))
+			b.Admit("t", 0, Terms{Rate: 100}, now)
+			for _, counts := range b.Outgoing(now, one) {
+				b.Learn(holder.Add(&wire.AddRequest{Front: "b", Incarnation: 1, Counts: counts}, now), now, now)
+			}
+		}
+		So(add(fresh, "c", 1, 2.4, count(0)).Total, ShouldEqual, 42)
+		So(b.Admit("t", 0, Terms{Rate: 100}, after(2.4)).Recent, ShouldEqual, 42)
+	})
+	Convey("Tenants idle for two windows are dropped", t, func() {
+		l := NewLedger("a", 1, Config{})
+		add(l, "a", 1, 1, count(1))
+		l.Expire(after(16))
+		So(l.Held(), ShouldEqual, 1)
+		l.Expire(after(17.1))
+		So(l.Held(), ShouldEqual, 0)
+	})
+	Convey("The holder moves for few tenants when the roster changes", t, func() {
+		nine := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+		held, moved := map[string]int{}, 0
+		for i := range 900 {
+			tenant := "t" + strconv.Itoa(i)
+			holder := HolderOf(tenant, nine)
+			held[holder]++
+			if holder != "i" && HolderOf(tenant, nine[:8]) != holder {
+				moved++
+			}
+		}
+		So(moved, ShouldEqual, 0)
+		for _, n := range held {
+			So(n, ShouldBeBetween, 60, 140)
+		}
+	})
+}
+
+func TestRing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := grid{slice: 1, slices: 4}
+		r, model := newRing(g), map[int64]float64{}
+		top := int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			slice := max(0, top+rapid.Int64Range(-8, 12).Draw(t, "slice"))
+			top = max(top, slice)
+			tokens := float64(rapid.IntRange(0, 9).Draw(t, "tokens"))
+			if rapid.Bool().Draw(t, "raise") {
+				if r.raise(slice, tokens); slice > top-10 {
+					model[slice] = max(model[slice], tokens)
+				}
+			} else if r.add(slice, tokens); slice > top-10 {
+				model[slice] += tokens
+			}
+			want := 0.0
+			for k := top - 7; k <= top; k++ {
+				want += model[k]
+			}
+			if got := r.sum(top-7, top); got != want {
+				t.Fatalf("sum %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+func spread(tenants, fronts int) (*Book, *Ledger, []string) {
+	roster := make([]string, fronts)
+	for i := range roster {
+		roster[i] = "front-" + strconv.Itoa(i)
+	}
+	b, l := NewBook(roster[0], Config{}), NewLedger("a", 1, Config{})
+	b.SetRoster(roster)
+	for i := range tenants {
+		tenant := "tenant-" + strconv.Itoa(i)
+		for at := 0.0; at < 1; at += 0.25 {
+			b.Admit(tenant, 10, Terms{Rate: 1000, Burst: 1000}, after(4+at))
+		}
+	}
+	return b, l, roster
+}
+
+var sizes = []int{5, 100, 1000, 14000}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, tenants := range sizes {
+		book, _, _ := spread(tenants, 9)
+		names := make([]string, tenants)
+		for i := range names {
+			names[i] = "tenant-" + strconv.Itoa(i)
+		}
+		for _, kind := range []struct {
+			name string
+			rate float64
+		}{{"passed", 1e9}, {"declined", 1e-3}} {
+			b.Run(kind.name+"/tenants="+strconv.Itoa(tenants), func(b *testing.B) {
+				random := rand.New(rand.NewPCG(1, 1))
+				b.ReportAllocs()
+				for b.Loop() {
+					book.Admit(names[random.IntN(tenants)], 1, Terms{Rate: kind.rate}, after(5))
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkExchange reports what one exchange of all tenants costs: bytes out
+// and back, and memory a tenant on the front and on the holder.
+func BenchmarkExchange(b *testing.B) {
+	for _, tenants := range sizes {
+		for _, fronts := range []int{9, 410} {
+			if tenants*fronts > 1_000_000 {
+				continue
+			}
+			b.Run("tenants="+strconv.Itoa(tenants)+"/fronts="+strconv.Itoa(fronts), func(b *testing.B) {
+				base := heap()
+				book, ledger, roster := spread(tenants, fronts)
+				front := float64(heap()-base) / float64(tenants)
+				base = heap()
+				counts := book.Outgoing(after(5), one)["a"]
+				out, back := 0, 0
+				for _, name := range roster {
+					req := &wire.AddRequest{Front: name, Incarnation: 1, Counts: counts}
+					resp := ledger.Add(req, after(5))
+					out, back = proto.Size(req), proto.Size(resp)
+				}
+				holder := float64(heap()-base) / float64(tenants)
+				for b.Loop() {
+					book.Outgoing(after(5.2), one)
+				}
+				b.ReportMetric(front, "front-B/tenant")
+				b.ReportMetric(holder, "holder-B/tenant")
+				b.ReportMetric(float64(out), "out-B")
+				b.ReportMetric(float64(back), "back-B")
+				runtime.KeepAlive(ledger)
+			})
+		}
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/core/tally/ring.go
+++ b/internal/core/tally/ring.go
@@ -13,7 +13,7 @@
 }
 
 func (g grid) at(t kernel.Time) (slice int64, passed float64) {
-	us := t.UnixMicro()
+	us := max(0, t.UnixMicro())
 	slice = us / g.slice
 	return slice, float64(us%g.slice) / float64(g.slice)
 }
@@ -45,7 +45,7 @@
 
 func (r *ring) get(slice int64) float64 {
 	n := int64(len(r.tokens))
-	if slice > r.top || slice <= r.top-n {
+	if slice > r.top || slice <= r.top-n || slice < 0 {
 		return 0
 	}
 	return r.tokens[slice%n]
@@ -73,7 +73,7 @@
 // sum adds up the slices from first to last, both included.
 func (r *ring) sum(first, last int64) float64 {
 	n := int64(len(r.tokens))
-	first, last = max(first, r.top-n+1), min(last, r.top)
+	first, last = max(first, r.top-n+1, 0), min(last, r.top)
 	if first > last {
 		return 0
 	}
