Leave a gap of epochs when a fleet is founded anew from its fronts

A front out of reach may hold an epoch that was chosen but never acknowledged; the new formation must not give the same number to another command. Measured: go test ./internal/node/replica passes.

--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -16,7 +16,9 @@
 	soon       = 100 * kernel.Millisecond
 	fetchLimit = 1500 * kernel.Millisecond
 	staleLooks = 4
-	patience   = 2 * kernel.Second
+
+	foundingGap = 1000
+	patience    = 2 * kernel.Second
 )
 
 // tip is the core that was found to have learned most.
@@ -247,7 +249,10 @@
 
 // survivors finds the highest agreed state that any process still holds after
 // the loss of every core's disk. An acknowledged epoch was confirmed by more
-// than half of its roster, so more than half must answer and hold a state.
+// than half of its roster, so more than half must answer and hold a state. The
+// new formation leaves a gap of epochs, so that none of the old one, which a
+// process out of reach may hold though it never was acknowledged, is given out
+// again with another content.
 func (r *Replica) survivors(ctx kernel.Context) (epoch uint64, snapshot []byte, missing string) {
 	var names []string
 	for _, process := range r.peers.Processes() {
@@ -264,7 +269,7 @@
 			continue
 		}
 		if state, err := sheet.DecodeState(resp.Snapshot); err == nil && state.Epoch == resp.SnapshotEpoch {
-			highest, snapshot = state, resp.Snapshot
+			highest = state
 		}
 	}
 	present := 0
@@ -276,7 +281,14 @@
 	if count := len(highest.Roster); count > 0 && present <= count/2 {
 		return 0, nil, fmt.Sprintf("all cores are blank, though epoch %d is still held: %d of the %d members of its roster must answer from memory", highest.Epoch, count/2+1, count)
 	}
-	return highest.Epoch, snapshot, ""
+	if highest.Epoch == 0 {
+		return 0, nil, ""
+	}
+	noop := sheet.Encode(sheet.Noop{})
+	for range foundingGap {
+		highest, _ = highest.Step(highest.Epoch+1, noop)
+	}
+	return highest.Epoch, highest.Encode(), ""
 }
 
 func (r *Replica) join(ctx kernel.Context, record ballot.Record, waiting string) bool {
