Judge disks apart, rolling restarts and orders that stop while a majority is whole

orders_disk now has the full and the slow disk one after the other, orders_disks both at once; a case is in trouble when no order was acknowledged though most cores and nodes were whole.

--- a/cmd/rig/judge/judge.go
+++ b/cmd/rig/judge/judge.go
@@ -55,7 +55,7 @@
 	QuotaMostCut  = 1.3
 	QuotaLeast    = 0.85
 	QuotaNever    = 0.8
-	ColdStart     = 6 // in flight at a cold server before it has answered
+	ColdStart     = 4 // in flight at a cold server before it has answered
 	ColdGrowth    = 2 // more for each answer
 	ServiceAfter  = 12 * kernel.Second
 	ServiceShare  = 0.25
--- a/cmd/rig/prove/cases.go
+++ b/cmd/rig/prove/cases.go
@@ -37,7 +37,8 @@
 	{"streams_crash", 2, "model servers crash and go dark, fronts are killed, callers are slow or leave", 25, nil, streamsCrash},
 	{"orders_kills", 3, "changes in quick succession with every core killed and restarted, then read back", 40, nil, ordersKills},
 	{"orders_wipe", 3, "an acknowledged order followed at once by a wiped disk on one core, then on another after repair", 40, nil, ordersWipe},
-	{"orders_disk", 3, "one core with a full disk, one 2 s slow a sync, a torn tail", 40, ordersDiskFleet, ordersDisk},
+	{"orders_disk", 3, "one core with a full disk, then one 2 s slow a sync, with torn tails", 40, ordersDiskFleet, ordersDisk},
+	{"orders_disks", 3, "one core with a full disk and one 2 s slow a sync at once", 45, ordersDiskFleet, ordersDisks},
 	{"orders_race", 3, "two operators on one base at all cores at once, with lost answers and cuts", 30, nil, ordersRace},
 	{"orders_invalid", 3, "invalid and very large sheets among good ones", 20, nil, ordersInvalid},
 	{"force_node", 4, "one node cut off in silence for 20 s while keys are revoked", 40, nil, forceNode},
@@ -54,6 +55,7 @@
 	{"tally_tenfold", 7, "one tenant asks tenfold, clients move between zones", 50, nil, tallyTenfold},
 	{"tally_restart", 7, "nodes killed and restarted in turn under excess demand, one clock wrong", 50, tallyClock, tallyRestart},
 	{"tally_cut", 7, "a region cut off under excess demand", 50, nil, tallyCut},
+	{"rolling", 8, "machines stopped and restarted in turn; each leaves by itself and cuts nothing", 50, nil, rollingRestart},
 	{"final_nodes", 8, "half of the nodes killed at once", 30, nil, finalNodes},
 	{"final_cores", 8, "two of three cores killed", 30, nil, finalCores},
 	{"final_zone", 8, "one zone gone with its nodes and servers", 30, nil, finalZone},
@@ -269,24 +271,68 @@
 	}
 }
 
+// ordersDisk lets core1 fill its disk, then gives it room and slows core2's
+// disk. Two cores with good disks are left at each time, so orders must go on.
 func ordersDisk(s *Stage) error {
-	began := s.Book.Now()
 	end := s.beside(func(ctx kernel.Context) { s.changing(ctx, 20*kernel.Millisecond, s.fat) })
-	s.Wait(8 * kernel.Second)
-	slow := s.Fleet.Cores()[1]
-	slow.Kill()
-	slow.Set("disk.sync_delay", "2s")
-	if err := slow.Tear(); err != nil {
+	defer end()
+	s.Wait(14 * kernel.Second)
+	if err := s.acknowledged("core1's disk was full", 5*kernel.Second); err != nil {
+		return err
+	}
+	if err := s.restartWith(s.Fleet.Cores()[0], "disk.quota", ""); err != nil {
+		return err
+	}
+	s.Wait(4 * kernel.Second)
+	if err := s.restartWith(s.Fleet.Cores()[1], "disk.sync_delay", "2s"); err != nil {
 		return err
 	}
-	if err := slow.Start(); err != nil {
+	s.Wait(14 * kernel.Second)
+	if err := s.acknowledged("core2's disk was slow", 8*kernel.Second); err != nil {
 		return err
 	}
-	s.rest(began + 4*kernel.Second)
 	end()
 	return s.dayEnd(20 * kernel.Second)
 }
 
+// ordersDisks has one disk full and one slow at once.
+func ordersDisks(s *Stage) error {
+	end := s.beside(func(ctx kernel.Context) { s.changing(ctx, 20*kernel.Millisecond, s.fat) })
+	defer end()
+	s.Wait(12 * kernel.Second)
+	if err := s.restartWith(s.Fleet.Cores()[1], "disk.sync_delay", "2s"); err != nil {
+		return err
+	}
+	s.Wait(26 * kernel.Second)
+	if err := s.acknowledged("core1's disk was full and core2's slow", 20*kernel.Second); err != nil {
+		return err
+	}
+	end()
+	return s.dayEnd(20 * kernel.Second)
+}
+
+// restartWith ends a core, tears the tail of its log and starts it with a
+// changed setting.
+func (s *Stage) restartWith(core *fleet.Node, name, value string) error {
+	core.Kill()
+	core.Set(name, value)
+	if err := core.Tear(); err != nil {
+		return err
+	}
+	return core.Start()
+}
+
+// acknowledged wants at least one order to have been acknowledged lately.
+func (s *Stage) acknowledged(while string, lately kernel.Duration) error {
+	l := s.Book.Copy()
+	for _, o := range l.Orders {
+		if o.Won() && o.Told > s.Book.Now()-lately {
+			return nil
+		}
+	}
+	return errors.Errorf("no order was acknowledged in %s while %s", lately, while)
+}
+
 // fat makes some changes add many tenants, so that a small disk fills.
 func (s *Stage) fat(i uint64) (more []map[string]any) {
 	if i%4 != 0 {
@@ -382,6 +428,9 @@
 	s.Wait(3 * kernel.Second)
 	s.Cut(group, s.Others(group))
 	s.Wait(max(20*kernel.Second, kernel.Duration(s.Seconds-12)*kernel.Second))
+	if err := s.acknowledged(fmt.Sprintf("%v was cut off", group), 10*kernel.Second); err != nil && !s.majorityCut(group) {
+		return err
+	}
 	s.Heal()
 	s.rest(began)
 	s.Wait(3 * kernel.Second)
@@ -389,6 +438,19 @@
 	return s.dayEnd(20 * kernel.Second)
 }
 
+// majorityCut tells whether a cut leaves neither side with most cores and most
+// nodes, so that no order can be acknowledged.
+func (s *Stage) majorityCut(group []string) bool {
+	cores := 0
+	for _, name := range group {
+		if s.Fleet.Node(name).Core {
+			cores++
+		}
+	}
+	inside := 2*len(group) > len(s.Fleet.Nodes)
+	return (2*cores > len(s.Fleet.Cores())) != inside
+}
+
 func forceNode(s *Stage) error { return force(s, []string{s.frontOnly().Name}) }
 func forceCore(s *Stage) error { return force(s, []string{s.core().Name}) }
 
@@ -494,6 +556,7 @@
 
 func cold(s *Stage) error {
 	began := s.Book.Now()
+	s.Crowd.Scale("", 1.5)
 	for s.left(began) {
 		first, second := s.model(), s.model()
 		s.Fleet.CrashModel(first.Name)
@@ -675,6 +738,23 @@
 	return nil
 }
 
+func rollingRestart(s *Stage) error {
+	if err := s.rolling(3 * kernel.Second); err != nil {
+		return err
+	}
+	l := s.Book.Copy()
+	cut := 0
+	for _, a := range l.Attempts {
+		if len(a.Events) > 0 && a.End != ledger.Served && a.End != ledger.GaveUp {
+			cut++
+		}
+	}
+	if cut > 0 {
+		return errors.Errorf("%d streams were cut although every node left by itself", cut)
+	}
+	return nil
+}
+
 func finalRolling(s *Stage) error {
 	if err := s.rolling(2 * kernel.Second); err != nil {
 		return err
--- a/cmd/rig/prove/faults.go
+++ b/cmd/rig/prove/faults.go
@@ -11,7 +11,7 @@
 )
 
 // part of a case's work that runs beside its faults; wait for it with the
-// function returned.
+// function returned, which may be called again.
 func (s *Stage) beside(f func(ctx kernel.Context)) (end func()) {
 	ctx, cancel := kernel.WithCancel(s.ctx)
 	done := make(chan struct{})
@@ -166,10 +166,12 @@
 	s.Wait(17 * kernel.Second)
 }
 
-// rolling restarts every node in turn.
+// rolling restarts every node in turn; each must leave by itself with code 0.
 func (s *Stage) rolling(gap kernel.Duration) error {
 	for _, n := range s.Fleet.Nodes {
-		n.Term(12 * kernel.Second)
+		if !n.Term(15 * kernel.Second) {
+			return fmt.Errorf("%s did not leave cleanly within 15 s: exit code %d", n.Name, n.ExitCode())
+		}
 		if err := n.Start(); err != nil {
 			return err
 		}
