Bound the time of a body that nobody reads

Cause: a request that was declined by its header, with a body that never came, was answered at once but kept its connection for ever, since net/http waits for the rest of the body before it closes; a few thousand would have used up the listener. Seen in a new test in virtual time, which ended in a deadlock. Change: the bound of a body's time begins with the request, whether or not the body is read.

--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -108,6 +108,9 @@
 	}
 	x := &exchange{api: a, limits: a.limits.Load(), writer: w, r: r, head: Head{ID: id, Arrived: a.calls.Arrived()}}
 	defer x.recover()
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(in(x.limits.BodyTimeout))
+	}
 	if fault == nil {
 		fault = x.answer()
 	}
--- a/internal/adapter/clientapi/clientapi_test.go
+++ b/internal/adapter/clientapi/clientapi_test.go
@@ -275,6 +275,28 @@
 			}
 		})
 	})
+	Convey("A decline isn't held back by a body that doesn't come, which costs its connection after the bound", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			listener := newPipeListener()
+			server := New(Limits{BodyTimeout: 3 * time.Second}, &fakeCalls{}, kernel.System(), nil).Server()
+			go server.Serve(listener)
+			defer server.Close()
+			for _, head := range []string{"POST /v1/prompt HTTP/1.1\r\nContent-Length: 10", "POST /v1/prompt HTTP/1.1\r\nContent-Length: 9999999",
+				"POST /v1/prompt HTTP/1.1\r\nTransfer-Encoding: chunked", "GET /v1/connect HTTP/1.1\r\nContent-Length: 10"} {
+				began, conn := time.Now(), listener.dial()
+				go io.WriteString(conn, head+"\r\nHost: n\r\n\r\n")
+				reader := bufio.NewReader(conn)
+				answer, err := http.ReadResponse(reader, nil)
+				if err != nil || answer.StatusCode != 401 || time.Since(began) != 0 {
+					t.Errorf("%q: answered %v %v after %s", head, answer, err, time.Since(began))
+				}
+				io.ReadAll(reader)
+				if took := time.Since(began); took > 4*time.Second {
+					t.Errorf("%q: closed after %s", head, took)
+				}
+			}
+		})
+	})
 	Convey("A caller that takes no events is given up after the bound, and one that goes away at once", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			calls := &fakeCalls{events: []string{`{"seq":0}`, `{"seq":1}`}, ended: make(chan error, 1)}
--- a/internal/adapter/clientapi/parse.go
+++ b/internal/adapter/clientapi/parse.go
@@ -105,13 +105,9 @@
 	if r.ContentLength > l.BodyMax {
 		return nil, kernel.Decline(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
 	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(in(l.BodyTimeout)); err != nil {
-		return nil, kernel.AsFault(errors.Wrap(err, "bound the body's time"))
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyMax))
 	if err == nil {
-		return body, kernel.AsFault(control.SetReadDeadline(kernel.Time{}))
+		return body, kernel.AsFault(errors.Wrap(http.NewResponseController(w).SetReadDeadline(kernel.Time{}), "lift the body's bound of time"))
 	}
 	var tooLarge *http.MaxBytesError
 	var network net.Error
