Let a busy slow disk hold up neither probes nor refusals, and wait for it when it is needed

Cause, seen on three real processes with a sync of 2 s at one core: its answers to probes waited for its pending syncs, so a blank core could not come in; and with another core down each order began again with calls of 300 ms, so none was agreed in 16 s. Probes and refusals leave at once (they bind to nothing); the calls' timeout grows fourfold while a majority is in reach and stays grown while ballots are slow.

--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -47,6 +47,7 @@
 			r.enter(ctx, state)
 		default:
 			target, top, count := r.readAll(ctx, state)
+			r.reached.Store(count >= state.Majority())
 			if now := count >= state.Majority(); now != heard && ctx.Err() == nil {
 				heard = now
 				if heard {
--- a/internal/node/replica/propose.go
+++ b/internal/node/replica/propose.go
@@ -15,7 +15,7 @@
 	firstBackoff = 10 * kernel.Millisecond
 	lastBackoff  = kernel.Second
 	pauseUnheard = 50 * kernel.Millisecond
-	mostPatience = 4 // doublings of the calls' timeout while no majority answers
+	mostPatience = 2 // fourfold steps of the calls' timeout while a majority is slow
 )
 
 // proposal is a command to be agreed or, without one, a target up to which all
@@ -37,7 +37,7 @@
 // conduct runs this core's proposals one after another, so that they do not
 // contend with each other.
 func (r *Replica) conduct(ctx kernel.Context) {
-	random := r.random(1)
+	random, silent := r.random(1), 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -45,17 +45,19 @@
 		case p := <-r.proposals:
 			bound, cancel := kernel.WithCancel(p.ctx)
 			stop := kernel.AfterFunc(ctx, cancel)
-			p.done <- r.agree(bound, ctx, p, random)
+			p.done <- r.agree(bound, ctx, p, random, &silent)
 			stop()
 			cancel()
 		}
 	}
 }
 
-// agree tries slot after slot until the proposal's end is met.
-func (r *Replica) agree(ctx, alive kernel.Context, p proposal, random *rand.Rand) outcome {
+// agree tries slot after slot until the proposal's end is met. Silent counts
+// the ballots in a row that a reachable majority was too slow for; the calls'
+// timeout grows with it.
+func (r *Replica) agree(ctx, alive kernel.Context, p proposal, random *rand.Rand, silent *int) outcome {
 	var begun, seen uint64
-	first, sent, losses, silent := true, false, 0, 0
+	first, sent, losses := true, false, 0
 	code, detail := kernel.NoMajority, "no ballot was held"
 	for ctx.Err() == nil {
 		state, err := r.whole(ctx)
@@ -75,14 +77,18 @@
 			command = sheet.Encode(sheet.Noop{})
 		}
 		sent = true
-		timeout := r.cfg.CallTimeout << min(silent, mostPatience)
+		begunAt := r.clock.Now()
+		timeout := r.cfg.CallTimeout << (2 * *silent)
 		ended, step, heard := r.ballot(ctx, state, slot, max(state.NextNumber(slot), seen+1), command, timeout)
 		switch {
 		case step.Chosen:
 			if err := r.learn(ctx, alive, slot, step.Value); err != nil {
 				return outcome{err: err}
 			}
-			losses, silent, seen = 0, 0, 0
+			losses, seen = 0, 0
+			if r.clock.Now().Sub(begunAt) < r.cfg.CallTimeout {
+				*silent = 0
+			}
 			continue
 		case step.Behind != "" || ended.Learned >= slot:
 			from := step.Behind
@@ -90,7 +96,7 @@
 				from = ended.Tip
 			}
 			if r.catchUp(ctx, from) == nil {
-				losses, silent, seen = 0, 0, 0
+				losses, seen = 0, 0
 				continue
 			}
 		}
@@ -100,7 +106,9 @@
 		if heard < state.Majority() {
 			code, detail = kernel.NoMajority, "no majority of the cores answers"
 			wait = max(wait, pauseUnheard)
-			silent++
+			if r.reached.Load() {
+				*silent = min(*silent+1, mostPatience)
+			}
 		} else {
 			r.events.Emit(events.BallotContended, "slot", slot, "number", seen)
 		}
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -102,6 +102,7 @@
 	view      atomic.Pointer[view]
 	proposals chan proposal
 	behind    chan string
+	reached   atomic.Bool // a majority answered at the last look
 }
 
 // view is what is published: it is synced here, and never steps back.
@@ -259,6 +260,10 @@
 	return ask(ctx, r, func(o *owner, reply func(*wire.PrepareResponse, error)) {
 		records, resp := o.state.Prepare(req)
 		o.noteFormation(req.From, resp.Decline)
+		if !resp.Promised {
+			reply(resp, nil)
+			return
+		}
 		decided(o, records, toVote, resp, func(code kernel.Code) *wire.PrepareResponse {
 			return &wire.PrepareResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Decline: uint32(code)}
 		}, reply)
@@ -270,6 +275,10 @@
 	return ask(ctx, r, func(o *owner, reply func(*wire.AcceptResponse, error)) {
 		records, resp := o.state.Accept(req)
 		o.noteFormation(req.From, resp.Decline)
+		if !resp.Accepted {
+			reply(resp, nil)
+			return
+		}
 		decided(o, records, toVote, resp, func(code kernel.Code) *wire.AcceptResponse {
 			return &wire.AcceptResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Decline: uint32(code)}
 		}, reply)
@@ -292,6 +301,10 @@
 func (r *Replica) Recover(ctx kernel.Context, req *wire.RecoverRequest) (*wire.RecoverResponse, error) {
 	return ask(ctx, r, func(o *owner, reply func(*wire.RecoverResponse, error)) {
 		records, resp := o.state.Recover(req)
+		if o.state.Life() != 0 && (req.Probe || !resp.Ok) {
+			reply(resp, nil)
+			return
+		}
 		if len(records) > 0 {
 			r.events.Emit(events.LifeRaised, "core", req.Core, "life", req.Life)
 		}
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -347,6 +347,24 @@
 		count = f.orders("c", count, 1)
 		So(f.until(20*time.Second, f.at(uint64(count), "a", "b", "c")), ShouldBeTrue)
 	})
+	inBubble(t, "A wiped core comes back although another's disk is slow and busy", func(f *fleet) {
+		slow := f.disk["c"]
+		slow.SyncDelay = 2 * time.Second
+		f.disk["c"] = slow
+		f.form()
+		count := f.orders("a", 0, 5)
+		f.wipe("b")
+		f.start("b")
+		begun := time.Now()
+		go func() {
+			for n := range 20 {
+				_, _, _ = f.core("a").Propose(within(20*time.Second), evacuate(fmt.Sprint(count+n)))
+			}
+		}()
+		So(f.until(30*time.Second, f.voting("b")), ShouldBeTrue)
+		So(time.Since(begun), ShouldBeLessThan, 10*time.Second)
+		So(f.until(200*time.Second, f.at(uint64(count+20), "a", "b", "c")), ShouldBeTrue)
+	})
 	inBubble(t, "Two slow disks make orders slow, not impossible", func(f *fleet) {
 		for _, name := range []string{"b", "c"} {
 			slow := f.disk[name]
