--- a/internal/core/tally/blend.go
+++ b/internal/core/tally/blend.go
@@ -1,6 +1,10 @@
 package tally
 
-import "stepwick/internal/kernel"
+import (
+	"math"
+
+	"stepwick/internal/kernel"
+)
 
 // account is what one front knows of one tenant.
 type account struct {
@@ -8,21 +12,23 @@
 	own    ring // this front's adds
 	all    ring // every front's, the others' as far as learned
 
-	terms  Terms
-	used   kernel.Time // last request
-	sent   kernel.Time // last ask
-	asOf   kernel.Time // when the totals learned last were asked for; zero: never
-	asked  kernel.Time // first ask that has no answer yet; zero: none
-	share  float64     // this front's part of the room
-	kept   float64     // part of the limit kept for silent fronts
-	met    float64     // tokens of it that they are known to have spent
-	left   bool        // the holder was told that the tenant is not active here
-	even   float64     // one front's even part
-	turn   float64     // where this front stands in the order of rounding, 0..1
-	unsent float64     // own adds since the last ask
-	urgent bool
-	marked kernel.Time // the mark's end
-	from   source
+	terms    Terms
+	used     kernel.Time // last request
+	wanted   float64     // tokens asked of this front, fading over half a second
+	wantedAt kernel.Time
+	sent     kernel.Time // last ask
+	asOf     kernel.Time // when the totals learned last were asked for; zero: never
+	asked    kernel.Time // first ask that has no answer yet; zero: none
+	share    float64     // this front's part of the room
+	kept     float64     // part of the limit kept for silent fronts
+	met      float64     // tokens of it that they are known to have spent
+	left     bool        // the holder was told that the tenant is not active here
+	even     float64     // one front's even part
+	turn     float64     // where this front stands in the order of rounding, 0..1
+	unsent   float64     // own adds since the last ask
+	urgent   bool
+	marked   kernel.Time // the mark's end
+	from     source
 }
 
 type source struct {
@@ -30,10 +36,20 @@
 	incarnation uint64
 }
 
+// want counts what is asked of this front; it fades over half a second.
+func (a *account) want(tokens float64, now kernel.Time) {
+	if passed := now.Sub(a.wantedAt); passed > 0 {
+		a.wanted *= math.Exp(-2 * passed.Seconds())
+		a.wantedAt = now
+	}
+	a.wanted += tokens
+}
+
 // estimate is what an account amounts to at one instant; tokens.
 type estimate struct {
 	limit, prev, cur, blend, recent float64
 	kept                            float64 // of the limit, for silent fronts, beside what is known of their spend
+	slack, band                     float64 // what the limit may be passed by, less beside silent fronts
 	since                           float64 // own adds that the holder's totals may not have met
 	budget                          float64 // bound of since
 }
@@ -58,13 +74,18 @@
 	silent, blind := a.silent(c, now), a.asOf.IsZero() || a.asked.Sub(a.asOf) > silentAfter*c.Interval
 	spent := e.recent - e.since
 	if silent && blind {
-		spent = max(spent, e.limit*(1-now.Sub(a.asked).Seconds()/c.Window.Seconds()))
+		over := min(1, now.Sub(a.asked).Seconds()/c.Window.Seconds())
+		spent = max(spent, e.limit*(1-over*over))
 	}
 	share := a.share
 	if silent {
 		share = max(a.even, (share+a.even)/2)
 	}
-	e.budget = share * max(0, e.limit*(1+c.Slack)-e.kept-spent)
+	e.slack, e.band = c.Slack*e.limit, c.Band*e.limit
+	if silent || a.kept > 0 {
+		e.slack, e.band = e.slack/2, 0
+	}
+	e.budget = share * max(0, e.limit+e.slack-e.kept-spent)
 	if !silent && (blind || now.Sub(a.asOf) > silentAfter*c.Interval) {
 		e.budget *= unsure
 	}
@@ -89,9 +110,9 @@
 	}
 	half := min(tokens, e.limit) / 2
 	switch {
-	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit*(1+c.Slack)-e.kept):
+	case e.blend >= e.limit && !(c.has(Room) && e.recent+half <= e.limit+e.slack-e.kept):
 		return overLimit
-	case c.has(Bound) && e.recent+half > e.limit*(1+c.Band)-e.kept && e.recent > 0:
+	case c.has(Bound) && e.recent+half > e.limit+e.band-e.kept && e.recent > 0:
 		return overLimit
 	case c.has(Share) && e.since+tokens*a.turn > e.budget:
 		return overShare
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -11,14 +11,13 @@
 	silentAfter = 5   // intervals without an answer after which a holder is out of reach
 	holdBelow   = 0.9 // part of the limit below which a request may be held for an exchange
 	sendAt      = 0.25
-	usageOf     = 8   // of a window, the part over which usage is weighed, up to where all is known
 	askFor      = 2   // intervals after its last request for which a tenant's totals are asked for
 	quietFor    = 3   // intervals between two asks for a tenant far below its limit
 	quietBelow  = 0.5 // part of the limit that is far below
 	activeFor   = 4   // intervals without counts after which a front is missed
 	missedFor   = 12  // intervals for which a missed front of which nothing is told is taken for silent
 	unsure      = 0.1 // part of its budget that a front spends before the first answer after a silence of its own
-	standingKey = 0   // window number of a count that says that the tenant is not active there, and of a total that says where the front stands
+	standingKey = 0   // window number of a count whose own tokens are what was asked of the front of late, none when the tenant left, as of the microsecond in learned; and of a total that tells the part of the limit kept for silent fronts and, as acked, the front's share
 )
 
 // Book is one front's side of the tally: an account for each tenant that was
@@ -105,6 +104,17 @@
 func (b *Book) Admit(tenant string, tokens float64, terms Terms, now kernel.Time) Decision {
 	now = b.steady(now)
 	a := b.open(tenant, now)
+	a.want(tokens, now)
+	return b.decide(a, tokens, terms, now)
+}
+
+// Again decides a request that was held before.
+func (b *Book) Again(tenant string, tokens float64, terms Terms, now kernel.Time) Decision {
+	now = b.steady(now)
+	return b.decide(b.open(tenant, now), tokens, terms, now)
+}
+
+func (b *Book) decide(a *account, tokens float64, terms Terms, now kernel.Time) Decision {
 	a.terms = terms
 	e := a.at(&b.config, b.grid, now)
 	d := Decision{Blend: e.blend, Prev: e.prev, Cur: e.cur, Limit: e.limit, Recent: e.recent}
@@ -239,6 +249,9 @@
 	teach := !a.asOf.IsZero() && (sight.fresh || a.from != source{holder, sight.incarnation})
 	slice, _ := b.grid.at(now)
 	window := b.grid.window(slice)
+	a.want(0, now)
+	batches[holder] = append(batches[holder], &wire.Count{Tenant: a.tenant, Window: standingKey, Own: max(a.wanted, 1e-9),
+		Learned: float64(now.UnixMicro())})
 	if teach || a.asOf.IsZero() || a.asOf.Before(now.Add(-b.config.Window/8)) || slice-window*b.grid.slices < b.grid.slices/4 {
 		batches[holder] = append(batches[holder], b.count(a, window-1, teach))
 	}
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -26,9 +26,7 @@
 	touched kernel.Time
 	weighed kernel.Time
 	active  int     // fronts where the tenant is active
-	usage   float64 // of theirs in the usage span
-	from    int64   // first slice of the usage span
-	to      int64   // last
+	demand  float64 // theirs, the newest
 	kept    float64 // part of the limit kept for silent fronts
 	met     float64 // what is known of their spend
 }
@@ -38,6 +36,29 @@
 	heard kernel.Time
 	left  bool // the front said that the tenant is not active there
 	share float64
+	told  [8]demand // oldest first
+}
+
+// demand is what a front said that was asked of it of late; tokens.
+type demand struct {
+	at     kernel.Time // by the front's fleet time
+	tokens float64
+}
+
+func (c *contribution) tell(tokens float64, at kernel.Time, apart kernel.Duration) {
+	if at.Sub(c.told[len(c.told)-1].at) >= apart {
+		copy(c.told[:], c.told[1:])
+		c.told[len(c.told)-1] = demand{at, tokens}
+	}
+}
+
+func (c *contribution) demandAt(t kernel.Time) float64 {
+	for i := len(c.told) - 1; i >= 0; i-- {
+		if !c.told[i].at.After(t) {
+			return c.told[i].tokens
+		}
+	}
+	return c.told[0].tokens
 }
 
 // NewLedger returns an empty Ledger of the front named self.
@@ -80,8 +101,17 @@
 			c = &contribution{own: newRing(l.grid)}
 			t.fronts[front], t.weighed = c, kernel.Time{}
 		}
-		c.heard, c.left = now, count.Window == standingKey
 		if c.left {
+			c.told, t.weighed = [8]demand{}, kernel.Time{}
+		}
+		c.heard, c.left = now, false
+		if count.Window == standingKey {
+			c.left = count.Own == 0
+			if at := kernel.UnixMicro(int64(count.Learned)); !at.After(now) {
+				c.tell(count.Own, at, l.config.Interval/4)
+			} else {
+				c.tell(count.Own, now, l.config.Interval/4)
+			}
 			continue
 		}
 		l.take(t, c, count)
@@ -134,14 +164,14 @@
 }
 
 // standing tells a front where it stands beside the others: its share of the
-// room, the part of the limit kept for silent fronts, and how much of that they
+// room by demand, the part of the limit kept for silent fronts, and how much of that they
 // are known to have spent.
 func (l *Ledger) standing(t *held, c *contribution, tenant string, now kernel.Time) *wire.Total {
 	if now.Sub(t.weighed) > l.config.Interval/4 || now.Before(t.weighed) {
 		l.weigh(t, now)
 	}
-	if c.share = 1 / float64(max(1, len(l.roster))); t.usage > 0 {
-		c.share = l.config.Floor/float64(max(1, t.active)) + (1-l.config.Floor)*c.own.sum(t.from, t.to)/t.usage
+	if c.share = 1 / float64(max(1, len(l.roster))); t.demand > 0 {
+		c.share = l.config.Floor/float64(max(1, t.active)) + (1-l.config.Floor)*c.demandAt(now.Add(-l.config.Lag))/t.demand
 	}
 	out := &wire.Total{Tenant: tenant, Window: standingKey, Total: t.kept, Acked: c.share}
 	if t.kept > 0 {
@@ -150,21 +180,15 @@
 	return out
 }
 
-// weigh looks at all fronts at once. Usage counts up to where every front's adds
-// are known, and among the fronts where the tenant is active.
+// weigh looks at all fronts at once, among those where the tenant is active. A
+// front's own demand counts as it was when every front's is known, beside the
+// newest of all, so that the shares never sum to more than one for long.
 func (l *Ledger) weigh(t *held, now kernel.Time) {
-	t.weighed = now
-	t.to, _ = l.grid.at(now.Add(-l.config.Lag))
-	for _, t.from = range []int64{t.to - l.grid.slices/usageOf, t.to - l.grid.slices} {
-		t.active, t.usage = 0, 0
-		for _, c := range t.fronts {
-			if !c.left && now.Sub(c.heard) <= missedFor*l.config.Interval {
-				t.active++
-				t.usage += c.own.sum(t.from, t.to)
-			}
-		}
-		if t.usage > 0 {
-			break
+	t.weighed, t.active, t.demand = now, 0, 0
+	for _, c := range t.fronts {
+		if !c.left && now.Sub(c.heard) <= missedFor*l.config.Interval {
+			t.active++
+			t.demand += max(c.told[len(c.told)-1].tokens, c.demandAt(now.Add(-l.config.Lag)))
 		}
 	}
 	l.keep(t, now)
@@ -173,7 +197,7 @@
 // keep sets apart what silent fronts may spend on their own: the higher of an
 // even part and the middle between that and the share last told. A front is
 // silent if it is told so, or if it stopped in the middle of an exchange and
-// nothing is told of it yet. Of what even parts add to the middles, 0.15 of
+// nothing is told of it yet. Of what even parts add to the middles, a tenth of
 // the limit is let go, and a quarter is never kept, so that neither side of a
 // cut starves.
 func (l *Ledger) keep(t *held, now kernel.Time) {
@@ -204,7 +228,7 @@
 			most += even
 		}
 	}
-	t.kept = min(0.75, max(least, most-0.15))
+	t.kept = min(0.75, max(least, most-0.1))
 }
 
 func (l *Ledger) restarted(t *held, front source) bool {
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -30,12 +30,12 @@
 // its default.
 type Config struct {
 	Window   kernel.Duration // 8 s
-	Slices   int             // slices of a window, 32
+	Slices   int             // slices of a window, 50
 	Interval kernel.Duration // between two exchanges with a holder, 200 ms
 	Lag      kernel.Duration // how far a holder's totals may be behind the other fronts' adds, 300 ms
-	Band     float64         // part of the limit by which the spend of the last window's span may pass it while the blend is below, 0.06
-	Floor    float64         // part of the room that is shared evenly, whatever the usage, 0.6
-	Slack    float64         // part of the limit that all fronts together may overspend, 0.045
+	Band     float64         // part of the limit by which the spend of the last window's span may pass it while the blend is below, 0.08
+	Floor    float64         // part of the room that is shared evenly, whatever the demand, 0.5
+	Slack    float64         // part of the limit that all fronts together may overspend, 0.07
 	Without  Exception       // exceptions left out, for measurement
 }
 
@@ -44,7 +44,7 @@
 		c.Window = 8 * kernel.Second
 	}
 	if c.Slices <= 0 {
-		c.Slices = 32
+		c.Slices = 50
 	}
 	if c.Interval <= 0 {
 		c.Interval = 200 * kernel.Millisecond
@@ -53,13 +53,13 @@
 		c.Lag = 300 * kernel.Millisecond
 	}
 	if c.Band <= 0 {
-		c.Band = 0.06
+		c.Band = 0.08
 	}
 	if c.Floor <= 0 {
-		c.Floor = 0.6
+		c.Floor = 0.5
 	}
 	if c.Slack <= 0 {
-		c.Slack = 0.045
+		c.Slack = 0.07
 	}
 	return c
 }
--- a/internal/node/spend/shard.go
+++ b/internal/node/spend/shard.go
@@ -151,7 +151,7 @@
 			continue
 		default:
 		}
-		h.last = o.book.Admit(h.tenant, h.tokens, h.terms, o.spend.fleetNow())
+		h.last = o.book.Again(h.tenant, h.tokens, h.terms, o.spend.fleetNow())
 		if h.last.Hold && now.Before(h.until) {
 			kept = append(kept, h)
 			continue
