Bind prompts and one-shots to their home region, and decline when it has no server

Ruled out: doing it in the plan's shares, since the binding is the tenant's and the pools of a region are known to the routing table already; a silent spill with a note. Change: admission takes the tenant's home, else the prompt's; a contradiction is bad_field before anything is counted; no_server at once, with when to come back, while the home has no server or is evacuated. Measured: the new test TestHome on the tree before: fails for model and web (requests went to the other region, a contradicting home and an evacuated home got 200); after: passes. sim/route passes. Conclusion: a bound request never leaves its home.

--- a/internal/adapter/clientapi/clientapi.go
+++ b/internal/adapter/clientapi/clientapi.go
@@ -101,7 +101,7 @@
 	SessionTokens int
 	MaxTokens     int
 	Region        string // of the caller; "" means the node's own
-	Home          string // region whose servers are preferred; "" for none
+	Home          string // region that the prompt is bound to; "" for the tenant's, if any
 }
 
 // Tokens is what the prompt costs.
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -98,15 +98,18 @@
 		c.Pending = true
 		return c, found == elsewhere
 	}
-	c.Fault = kernel.Decline(kernel.NoServer, "no server of %s can take requests%s", req.Service, homeNote(req.Home)).After(comeBack)
+	c.Fault = kernel.Decline(kernel.NoServer, "no server of %s can take requests%s", req.Service, t.homeNote(req.Home)).After(comeBack)
 	return c, false
 }
 
-func homeNote(home string) string {
-	if home == "" {
+func (t *Table) homeNote(home string) string {
+	switch {
+	case home == "":
 		return ""
+	case plan.IsEvacuated(t.view.State, home, ""):
+		return " in " + home + ", its home, which is evacuated"
 	}
-	return " in " + home
+	return " in " + home + ", its home"
 }
 
 // spill puts the first spoke first and leaves the others in their order.
--- a/internal/node/front/explain.go
+++ b/internal/node/front/explain.go
@@ -28,6 +28,7 @@
 	Service  string  `json:"service"`
 	Tenant   string  `json:"tenant,omitempty"`
 	Region   string  `json:"region"`
+	Home     string  `json:"home,omitempty"` // the region that it is bound to
 	Epoch    uint64  `json:"epoch"`
 	PlanTerm uint64  `json:"plan_term"`
 	Plan     uint64  `json:"plan"`
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -596,6 +596,50 @@
 	})
 }
 
+func TestHome(t *testing.T) {
+	for kind, target := range map[string]string{"model": "/v1/prompt", "web": "/v1/call/orders/"} {
+		Convey("A request to a "+kind+" service that is bound to a home goes there, or is declined at once", t, func() {
+			within(t, func(t *testing.T) {
+				near, far := streaming(1, 0), streaming(1, 0)
+				if kind == "web" {
+					near = saying("HTTP/1.1 200 OK\nStepwick-Request-Id: ID\nContent-Length: 0\n\n")
+					far = near
+				}
+				f := newFleet(t, kind, 8, near, far)
+				defer f.stop()
+				f.views.publish(func(v *follow.View) {
+					v.Servers["s1"].Region = "abeokuta"
+					next := *v.State.Sheet
+					next.Tenants = map[string]sheet.Tenant{"press": {KeyHashes: []string{sheet.HashKey("k")}, Home: "abeokuta"}}
+					v.State.Epoch, v.State.Sheet = 2, &next
+					v.Index = v.State.Index()
+				})
+				synctest.Wait()
+				caller := f.call()
+				ask := func(home string) answer {
+					caller.send("POST", target, "r1", "", fmt.Sprintf(`{"service":"chat","max_tokens":1%s}`, home))
+					return caller.answer()
+				}
+				for range 20 {
+					f.expect("answer", ask("").status, 200)
+					told, _ := f.front.Inspect("explain", "r1")
+					f.expect("server", told.(*Explanation).Attempts[0].Server, "s1")
+				}
+				if kind == "model" {
+					f.expect("its own home", ask(`,"home":"abeokuta"`).status, 200)
+					f.expect("another home", ask(`,"home":"lagos"`).code, kernel.BadField)
+				}
+				f.views.publish(func(v *follow.View) { v.State.Epoch, v.State.Evacuated = 3, map[string]uint64{"abeokuta": 3} })
+				synctest.Wait()
+				before, began := near.runs("r1")+far.runs("r1"), time.Now()
+				got := ask("")
+				f.expect("evacuated", []any{got.code, strings.Contains(got.body, "retry_after_ms"), time.Since(began)}, []any{kernel.NoServer, true, 0 * time.Second})
+				f.expect("runs", near.runs("r1")+far.runs("r1"), before)
+			})
+		})
+	}
+}
+
 func TestRunningStreamsAndControl(t *testing.T) {
 	Convey("A revoked key ends its running streams, and the connection's next request", t, func() {
 		within(t, func(t *testing.T) {
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -179,6 +179,10 @@
 		return kernel.Decline(kernel.UnknownService, "the sheet in force has no service %q", c.request.Service)
 	}
 	c.service = c.request.Service
+	if fault = c.bind(tenant, row.Home); fault != nil {
+		return fault
+	}
+	a.Home = c.request.Home
 	if service.Kind != kind {
 		return kernel.Decline(kernel.WrongServiceKind, "%s is a %s service", c.request.Service, service.Kind)
 	}
@@ -196,18 +200,22 @@
 	return nil
 }
 
-// seat gets the request a server. Where the home region has none, any other
-// will do. A fault says why no server was given; nothing has been sent then.
-func (c *call) seat(ctx kernel.Context) (*seat, route.Choice, *kernel.Fault) {
-	s, choice, fault := c.ask(ctx)
-	if fault != nil && fault.Code == kernel.NoServer && c.request.Home != "" {
-		c.request.Home = ""
-		return c.ask(ctx)
+// bind holds the request to its home: the tenant's in the sheet in force, else
+// the one that the request names. They may not contradict each other.
+func (c *call) bind(tenant, home string) *kernel.Fault {
+	switch named := c.request.Home; {
+	case home == "" || home == named:
+	case named == "":
+		c.request.Home = home
+	default:
+		return kernel.Decline(kernel.BadField, "home is %q, but %s is bound to %q", named, tenant, home)
 	}
-	return s, choice, fault
+	return nil
 }
 
-func (c *call) ask(ctx kernel.Context) (*seat, route.Choice, *kernel.Fault) {
+// seat gets the request a server. A fault says why none was given; nothing has
+// been sent then.
+func (c *call) seat(ctx kernel.Context) (*seat, route.Choice, *kernel.Fault) {
 	f := c.front
 	asked := f.clock.Now()
 	s, fault := f.router.ask(c.request)
