Let routing follow the sheet's run-time settings, and give connect the node's address

Cause: route.strategy, route.pending, route.ramp_start and retry.budget were checked, agreed and in force, but read once at start; the planner's caps kept the start of the ramp too, and connect listed the asked node without an address. Ruled out: rebuilding the table at a change, which forgets what is in flight; knobs by Config, whose zero means a default, while a sheet's 0 means none (no pending requests, no retries). Change: route.Table.Tune; front.Tuned carries its knobs beside the deadlines; the router's owner applies them when the sheet's settings change, with event settings_changed; plan.Compute takes route.ramp_start from the sheet in force; node.go passes values.With(settings) and its caller address. Measured: new parts of the tests in route and front (strategy, bound, budget, ramp's start with the plan's cap) pass; the knobs had no way in before. Conclusion: the Runtime rows of routing and deadlines hold for the next request.

--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
@@ -32,7 +33,7 @@
 
 // Compute works out the plan of the period that begins at in.Now.
 func Compute(in Input) *wire.Plan {
-	policy := in.Policy.OrDefaults()
+	policy := in.Policy.under(in.State.Sheet).OrDefaults()
 	next := &wire.Plan{Term: in.Term, Number: in.Number, Epoch: in.State.Epoch, AtMs: in.Now.UnixMilli(),
 		PeriodMs: uint32(in.Period.Milliseconds()), Holder: in.Holder, Cause: in.Cause}
 	next.Shares = Shares(in.State, in.Servers, in.Fronts, policy)
@@ -147,6 +148,17 @@
 	return p
 }
 
+// under puts what the sheet sets at run time over the policy.
+func (p Policy) under(s *sheet.Sheet) Policy {
+	if s == nil {
+		return p
+	}
+	if start, err := strconv.Atoi(s.Settings["route.ramp_start"]); err == nil && start > 0 {
+		p.RampStart = start
+	}
+	return p
+}
+
 // Full returns the cap of a server that is warm.
 func (p Policy) Full(status *wire.ServerStatus) int {
 	slots := int(min(status.GetSlots(), 1<<16))
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -251,6 +251,13 @@
 
 func newBudget(ratio float64) budget { return budget{ratio, mostCredits / 2} }
 
+func (b *budget) tune(ratio float64) {
+	b.ratio = ratio
+	if ratio == 0 {
+		b.credits = 0
+	}
+}
+
 func (b *budget) add()      { b.credits = min(mostCredits, b.credits+b.ratio) }
 func (b *budget) has() bool { return b.credits >= 1 }
 func (b *budget) spend()    { b.credits-- }
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -216,6 +216,25 @@
 			c := table.Choose(retry, start)
 			So(c.Server, ShouldNotEqual, "m0")
 			So(c.Server, ShouldNotEqual, "")
+			table.Tune(Knobs{Strategy: Affinity, PendingBound: 1, RampStart: 2})
+			So(table.Choose(retry, start).Fault.Code, ShouldEqual, kernel.BudgetSpent)
+		})
+		Convey("follows the knobs, the plan's caps with the start of the ramp", func() {
+			servers := with(map[string]*wire.ServerStatus{"m0": model("m0", "lagos", "a")}, "m0", func(s *wire.ServerStatus) { s.Answered = 0 })
+			v := viewOf(servers)
+			for _, begin := range []int{5, 1} {
+				sheets := *v.State.Sheet
+				sheets.Settings = map[string]string{"route.ramp_start": fmt.Sprint(begin)}
+				v.State.Sheet = &sheets
+				v.Plan = plan.Compute(plan.Input{State: v.State, Servers: servers})
+				table = tableOf(v)
+				table.Tune(Knobs{Strategy: RoundRobin, PendingBound: 0, RampStart: begin})
+				for i := range begin {
+					So(table.Choose(ask(i), start).Server, ShouldEqual, "m0")
+					table.Started("m0")
+				}
+				So(table.Choose(ask(9), start).Fault.Code, ShouldEqual, kernel.PendingFull)
+			}
 		})
 	})
 }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -57,6 +57,30 @@
 	return c
 }
 
+// Knobs are what a sheet can set at run time: as the fields of Config, but zero
+// means zero.
+type Knobs struct {
+	Strategy     Strategy
+	PendingBound int
+	RampStart    int
+	RetryBudget  float64
+}
+
+// Tune sets the knobs. What is pending stays, also beyond a lower bound; caps
+// follow the new start of the ramp at once.
+func (t *Table) Tune(k Knobs) {
+	t.cfg.Strategy, t.cfg.PendingBound, t.cfg.RetryBudget = k.Strategy, k.PendingBound, k.RetryBudget
+	t.budget.tune(k.RetryBudget)
+	t.pending.unserved = true
+	if t.cfg.Policy.RampStart == k.RampStart {
+		return
+	}
+	t.cfg.Policy.RampStart = k.RampStart
+	for _, s := range t.servers {
+		t.setCap(s)
+	}
+}
+
 // View is what the front knows of the fleet. Fronts are the names of the ready
 // fronts that share the caps; the front itself counts even when it is missing.
 // The maps and messages are never changed after they were handed over.
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -6,6 +6,8 @@
 package front
 
 import (
+	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -39,16 +41,17 @@
 	Events      int             // events buffered between a server and a slow caller; default 64
 	CutAfter    kernel.Duration // from the loss of ruling to the cut of running calls; default 2s
 
-	// Tune reads what a sheet sets at run time; nil for nothing. It is asked at
-	// each new sheet.
+	// Tune reads what a sheet sets at run time; nil for nothing. It is asked
+	// when they change.
 	Tune func(settings map[string]string) Tuned
 
 	Control http.Handler // answers below /v1/control/; may be nil
 	Metrics http.Handler // answers /metrics; may be nil
 }
 
-// Tuned is what a sheet can set at run time. Zero leaves a value as it is.
+// Tuned is what a sheet can set at run time. Zero or nil leaves a value as it is.
 type Tuned struct {
+	Route           *route.Knobs
 	DeadlineMax     kernel.Duration
 	DeadlineDefault kernel.Duration
 }
@@ -79,6 +82,7 @@
 	scribe  *scribe
 	pulse   *pulse
 	metrics *metrics
+	tuned   map[string]string // by the sheet, as last applied
 	leaving atomic.Bool
 	ended   chan struct{}
 	once    sync.Once
@@ -143,12 +147,22 @@
 
 func (f *Front) String() string { return "front" }
 
-func (f *Front) tune(sheet *sheet.Sheet) {
-	if f.config.Tune == nil || sheet == nil {
+// tune runs on the router's goroutine, which owns the table.
+func (f *Front) tune(sheet *sheet.Sheet, table *route.Table) {
+	if f.config.Tune == nil || sheet == nil || f.tuned != nil && maps.Equal(f.tuned, sheet.Settings) {
 		return
 	}
+	changed := f.tuned != nil || len(sheet.Settings) > 0
+	f.tuned = map[string]string{}
+	maps.Copy(f.tuned, sheet.Settings)
 	tuned := f.config.Tune(sheet.Settings)
 	f.api.Tune(tuned.DeadlineMax, tuned.DeadlineDefault)
+	if tuned.Route != nil {
+		table.Tune(*tuned.Route)
+	}
+	if changed {
+		f.log.Emit(events.SettingsChanged, "settings", fmt.Sprint(f.tuned))
+	}
 }
 
 // Handler answers callers.
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -21,6 +21,7 @@
 
 	"stepwick/internal/adapter/backend"
 	"stepwick/internal/adapter/clientapi"
+	"stepwick/internal/core/route"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/core/tally"
 	"stepwick/internal/events"
@@ -155,7 +156,11 @@
 
 func tuned(settings map[string]string) Tuned {
 	most, _ := time.ParseDuration(settings["deadline.max"])
-	return Tuned{DeadlineMax: most}
+	t := Tuned{DeadlineMax: most}
+	if len(settings) > 0 {
+		t.Route = &route.Knobs{Strategy: route.Strategy(settings["route.strategy"]), PendingBound: 0, RampStart: 2, RetryBudget: 0}
+	}
+	return t
 }
 
 func (f *fleet) Accept() (net.Conn, error) {
@@ -840,19 +845,28 @@
 	})
 	Convey("What a sheet sets at run time holds for the next request", t, func() {
 		within(t, func(t *testing.T) {
-			f := newFleet(t, "model", 8, streaming(1, 0))
+			f := newFleet(t, "model", 8, streaming(1, 0), &server{refuse: true}, &server{refuse: true}, &server{refuse: true})
 			defer f.stop()
 			caller := f.call()
 			caller.prompt("r1", time.Minute)
 			f.expect("before", caller.answer().status, 200)
 			f.views.publish(func(v *follow.View) {
 				next := *v.State.Sheet
-				next.Settings = map[string]string{"deadline.max": "30s"}
+				next.Settings = map[string]string{"deadline.max": "30s", "route.strategy": "round_robin"}
 				v.State.Sheet = &next
 			})
 			synctest.Wait()
 			caller.prompt("r2", time.Minute)
 			f.expect("after", caller.answer().code, kernel.BadDeadline)
+			<-time.After(10 * time.Second)
+			codes := map[kernel.Code]bool{}
+			for range 4 {
+				caller.prompt("r3", time.Second)
+				codes[caller.answer().code] = true
+				told, _ := f.front.Inspect("explain", "r3")
+				f.expect("attempts without a budget of retries", len(told.(*Explanation).Attempts), 1)
+			}
+			f.expect("in turn, without retries", codes, map[kernel.Code]bool{0: true, kernel.StreamNotBegun: true})
 		})
 	})
 	Convey("A request's way is told from the journal, the newest of an id", t, func() {
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -32,7 +32,7 @@
 	seen    *follow.View
 	pending map[string]*seat
 	survey  survey
-	tune    func(*sheet.Sheet) // takes in what a new sheet sets at run time
+	tune    func(*sheet.Sheet, *route.Table) // takes in what a new sheet sets at run time
 	sheet   *sheet.Sheet
 }
 
@@ -132,7 +132,7 @@
 	r.seen = view
 	if view.State.Sheet != r.sheet {
 		r.sheet = view.State.Sheet
-		r.tune(r.sheet)
+		r.tune(r.sheet, r.table)
 	}
 	now := r.clock.Now()
 	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -211,7 +211,7 @@
 	}, orders, inspect, p.clock, p.log)
 	var err error
 	p.front, err = front.New(front.Config{
-		Name: p.base.Name, Region: p.base.Region, Zone: p.base.Zone,
+		Name: p.base.Name, Address: p.base.CallerAddress, Region: p.base.Region, Zone: p.base.Zone,
 		Limits: clientapi.Limits{
 			BodyMax: int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
 			BodyTimeout: p.values.Duration("body.timeout"), HeaderTimeout: p.values.Duration("body.timeout"),
@@ -223,11 +223,24 @@
 			Strategy: route.Strategy(p.values.String("route.strategy")), PendingBound: p.values.Int("route.pending"), Policy: p.policy(),
 			RetryBudget: p.values.Float("retry.budget"),
 		},
+		Tune:    p.tuned,
 		Control: control, Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}, p.follower, p.spend, p.clock, p.log, registry)
 	return err
 }
 
+// tuned reads what the sheet sets over the settings file.
+func (p *process) tuned(settings map[string]string) front.Tuned {
+	v := p.values.With(settings)
+	return front.Tuned{
+		DeadlineMax: v.Duration("deadline.max"), DeadlineDefault: v.Duration("deadline.default"),
+		Route: &route.Knobs{
+			Strategy: route.Strategy(v.String("route.strategy")), PendingBound: v.Int("route.pending"),
+			RampStart: v.Int("route.ramp_start"), RetryBudget: v.Float("retry.budget"),
+		},
+	}
+}
+
 // self returns this process's record as of now.
 func (p *process) self() *wire.Process {
 	own := &wire.Process{
