Stop renewing before a grant is released, and tell small rosters of an epoch at once

Cause: in the hand-over the follower went on renewing between Release and the end, so that a released grant was given again and cost an order up to the next refusal seen; and peers heard of a new epoch only at their next ping, so that nodes which had it and were lost at once left the rest bridging without it.

Ruled out: waiting for the renewals under way before Release, as one that timed out here may still reach its core; the core itself now declines a released life.

Change: Follower.Leave ends ruling and renewals, node.go calls it before Release; grant.Ledger.Release keeps the released life for a minute; a roster of up to 32 is pinged whole when an epoch is taken up, once more where a ping was under way.

Measured: go test ./internal/node/core -run Leave fails with the pings at once taken out and passes with them; go test ./internal/core/grant ./internal/node/... ./sim/confirm pass. The part on rosters above 32 is as before.

--- a/internal/core/grant/grant_test.go
+++ b/internal/core/grant/grant_test.go
@@ -222,6 +222,13 @@
 			So(l.Renew(renewal("a", 1, 5), 5, at(1000)).Granted, ShouldBeFalse)
 			So(l.Renew(renewal("a", 2, 5), 5, at(1000)).Granted, ShouldBeTrue)
 		})
+		Convey("a released life is granted nothing more, a later one is", func() {
+			l.Release("a", 1, at(200))
+			So(l.Live("a", at(210)), ShouldBeFalse)
+			So(l.Renew(renewal("a", 1, 5), 5, at(220)).Granted, ShouldBeFalse)
+			So(l.Live("a", at(230)), ShouldBeFalse)
+			So(l.Renew(renewal("a", 2, 5), 5, at(240)).Granted, ShouldBeTrue)
+		})
 		Convey("it is settled once it has been up for longer than a TTL", func() {
 			So(l.View(5, 5, at(2000)).Settled, ShouldBeFalse)
 			So(l.View(5, 5, at(2001)).Settled, ShouldBeTrue)
--- a/internal/core/grant/ledger.go
+++ b/internal/core/grant/ledger.go
@@ -31,8 +31,16 @@
 	begun   kernel.Time
 	members map[string]*entry
 	gone    map[string]refusal
+	left    map[string]release
 }
 
+type release struct {
+	incarnation uint64
+	at          kernel.Time
+}
+
+const leftFor = kernel.Minute // how long a renewal that was under way at a release is looked out for
+
 // Quiet is a member to be pinged: what it was last known as. Incarnation is
 // zero for one that has not renewed since the core started.
 type Quiet struct {
@@ -42,7 +50,7 @@
 
 // NewLedger returns an empty ledger of a core that starts now.
 func NewLedger(core string, ttl kernel.Duration, now kernel.Time) *Ledger {
-	return &Ledger{core: core, ttl: ttl, begun: now, members: map[string]*entry{}, gone: map[string]refusal{}}
+	return &Ledger{core: core, ttl: ttl, begun: now, members: map[string]*entry{}, gone: map[string]refusal{}, left: map[string]release{}}
 }
 
 // Renew grants a member that has confirmed what the core learned; to any
@@ -53,7 +61,7 @@
 	self := req.GetSelf()
 	name := self.GetName()
 	e, ok := l.members[name]
-	if ok && self.GetIncarnation() < e.incarnation {
+	if r, gone := l.left[name]; (gone && self.GetIncarnation() <= r.incarnation) || (ok && self.GetIncarnation() < e.incarnation) {
 		resp.Decline = uint32(kernel.EpochBehind)
 		return resp
 	}
@@ -74,11 +82,15 @@
 	return resp
 }
 
-// Release ends the grant of a member that stops of itself.
-func (l *Ledger) Release(name string, incarnation uint64) {
-	if e, ok := l.members[name]; ok && e.incarnation == incarnation {
+// Release ends the grant of a member that stops of itself. A renewal of that
+// life which comes in later grants nothing.
+func (l *Ledger) Release(name string, incarnation uint64, now kernel.Time) {
+	if e, ok := l.members[name]; ok && e.incarnation <= incarnation {
 		delete(l.members, name)
 	}
+	if r, ok := l.left[name]; !ok || r.incarnation <= incarnation {
+		l.left[name] = release{incarnation: incarnation, at: now}
+	}
 }
 
 // Heard takes a member's answer to the core's own ping. A later life ends the
@@ -144,6 +156,11 @@
 			delete(l.gone, name)
 		}
 	}
+	for name, r := range l.left {
+		if now.Sub(r.at) >= leftFor {
+			delete(l.left, name)
+		}
+	}
 }
 
 // Live tells whether a member's grant stands here.
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -381,7 +381,7 @@
 // Release ends the grant of a member that stops of itself.
 func (c *Core) Release(ctx kernel.Context, req *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
 	_, err := ask(ctx, c, func() bool {
-		c.ledger.Release(req.Name, req.Incarnation)
+		c.ledger.Release(req.Name, req.Incarnation, c.clock.Now())
 		c.log.Emit(events.GrantReleased, "member", req.Name, "by", "itself")
 		return true
 	})
--- a/internal/node/core/fleet_test.go
+++ b/internal/node/core/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sort"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -32,6 +33,7 @@
 	stop      map[string]context.CancelFunc
 	silent    atomic.Pointer[map[string]bool]
 	dead      atomic.Pointer[map[string]bool]
+	told      sync.Map    // "from>to" -> epoch of the newest ping
 	split     atomic.Bool // no majority of cores reaches another
 }
 
@@ -205,6 +207,7 @@
 }
 
 func (c client) Ping(ctx context.Context, req *connect.Request[wire.PingRequest]) (*connect.Response[wire.PingResponse], error) {
+	c.f.told.Store(c.from+">"+c.to, req.Msg.Epoch)
 	return reach(ctx, c, req, c.f.fronts[c.to].Ping)
 }
 
--- /dev/null
+++ b/internal/node/core/leave_test.go
@@ -0,0 +1,51 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/wire"
+)
+
+func TestLeave(t *testing.T) {
+	inFleet(t, 6, func(t *testing.T, f *fleet) {
+		Convey("What a front released is not given again, neither by a renewal under way nor by a later one", t, func() {
+			So(f.ruling(), ShouldEqual, 6)
+			So(f.fronts["f6"].Leave(f.ctx), ShouldBeNil)
+			So(f.fronts["f6"].Ruling(), ShouldBeFalse)
+			for _, core := range f.cores {
+				_, err := core.Release(f.ctx, &wire.ReleaseRequest{Name: "f6", Incarnation: 1})
+				So(err, ShouldBeNil)
+			}
+			late := &wire.RenewRequest{Self: f.processes["f6"], Epoch: f.agreed.Load().state.Epoch}
+			resp, err := f.cores["c1"].Renew(f.ctx, late)
+			So(err, ShouldBeNil)
+			So(resp.Granted, ShouldBeFalse)
+			for range 10 {
+				f.pass(100 * time.Millisecond)
+				for _, core := range f.cores {
+					view, err := core.GrantView(f.ctx, &wire.GrantViewRequest{})
+					So(err, ShouldBeNil)
+					So(view.Confirmed, ShouldNotContain, grant.MemberID("f6", 1))
+				}
+			}
+			So(f.ruling(), ShouldEqual, 5)
+		})
+		Convey("Each front tells every peer of a new epoch at once, not at its next turn", t, func() {
+			f.put(t)
+			epoch := f.agreed.Load().state.Epoch
+			f.pass(50 * time.Millisecond)
+			for _, from := range f.names[:5] {
+				for _, to := range f.names[:5] {
+					if from != to {
+						told, _ := f.told.Load(from + ">" + to)
+						So(told, ShouldEqual, epoch)
+					}
+				}
+			}
+		})
+	})
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -89,6 +89,8 @@
 	ruledBy  grant.By
 	presence map[string]presence
 	lives    map[string]uint64
+	tell     map[string]bool // peers to be pinged again once the ping under way ends
+	left     bool
 }
 
 type place struct {
@@ -117,7 +119,7 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]bool{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]bool{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, tell: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -171,6 +173,23 @@
 	return &wire.FetchResponse{SnapshotEpoch: state.Epoch, Snapshot: state.Encode(), Learned: state.Epoch}, nil
 }
 
+// Leave ends the ruling and the renewals of a front that stops: what it
+// releases afterwards is not given again.
+func (f *Follower) Leave(ctx kernel.Context) error {
+	done := make(chan struct{})
+	f.post(func() {
+		f.left = true
+		f.judge()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (f *Follower) post(step func()) {
 	select {
 	case f.inbox <- step:
@@ -237,6 +256,9 @@
 // renew keeps one call per core in flight; a wish to renew meanwhile is kept
 // and met when the call returns.
 func (f *Follower) renew(core *wire.Process) {
+	if f.left {
+		return
+	}
 	if f.renewing[core.Name] {
 		f.again[core.Name] = true
 		return
@@ -350,6 +372,10 @@
 			case f.clock.Now().Sub(f.asked[name]) >= pingFresh && !f.refused[name]:
 				f.noticePeer(name, silent, 0)
 			}
+			if f.tell[name] {
+				f.tell[name] = false
+				f.ping(name)
+			}
 			f.judge()
 		})
 	}()
@@ -366,6 +392,9 @@
 // judge publishes until when the node rules.
 func (f *Follower) judge() {
 	verdict := f.holder.Ruling(f.clock.Now())
+	if f.left {
+		verdict = grant.Verdict{By: f.ruledBy}
+	}
 	until := kernel.Time{}
 	if verdict.Ruling {
 		until = verdict.Until
@@ -440,6 +469,20 @@
 	for _, core := range f.cores() {
 		f.renew(core)
 	}
+	f.spread()
+}
+
+// spread tells the peers of a small roster of a new epoch at once, so that none
+// of them goes on by the roster without it when all who know it are lost next.
+func (f *Follower) spread() {
+	roster := rosterNames(f.state)
+	if len(roster) > pingWhole || f.holder.Unconfirmed() {
+		return
+	}
+	for _, name := range roster {
+		f.tell[name] = f.pinging[name]
+		f.ping(name)
+	}
 }
 
 // follow keeps one long poll of the feed open, at a core that answers.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -380,6 +380,7 @@
 	ctx, cancel = kernel.WithTimeout(kernel.Background(), kernel.Second)
 	defer cancel()
 	_ = p.spend.Flush(ctx)
+	_ = p.follower.Leave(ctx)
 	released := make(chan struct{})
 	var cores []*wire.Process
 	for _, known := range p.directory.Processes() {
