Fill the small disk in its test for good, and free two tests of races of their own

The test now asserts that every sheet is taken, that the small core stays behind and declines, and that no majority is had without it.

--- a/internal/adapter/disklog/log_test.go
+++ b/internal/adapter/disklog/log_test.go
@@ -300,8 +300,8 @@
 		_, err := l.Append([][]byte{record(0)}, false)
 		So(kernel.AsFault(err).Code, ShouldEqual, kernel.DiskFull)
 		So(<-l.Snapshot([]byte("with the reserve")), ShouldBeNil)
-		disk.left = 1 << 20
 		shutdown(l)
+		disk.left = 1 << 20
 		l, replay = open(t, cfg)
 		So(string(replay.Snapshot), ShouldEqual, "with the reserve")
 		So(l.Full(), ShouldBeFalse)
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -407,16 +406,24 @@
 		f.disk["b"] = small
 		f.cfg.SnapshotRecords = 1 << 30
 		f.form()
+		whole, fault := sheet.ParseSheet([]byte(firstSheetJSON), 1<<20)
+		So(fault, ShouldBeNil)
+		whole.Tenants = map[string]sheet.Tenant{}
+		for n := range 250 {
+			whole.Tenants[fmt.Sprint("tenant-", n)] = sheet.Tenant{Rate: 1, Burst: 1, KeyHashes: []string{fmt.Sprintf("%064x", n)}}
+		}
 		large := func(i int) []byte {
-			return sheet.Encode(sheet.PutSheet{Order: sheet.Order{OrderID: fmt.Sprint(i), Base: uint64(i)},
-				Sheet: &sheet.Sheet{Settings: map[string]string{"log.level": string(bytes.Repeat([]byte("x"), 30<<10))}}})
+			return sheet.Encode(sheet.PutSheet{Order: sheet.Order{OrderID: fmt.Sprint(i), Base: uint64(i)}, Sheet: whole})
 		}
+		So(len(large(0)), ShouldBeBetween, 25<<10, 35<<10)
 		for i := range 8 {
-			_, _, err := f.core("a").Propose(within(5*time.Second), large(i))
+			_, result, err := f.core("a").Propose(within(5*time.Second), large(i))
 			So(err, ShouldBeNil)
+			So(result.Code, ShouldEqual, kernel.OK)
 		}
 		So(f.until(time.Second, f.at(8, "a", "c")), ShouldBeTrue)
-		So(f.core("b").Standing(), ShouldEqual, wire.Standing_STANDING_DISK_FULL)
+		So(f.until(time.Second, func() bool { return f.core("b").Standing() == wire.Standing_STANDING_DISK_FULL }), ShouldBeTrue)
+		So(f.core("b").Current().Epoch, ShouldBeLessThan, 8)
 		f.stop["c"]()
 		_, _, err := f.core("a").Propose(within(time.Second), large(8))
 		So(kernel.AsFault(err).Code, ShouldBeIn, kernel.NoMajority, kernel.OutcomePending)
