End an attempt when its server is seen dark, and bound first events by its load

Cause: a model server that went dark before its first event held a prompt for the flat 10 s, and a one-shot until its deadline, also while both watchers knew; the table was never told how long requests take, so it declined nothing for its deadline. Ruled out: cutting streams that have begun by the view (their gap's bound rules, and a silent status alone is no proof); resending one-shots; a bound by the mean alone, which a crowd outruns. Change: the router ends the attempts at a server that turns gone, refusing or silent in the view; prompts without an event go elsewhere within the retry budget and the deadline, a one-shot that was written is outcome_unknown at once, one that wasn't is tried elsewhere. The first event's bound is the greater of five mean first tokens and twice the prefill of all that is in flight there (four times that when cold), at least 1 s, at most 10 s; the flat bound stays for a server that tells no prefill rate. Outcomes carry service, duration and first token, as the table asks for. Conclusion: a dark server costs a prompt its load's worth, or what the watchers take.

--- a/internal/adapter/backend/backend.go
+++ b/internal/adapter/backend/backend.go
@@ -103,6 +103,8 @@
 	Deadline kernel.Time
 	Now      func() kernel.Time
 	Allow    func() *kernel.Fault // asked at the moment of the first write; may be nil
+
+	FirstEvent kernel.Duration // until a stream's first event, where shorter than the client's bound; 0 for that
 }
 
 // Client speaks to servers.
--- a/internal/adapter/backend/stream.go
+++ b/internal/adapter/backend/stream.go
@@ -67,7 +67,11 @@
 func (c *Client) generate(ctx kernel.Context, attempt *Attempt, prompt *Prompt, events *stage.Queue[Event]) *Failure {
 	ctx, cancel := kernel.WithCancel(ctx)
 	defer cancel()
-	watch := newWatch(c.config.FirstEvent, cancel)
+	bound := c.config.FirstEvent
+	if attempt.FirstEvent > 0 {
+		bound = min(bound, attempt.FirstEvent)
+	}
+	watch := newWatch(bound, cancel)
 	defer watch.stop()
 
 	sent := *prompt
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -67,7 +67,7 @@
 		if p := t.pools[poolKey{req.Service, req.Home}]; p != nil {
 			s, here := t.pick(p, req, key, now.Sub(since), now, &c)
 			if s != nil {
-				return c.to(s), true
+				return t.seated(c, s, req), true
 			}
 			found = here
 		}
@@ -86,7 +86,7 @@
 			s, here := t.pick(k.pool, req, key, now.Sub(since), now, &c)
 			if s != nil {
 				w.commit(first)
-				return c.to(s), true
+				return t.seated(c, s, req), true
 			}
 			found = max(found, here)
 		}
@@ -123,7 +123,8 @@
 	return i
 }
 
-func (c Choice) to(s *server) Choice {
+func (t *Table) seated(c Choice, s *server, req *Request) Choice {
+	c.FirstEvent = t.firstEvent(s, req)
 	c.Server, c.Address, c.Region = s.name, s.status.Address, s.status.Region
 	c.Pending, c.Fault = false, nil
 	return c
--- a/internal/core/route/pending.go
+++ b/internal/core/route/pending.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
 )
 
 const (
@@ -19,6 +20,11 @@
 	startMargin = 1.5
 	tookWeight  = 0.05
 	wakeStep    = 50 * kernel.Millisecond
+
+	firstLeast  = kernel.Second
+	firstMeans  = 5
+	firstTwice  = 2
+	coldPrefill = 4
 )
 
 // class is a set of pending requests that wait for the same servers.
@@ -113,12 +119,41 @@
 	if o.Service == "" || o.Took <= 0 || !o.OK && o.FirstToken <= 0 {
 		return
 	}
-	m := t.took[o.Service]
+	learn(t.took, o.Service, o.Took)
+	if o.FirstToken > 0 {
+		learn(t.first, o.Service, o.FirstToken)
+	}
+}
+
+func learn(means map[string]*mean, service string, d kernel.Duration) {
+	m := means[service]
 	if m == nil {
-		m = &mean{float64(o.Took)}
-		t.took[o.Service] = m
+		m = &mean{float64(d)}
+		means[service] = m
+	}
+	m.value += (float64(d) - m.value) * tookWeight
+}
+
+// firstEvent bounds the time to a first event: several times the mean, and
+// twice what it takes the server to prefill all that it may have in flight as if
+// each request were like this one and none in its cache, and to free a slot.
+func (t *Table) firstEvent(s *server, req *Request) kernel.Duration {
+	if s.status.PrefillPerSecond <= 0 || req.Tokens <= 0 {
+		return 0
+	}
+	ahead := max(s.own+s.others, int(s.status.Running+s.status.Queued)) + 1
+	seconds := float64(ahead) * req.Tokens / s.status.PrefillPerSecond
+	if s.status.State == wire.ServerState_SERVER_STATE_COLD {
+		seconds *= coldPrefill
+	}
+	explained := firstTwice * seconds * float64(kernel.Second)
+	if ahead > int(s.status.Slots) {
+		explained += float64(t.lasts(req, firstTwice))
+	}
+	if m := t.first[req.Service]; m != nil {
+		explained = max(explained, firstMeans*m.value)
 	}
-	m.value += (float64(o.Took) - m.value) * tookWeight
+	return max(firstLeast, kernel.Duration(min(explained, float64(kernel.Minute))))
 }
 
 // lasts returns what a request takes once started, times a margin; 0 when
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -114,7 +114,8 @@
 }
 
 // Choice is a server, or a fault, or the word to wait: then the caller calls
-// Enqueue. Wait is how long the wait is expected to be.
+// Enqueue. Wait is how long the wait is expected to be; FirstEvent how long the
+// server's load can explain that no first event comes, 0 when that is unknown.
 type Choice struct {
 	Server     string
 	Address    string
@@ -122,6 +123,7 @@
 	Fault      *kernel.Fault
 	Pending    bool
 	Wait       kernel.Duration
+	FirstEvent kernel.Duration
 	Candidates []Candidate
 }
 
@@ -159,15 +161,23 @@
 	budget    budget
 	popular   *popularity
 	took      map[string]*mean
+	first     map[string]*mean
 	self      uint64
 	mapID     uintptr
 }
 
+// Lost tells whether a server is known to answer nobody: it refuses, is silent
+// to its watchers, or is no longer listed.
+func (t *Table) Lost(name string) bool {
+	s := t.servers[name]
+	return s == nil || s.excluded == plan.Gone || s.status.State == wire.ServerState_SERVER_STATE_GONE || !s.status.Reachable
+}
+
 // New returns a table that knows nothing: it declines until the first Update.
 func New(cfg Config) *Table {
 	cfg = cfg.orDefaults()
 	return &Table{cfg: cfg, servers: map[string]*server{}, pools: map[poolKey]*pool{}, shares: map[shareKey]*wheel{},
-		pending: newPending(), budget: newBudget(cfg.RetryBudget), popular: newPopularity(), took: map[string]*mean{}, self: xxhash.Sum64String(cfg.Self), frontsGen: 1,
+		pending: newPending(), budget: newBudget(cfg.RetryBudget), popular: newPopularity(), took: map[string]*mean{}, first: map[string]*mean{}, self: xxhash.Sum64String(cfg.Self), frontsGen: 1,
 		fronts: []uint64{xxhash.Sum64String(cfg.Self)}}
 }
 
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -31,6 +31,7 @@
 	numbers atomic.Uint64
 	seen    *follow.View
 	pending map[string]*seat
+	seated  map[string]map[*seat]struct{} // by server
 	survey  survey
 	tune    func(*sheet.Sheet, *route.Table) // takes in what a new sheet sets at run time
 	sheet   *sheet.Sheet
@@ -43,6 +44,8 @@
 	choice  chan route.Choice
 	server  string
 	gone    bool
+	lost    kernel.Context // ends when the server is known to be lost
+	lose    kernel.Cancel
 }
 
 type ended struct {
@@ -52,7 +55,7 @@
 
 func newRouter(table *route.Table, self string, views Views, clock kernel.Clock, log events.Log, over chan struct{}) *router {
 	return &router{table: table, self: self, views: views, clock: clock, log: log, ended: over, asks: stage.NewQueue[*seat](routerBound),
-		ends: stage.NewQueue[ended](routerBound), pending: map[string]*seat{}}
+		ends: stage.NewQueue[ended](routerBound), pending: map[string]*seat{}, seated: map[string]map[*seat]struct{}{}}
 }
 
 // ask hands a request to the router, unless its queue is full. The choice
@@ -61,6 +64,7 @@
 func (r *router) ask(request route.Request) (*seat, *kernel.Fault) {
 	request.ID = strconv.FormatUint(r.numbers.Add(1), 36)
 	s := &seat{request: request, choice: make(chan route.Choice, 1)}
+	s.lost, s.lose = kernel.WithCancel(kernel.Background())
 	if !r.asks.Offer(s) {
 		return nil, kernel.Decline(kernel.PendingFull, "%d requests wait to be routed", routerBound).After(kernel.Second)
 	}
@@ -136,6 +140,13 @@
 	}
 	now := r.clock.Now()
 	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, now)
+	for name, seats := range r.seated {
+		if r.table.Lost(name) {
+			for s := range seats {
+				s.lose()
+			}
+		}
+	}
 	r.survey.look(r.table, view.Plan, now, r.log)
 }
 
@@ -168,6 +179,10 @@
 	if choice.Fault == nil {
 		s.server = choice.Server
 		r.table.Started(choice.Server)
+		if r.seated[s.server] == nil {
+			r.seated[s.server] = map[*seat]struct{}{}
+		}
+		r.seated[s.server][s] = struct{}{}
 	}
 	s.choice <- choice
 }
@@ -175,12 +190,17 @@
 func (r *router) end(end ended) {
 	s := end.seat
 	s.gone = true
+	s.lose()
 	if _, waits := r.pending[s.request.ID]; waits {
 		delete(r.pending, s.request.ID)
 		r.table.Cancel(s.request.ID)
 		return
 	}
 	if s.server != "" {
+		delete(r.seated[s.server], s)
+		if len(r.seated[s.server]) == 0 {
+			delete(r.seated, s.server)
+		}
 		r.table.Finished(s.server, end.outcome, r.clock.Now())
 	}
 }
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -264,7 +264,7 @@
 func (c *call) attempt(choice route.Choice) *backend.Attempt {
 	c.server = choice.Server
 	return &backend.Attempt{ID: c.id, Server: choice.Server, Address: choice.Address, Deadline: c.request.Deadline,
-		Now: c.front.clock.Now, Allow: c.maySend}
+		Now: c.front.clock.Now, Allow: c.maySend, FirstEvent: choice.FirstEvent}
 }
 
 func (c *call) retried(server string) {
@@ -273,6 +273,22 @@
 	c.front.metrics.retries.WithLabelValues(c.service).Inc()
 }
 
+// lost names what the watchers saw as the cause why an attempt ended.
+func lost(failure *backend.Failure) *backend.Failure {
+	kind := backend.Dark
+	if failure.Unsent() {
+		kind = backend.Unsent
+	}
+	return &backend.Failure{Kind: kind, Detail: "the server is gone or dark, its watchers say"}
+}
+
+// giveUp frees the seat of an attempt, and tells the table what came of it.
+func (c *call) giveUp(s *seat, failure *backend.Failure, began kernel.Time, first kernel.Duration) {
+	outcome := outcomeOf(failure)
+	outcome.Service, outcome.FirstToken, outcome.Took = c.request.Service, first, c.front.clock.Now().Sub(began)
+	c.front.router.giveUp(s, outcome)
+}
+
 // outcomeOf tells the routing table how a request ended at its server. What
 // the caller or the front gave up says nothing of the server; an answer that
 // breaks off or isn't this request's weighs as much as none.
@@ -323,9 +339,15 @@
 	}
 	var failure = &backend.Failure{Kind: backend.Broken, Detail: "a fault of the program"}
 	began := f.clock.Now()
-	defer func() { f.router.giveUp(s, outcomeOf(failure)) }()
+	defer func() { c.giveUp(s, failure, began, 0) }()
+	calling, cancel := kernel.WithCancel(ctx)
+	defer cancel()
+	defer kernel.AfterFunc(s.lost, cancel)()
 	var got *backend.Answer
-	got, failure = f.client.Call(ctx, c.attempt(choice), &backend.Shot{Method: shot.Method, Path: shot.Path, Query: shot.Query, Header: shot.Header, Body: shot.Body})
+	got, failure = f.client.Call(calling, c.attempt(choice), &backend.Shot{Method: shot.Method, Path: shot.Path, Query: shot.Query, Header: shot.Header, Body: shot.Body})
+	if failure != nil && s.lost.Err() != nil && ctx.Err() == nil {
+		failure = lost(failure)
+	}
 	c.note(Entry{Attempt: attemptOf(choice.Server, failure, f.clock.Now().Sub(began))})
 	c.reportAnswer(failure)
 	switch {
@@ -389,9 +411,7 @@
 	failure := &backend.Failure{Kind: backend.Gone, Detail: "given up"}
 	passed := &passage{call: c, out: out}
 	defer func() {
-		outcome := outcomeOf(failure)
-		outcome.FirstToken = passed.first
-		f.router.giveUp(s, outcome)
+		c.giveUp(s, failure, began, passed.first)
 		a := attemptOf(choice.Server, failure, f.clock.Now().Sub(began))
 		a.Events, a.FirstEventMS = passed.events, inMS(passed.first)
 		c.note(Entry{Attempt: a})
@@ -400,9 +420,19 @@
 	go f.client.Generate(calling, c.attempt(choice), &backend.Prompt{Service: prompt.Service, Prefix: prompt.Prefix,
 		PrefixKey: fmt.Sprintf("%016x", c.request.Prefix), Session: prompt.Session, PrefixTokens: prompt.PrefixTokens,
 		SessionTokens: prompt.SessionTokens, MaxTokens: prompt.MaxTokens}, queue)
-	for event := range queue.Items() {
-		if fault := passed.on(event, began); fault != nil {
-			return "", fault
+	for ended, gone := false, s.lost.Done(); !ended; {
+		select {
+		case event, open := <-queue.Items():
+			if ended = !open; ended {
+				break
+			}
+			gone = nil
+			if fault := passed.on(event, began); fault != nil {
+				return "", fault
+			}
+		case <-gone:
+			failure = lost(failure)
+			return c.broken(ctx, choice.Server, failure, false)
 		}
 	}
 	if !errors.As(queue.Cause(), &failure) {
