Bound the bytes of all bodies that a node holds, and decline beyond them at once

Cause: bodies were bounded one by one only, so 1,024 requests could hold 1,024 times body.max (1 GiB at the default). Ruled out: reserving a body's length before it arrives (a few slow senders would take the budget with bytes that they never send); waiting for room, which holds memory elsewhere. Conclusion: request bodies are bounded as a sum. A reader's buffer can be up to twice the body, and answers of web servers (4 MiB each at most) are still bounded one by one.

--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"stepwick/internal/kernel"
+	"stepwick/internal/stage"
 )
 
 // Route declares one call. A path that ends in a slash holds for all below it.
@@ -41,13 +42,14 @@
 	clock  kernel.Clock
 	mounts map[string]http.Handler
 	slots  chan struct{}
+	bodies *stage.Budget
 }
 
 // New returns the API in front of calls. Mounts answer whatever lies below
 // their path by their own rules.
 func New(limits Limits, calls Calls, clock kernel.Clock, mounts map[string]http.Handler) *API {
 	limits = limits.withDefaults()
-	a := &API{calls: calls, clock: clock, mounts: mounts, slots: make(chan struct{}, limits.Requests)}
+	a := &API{calls: calls, clock: clock, mounts: mounts, slots: make(chan struct{}, limits.Requests), bodies: stage.NewBudget(limits.BodiesMax)}
 	a.limits.Store(&limits)
 	return a
 }
@@ -91,6 +93,7 @@
 	r      *http.Request
 	head   Head
 	read   bool
+	held   int64 // bytes taken from the budget of bodies
 	taken  bool
 	stream *Stream
 }
@@ -107,6 +110,7 @@
 		}
 	}
 	x := &exchange{api: a, limits: a.limits.Load(), writer: w, r: r, head: Head{ID: id, Arrived: a.calls.Arrived()}}
+	defer func() { a.bodies.Give(x.held) }()
 	defer x.recover()
 	if r.ContentLength != 0 {
 		_ = http.NewResponseController(w).SetReadDeadline(in(x.limits.BodyTimeout))
@@ -193,11 +197,25 @@
 }
 
 func (x *exchange) body() ([]byte, *kernel.Fault) {
-	body, fault := x.limits.readBody(x.writer, x.r)
+	body, fault := x.limits.readBody(x.writer, x.r, x)
 	x.read = fault == nil
 	return body, fault
 }
 
+// hold takes the bytes of a body, as they arrive, from the budget of all bodies.
+// They are given back when the exchange ends.
+func (x *exchange) hold(bytes int) *kernel.Fault {
+	if !x.api.bodies.Take(int64(bytes)) {
+		return x.bodiesFull()
+	}
+	x.held += int64(bytes)
+	return nil
+}
+
+func (x *exchange) bodiesFull() *kernel.Fault {
+	return kernel.Decline(kernel.PendingFull, "the bodies that the node holds are at their bound of %d bytes", x.limits.BodiesMax).After(kernel.Second)
+}
+
 func (x *exchange) context(deadline kernel.Time) (kernel.Context, kernel.Cancel) {
 	return kernel.WithTimeout(x.r.Context(), deadline.Sub(x.api.clock.Now()))
 }
--- a/internal/adapter/clientapi/clientapi.go
+++ b/internal/adapter/clientapi/clientapi.go
@@ -20,6 +20,7 @@
 // Limits bounds what one caller can cost. Zero values take the defaults named.
 type Limits struct {
 	BodyMax         int64           // bytes; default 1 MiB
+	BodiesMax       int64           // bytes of all bodies held at once; default 64 MiB, at least four bodies
 	HeaderMax       int             // bytes of all header fields together; default 16 KiB
 	BodyTimeout     kernel.Duration // for a whole body; default 5s
 	HeaderTimeout   kernel.Duration // for a whole header; default 5s
@@ -34,6 +35,7 @@
 
 func (l Limits) withDefaults() Limits {
 	or(&l.BodyMax, 1<<20)
+	or(&l.BodiesMax, max(64<<20, 4*l.BodyMax))
 	or(&l.HeaderMax, 16<<10)
 	or(&l.BodyTimeout, 5*kernel.Second)
 	or(&l.HeaderTimeout, 5*kernel.Second)
--- a/internal/adapter/clientapi/clientapi_test.go
+++ b/internal/adapter/clientapi/clientapi_test.go
@@ -324,6 +324,44 @@
 			}
 		})
 	})
+	Convey("Bodies beyond the bound of all are declined at once, and every end gives its bytes back", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			calls := &fakeCalls{events: []string{`{"seq":0}`}, ended: make(chan error, 1)}
+			listener, bound := newPipeListener(), int64(2*len(whole)-1)
+			api := New(Limits{BodyMax: 1000, BodiesMax: bound}, calls, kernel.System(), nil)
+			server := api.Server()
+			go server.Serve(listener)
+			defer server.Close()
+			first := listener.dial()
+			go io.WriteString(first, request("POST", "/v1/prompt", keyed, whole))
+			bufio.NewReader(first).ReadString('}')
+			chunked := strings.ReplaceAll("POST /v1/call/s/ HTTP/1.1\nHost: n\n"+keyed+"Transfer-Encoding: chunked\n\n96\n"+strings.Repeat("x", 150)+"\n0\n\n", "\n", "\r\n")
+			for name, text := range map[string]string{"its length": request("POST", "/v1/prompt", keyed, whole), "no length": chunked} {
+				conn, began := listener.dial(), time.Now()
+				go io.WriteString(conn, text)
+				got, _ := io.ReadAll(conn)
+				for _, part := range []string{" 503 ", `"code":2003`, "Retry-After: 1", "Connection: close"} {
+					if !strings.Contains(string(got), part) || time.Since(began) != 0 {
+						t.Errorf("a body that tells %s: no %q in %q after %s", name, part, got, time.Since(began))
+					}
+				}
+				conn.Close()
+			}
+			half := listener.dial()
+			go io.WriteString(half, strings.TrimSuffix(request("POST", "/v1/prompt", keyed, whole[:110]), whole[100:110]))
+			synctest.Wait()
+			if left := api.bodies.Left(); left != bound-int64(len(whole))-100 {
+				t.Errorf("%d bytes are left while bodies are held", left)
+			}
+			io.ReadAll(half)
+			first.Close()
+			<-calls.ended
+			synctest.Wait()
+			if left := api.bodies.Left(); left != bound {
+				t.Errorf("%d bytes of %d are left once all have ended", left, bound)
+			}
+		})
+	})
 	Convey("Requests beyond the bound are declined at once, and a connection outlives its answers", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			calls := &fakeCalls{events: []string{`{"seq":0}`}, ended: make(chan error, 1)}
--- a/internal/adapter/clientapi/parse.go
+++ b/internal/adapter/clientapi/parse.go
@@ -98,20 +98,40 @@
 	return span, true, fault
 }
 
-func (l Limits) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *kernel.Fault) {
+// heldBody reads a body whose bytes are held by an exchange.
+type heldBody struct {
+	io.Reader
+	by *exchange
+}
+
+func (b heldBody) Read(into []byte) (int, error) {
+	n, err := b.Reader.Read(into)
+	if fault := b.by.hold(n); fault != nil {
+		return 0, fault
+	}
+	return n, err
+}
+
+func (l Limits) readBody(w http.ResponseWriter, r *http.Request, by *exchange) ([]byte, *kernel.Fault) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
 	if r.ContentLength > l.BodyMax {
 		return nil, kernel.Decline(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyMax))
+	if r.ContentLength > by.api.bodies.Left() {
+		return nil, by.bodiesFull()
+	}
+	body, err := io.ReadAll(heldBody{http.MaxBytesReader(w, r.Body, l.BodyMax), by})
 	if err == nil {
 		return body, kernel.AsFault(errors.Wrap(http.NewResponseController(w).SetReadDeadline(kernel.Time{}), "lift the body's bound of time"))
 	}
 	var tooLarge *http.MaxBytesError
 	var network net.Error
+	var full *kernel.Fault
 	switch {
+	case errors.As(err, &full):
+		return nil, full
 	case errors.As(err, &tooLarge):
 		return nil, kernel.Decline(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
 	case errors.As(err, &network) && network.Timeout():
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -2,6 +2,8 @@
 package stage
 
 import (
+	"sync/atomic"
+
 	"stepwick/internal/kernel"
 )
 
@@ -60,3 +62,28 @@
 // Cause returns what Close was given. It may be asked only after Items was
 // seen closed.
 func (q *Queue[T]) Cause() error { return q.cause }
+
+// Budget bounds the sum of what the requests between two stages hold, in bytes.
+type Budget struct {
+	bound int64
+	held  atomic.Int64
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(bound int64) *Budget { return &Budget{bound: bound} }
+
+// Take takes bytes, or none and false when they are over what is left. It
+// never waits.
+func (b *Budget) Take(bytes int64) bool {
+	if b.held.Add(bytes) <= b.bound {
+		return true
+	}
+	b.held.Add(-bytes)
+	return false
+}
+
+// Give gives bytes back that were taken.
+func (b *Budget) Give(bytes int64) { b.held.Add(-bytes) }
+
+// Left returns how many bytes could be taken now.
+func (b *Budget) Left() int64 { return b.bound - b.held.Load() }
