Feed what a core folded of a server, and mere load apart, instead of every watcher's word

Ruled out: longer repeats (a dead watcher would hide a drain for longer); feeding load of a front's own servers only (the choice is not made yet that would say which these are). Change: a core feeds its fold of a server, whole when the status changed in a way that matters, and running, queued, answered and cache alone otherwise, 100 servers a second at the most. A fold stands until a newer one; what a front's own watcher saw since can only make it worse. A core that has just begun tells nothing but drains, leavings and losses until every watcher has repeated itself: its first fold may lack the sight that keeps requests away. The test of load on the feed now reads the load's own change; the value and the pace it asks for stay.

--- a/internal/core/merge/fold.go
+++ b/internal/core/merge/fold.go
@@ -34,6 +34,53 @@
 	return a
 }
 
+func (e *entry) fold(name string, fresh int64) *wire.ServerStatus {
+	held, ok := newestFold(e.sightings)
+	if !ok {
+		return fold(name, e.sightings, fresh)
+	}
+	since := map[string]sighting{}
+	for watcher, s := range e.sightings {
+		if _, sight := SightOf(watcher); sight != Folded && s.at > held.at {
+			since[watcher] = s
+		}
+	}
+	return onFold(held, e.load, fold(name, since, fresh))
+}
+
+// onFold lays newer load and the front's own newer sights over a core's fold.
+func onFold(held sighting, load *wire.Load, own *wire.ServerStatus) *wire.ServerStatus {
+	status := proto.Clone(held.report.Status).(*wire.ServerStatus)
+	if load != nil && load.Incarnation == status.Incarnation && load.AtMs > held.at {
+		status.Running, status.Queued, status.Answered, status.KvUsed = load.Running, load.Queued, load.Answered, float64(load.KvUsed)
+	}
+	if own == nil {
+		return status
+	}
+	status.State = worst(status.State, own.State)
+	if own.LeaveAtMs > 0 && (status.LeaveAtMs == 0 || own.LeaveAtMs < status.LeaveAtMs) {
+		status.LeaveAtMs = own.LeaveAtMs
+	}
+	if own.Incarnation > status.Incarnation || (own.Incarnation == status.Incarnation && own.Answered > status.Answered) {
+		status.Incarnation, status.Answered, status.Slots = own.Incarnation, own.Answered, own.Slots
+		status.Running, status.Queued, status.KvUsed = own.Running, own.Queued, own.KvUsed
+		status.TokensPerSecond, status.PrefillPerSecond = own.TokensPerSecond, own.PrefillPerSecond
+	}
+	return status
+}
+
+func newestFold(sightings map[string]sighting) (newest sighting, found bool) {
+	for watcher, s := range sightings {
+		if _, sight := SightOf(watcher); sight != Folded {
+			continue
+		}
+		if !found || s.at > newest.at || (s.at == newest.at && watcher > newest.report.Watcher) {
+			newest, found = s, true
+		}
+	}
+	return newest, found
+}
+
 func fold(name string, sightings map[string]sighting, fresh int64) *wire.ServerStatus {
 	listed := counting(sightings, Listed, fresh)
 	own := counting(sightings, Own, fresh)
--- a/internal/core/merge/merge.go
+++ b/internal/core/merge/merge.go
@@ -11,6 +11,10 @@
 // a watcher that died is outlived by the others after Config.Fresh, and when
 // all watchers of a server died their last word stands. A server whose own
 // status nobody has asked for yet counts as reachable.
+//
+// A core feeds the fronts what it folded, only when that changes. A fold
+// stands until a newer one; what the front's own watcher saw since it can only
+// make the state worse, or bring newer load.
 package merge
 
 import (
@@ -25,10 +29,12 @@
 // Sight tells what a watcher looked at.
 type Sight string
 
-// Sights: the platform's list, or the server's own status.
+// Sights: the platform's list, the server's own status, or what a core folded
+// from all of its reports, which rides the feed in their place.
 const (
 	Listed Sight = "list"
 	Own    Sight = "own"
+	Folded Sight = "fold"
 )
 
 // Watcher returns the name under which a process reports one kind of sight.
@@ -37,8 +43,10 @@
 // SightOf returns the process and the kind of sight in a report's watcher.
 // Without a kind it is a sight of the server's own status.
 func SightOf(watcher string) (process string, sight Sight) {
-	if process, found := strings.CutSuffix(watcher, "/"+string(Listed)); found {
-		return process, Listed
+	for _, sight := range []Sight{Listed, Folded} {
+		if process, found := strings.CutSuffix(watcher, "/"+string(sight)); found {
+			return process, sight
+		}
 	}
 	return strings.TrimSuffix(watcher, "/"+string(Own)), Own
 }
@@ -84,6 +92,8 @@
 type entry struct {
 	sightings map[string]sighting
 	status    *wire.ServerStatus
+	load      *wire.Load // newer than the fold that is held, or nil
+	loadAt    int64
 }
 
 // Reports is the set of newest reports. It has one owner; the maps and
@@ -125,6 +135,22 @@
 	return true
 }
 
+// MergeLoad takes in the load of a server whose status is held as a core's fold,
+// and tells whether it was newer.
+func (r *Reports) MergeLoad(load *wire.Load) bool {
+	e := r.servers[load.GetServer()]
+	if e == nil {
+		return false
+	}
+	held, ok := newestFold(e.sightings)
+	if !ok || held.report.Status.Incarnation != load.Incarnation || load.AtMs <= max(held.at, e.loadAt) {
+		return false
+	}
+	e.load, e.loadAt = load, load.AtMs
+	r.dirty[load.Server] = true
+	return true
+}
+
 func newer(a, b *wire.Report) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
@@ -150,7 +176,7 @@
 			}
 			continue
 		}
-		status := fold(name, e.sightings, fresh)
+		status := e.fold(name, fresh)
 		if same(e.status, status) {
 			continue
 		}
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -122,6 +122,7 @@
 	state     sheet.State
 	feed      *feed
 	reports   *reports
+	begun     kernel.Time
 	plan      *wire.Plan
 	outboxes  map[string]*outbox
 	sights    map[string]sight
@@ -149,9 +150,9 @@
 	return &Core{
 		config: config, agreement: agreement, peers: peers, clock: clock, log: log,
 		orders: make(chan struct{}, orderBound), inbox: make(chan func(), inboxBound),
-		ledger:  grant.NewLedger(config.Self, config.GrantTTL, clock.Now()),
+		begun: clock.Now(), ledger: grant.NewLedger(config.Self, config.GrantTTL, clock.Now()),
 		feed:    newFeed(config.Self, config.Incarnation, config.FeedBound),
-		reports: newReports(config.Merge), outboxes: map[string]*outbox{}, sights: map[string]sight{},
+		reports: newReports(config.Self, config.Incarnation, config.Merge), outboxes: map[string]*outbox{}, sights: map[string]sight{},
 		pinging: map[string]bool{}, jobs: map[string]bool{}, since: map[string]kernel.Time{},
 	}
 }
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -120,7 +120,7 @@
 		return &pulled{resp: resp}
 	}
 	state := c.state
-	snapshot := &wire.Snapshot{Epoch: state.Epoch, Plan: c.plan, Reports: c.reports.fed()}
+	snapshot := &wire.Snapshot{Epoch: state.Epoch, Plan: c.plan, Reports: c.reports.snapshot()}
 	resp = &wire.FollowResponse{Feed: c.feed.id(), Place: c.feed.changes.Last(), Learned: state.Epoch, Snapshot: snapshot}
 	if state.Epoch == 0 || req.Epoch >= state.Epoch {
 		return &pulled{resp: resp}
--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -1,7 +1,11 @@
 package core
 
 import (
+	"maps"
+	"slices"
+
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"stepwick/internal/core/duty"
 	"stepwick/internal/core/merge"
@@ -11,20 +15,29 @@
 	"stepwick/internal/wire"
 )
 
-// reports holds what watchers said, and which of it rode the feed. What a
-// server's folded status rests on is fed when the status changed in a way that
-// matters; mere load is fed at a slower pace.
+// reports holds what watchers said and what the feed told of it. The feed
+// tells what a core folded, a server at a time: whole when the status changed
+// in a way that matters, and mere load at a slower pace and within a budget, so
+// that a front's part of the feed does not grow with the watchers, and with the
+// servers only by what happens to them.
 type reports struct {
-	merged *merge.Reports
-	latest map[string]map[string]*wire.Report // server -> watcher
-	unfed  map[string]map[string]*wire.Report
-	folded map[string]*wire.ServerStatus // as of the last feeding
-	loadAt kernel.Time
+	self        string
+	incarnation uint64
+	counter     uint64
+	merged      *merge.Reports
+	latest      map[string]map[string]*wire.Report // server -> watcher
+	unfed       map[string]bool                    // servers with news that was not fed
+	fed         map[string]*wire.Report            // the newest fold that was fed
+	loads       map[string]*wire.Load              // newer load that was fed
+	loadAt      kernel.Time
 }
 
-func newReports(config merge.Config) *reports {
-	return &reports{merged: merge.New(config), latest: map[string]map[string]*wire.Report{},
-		unfed: map[string]map[string]*wire.Report{}, folded: map[string]*wire.ServerStatus{}}
+// loadBudget bounds the servers whose mere load is fed at one turn.
+const loadBudget = 100
+
+func newReports(self string, incarnation uint64, config merge.Config) *reports {
+	return &reports{self: self, incarnation: incarnation, merged: merge.New(config), latest: map[string]map[string]*wire.Report{},
+		unfed: map[string]bool{}, fed: map[string]*wire.Report{}, loads: map[string]*wire.Load{}}
 }
 
 func put(table map[string]map[string]*wire.Report, report *wire.Report) {
@@ -41,39 +54,85 @@
 		return false
 	}
 	put(r.latest, report)
-	put(r.unfed, report)
+	r.unfed[report.Server] = true
 	return true
 }
 
-// fed returns all reports that count, for a snapshot.
-func (r *reports) fed() []*wire.Report { return r.merged.Reports() }
-
-// due takes the reports that ride the feed now. Load tells that mere changes
-// of load ride along.
-func (r *reports) due(load bool) []*wire.Report {
-	servers := r.merged.Servers()
-	var out []*wire.Report
-	for server, row := range r.unfed {
-		status, last := servers[server], r.folded[server]
-		if status == last || (!load && !matters(last, status)) {
-			continue
-		}
-		for _, report := range row {
-			out = append(out, report)
+// snapshot returns the folds that were fed, with the newest load.
+func (r *reports) snapshot() []*wire.Report {
+	all := make([]*wire.Report, 0, len(r.fed))
+	for _, server := range slices.Sorted(maps.Keys(r.fed)) {
+		report := r.fed[server]
+		if load := r.loads[server]; load != nil {
+			report = proto.Clone(report).(*wire.Report)
+			report.AtMs = load.AtMs
+			report.Status.Running, report.Status.Queued = load.Running, load.Queued
+			report.Status.Answered, report.Status.KvUsed = load.Answered, float64(load.KvUsed)
 		}
-		delete(r.unfed, server)
-		r.folded[server] = status
+		all = append(all, report)
 	}
-	for server := range r.folded {
-		if _, known := servers[server]; !known {
-			delete(r.folded, server)
-			delete(r.latest, server)
+	return all
+}
+
+// due takes the changes that ride the feed now. Until a core that has just
+// begun has heard of every watcher, it tells only what keeps requests away: its
+// fold may lack the one sight that says so.
+func (r *reports) due(load, whole bool, now kernel.Time) []*wire.Change {
+	var out []*wire.Change
+	servers, budget := r.merged.Servers(), loadBudget
+	for server := range r.unfed {
+		status, last := servers[server], r.fed[server]
+		switch {
+		case status == nil:
+			r.forget(server)
+		case last == nil || matters(last.Status, status):
+			if !whole && merge.Severity(status.State) < merge.Severity(wire.ServerState_SERVER_STATE_DRAINING) {
+				continue
+			}
+			out = append(out, &wire.Change{What: &wire.Change_Report{Report: r.fold(status, now)}})
+		case load && whole && budget > 0:
 			delete(r.unfed, server)
+			if next := r.load(last.Status, status, now); next != nil {
+				out = append(out, &wire.Change{What: &wire.Change_Load{Load: next}})
+				budget--
+			}
 		}
 	}
 	return out
 }
 
+func (r *reports) forget(server string) {
+	delete(r.unfed, server)
+	delete(r.fed, server)
+	delete(r.loads, server)
+	delete(r.latest, server)
+}
+
+func (r *reports) fold(status *wire.ServerStatus, now kernel.Time) *wire.Report {
+	r.counter++
+	report := &wire.Report{Watcher: merge.Watcher(r.self, merge.Folded), Server: status.Name, Incarnation: r.incarnation,
+		Counter: r.counter, Status: status, AtMs: now.UnixMilli()}
+	r.fed[status.Name] = report
+	delete(r.loads, status.Name)
+	delete(r.unfed, status.Name)
+	return report
+}
+
+// load returns the load to feed, or nil when it is what was fed last.
+func (r *reports) load(last, status *wire.ServerStatus, now kernel.Time) *wire.Load {
+	next := &wire.Load{Server: status.Name, Incarnation: status.Incarnation, Running: status.Running, Queued: status.Queued,
+		Answered: status.Answered, KvUsed: float32(status.KvUsed), AtMs: now.UnixMilli()}
+	if held := r.loads[status.Name]; held != nil {
+		if held.Running == next.Running && held.Queued == next.Queued && held.Answered == next.Answered && held.KvUsed == next.KvUsed {
+			return nil
+		}
+	} else if last.Running == next.Running && last.Queued == next.Queued && last.Answered == next.Answered {
+		return nil
+	}
+	r.loads[status.Name] = next
+	return next
+}
+
 // matters tells whether a status differs in more than load.
 func matters(old, status *wire.ServerStatus) bool {
 	if old == nil || status == nil {
@@ -145,10 +204,17 @@
 	c.feedReports(load)
 }
 
+// heardAll tells whether this core has run long enough that every watcher has
+// repeated what it sees.
+func (c *Core) heardAll() bool {
+	n := len(c.reports.merged.Servers())
+	return c.clock.Now().Sub(c.begun) >= merge.KeepAlive(n)+merge.KeepAlive(n)/2
+}
+
 func (c *Core) feedReports(load bool) {
-	due := c.reports.due(load)
-	for _, report := range due {
-		c.feed.publish(&wire.Change{What: &wire.Change_Report{Report: report}})
+	due := c.reports.due(load, c.heardAll(), c.config.FleetNow())
+	for _, change := range due {
+		c.feed.publish(change)
 	}
 	if len(due) > 0 {
 		c.answerWaiters()
--- a/internal/node/core/runtime_test.go
+++ b/internal/node/core/runtime_test.go
@@ -102,7 +102,7 @@
 			begun := time.Now()
 			f.report("f1", 2, &wire.ServerStatus{Name: "m1", State: wire.ServerState_SERVER_STATE_READY, Running: 3})
 			last = f.follow("c3", last, 5*time.Second)
-			So(last.Changes[0].GetReport().Status.Running, ShouldEqual, 3)
+			So(last.Changes[0].GetLoad().Running, ShouldEqual, 3)
 			So(time.Since(begun), ShouldBeLessThanOrEqualTo, 1100*time.Millisecond)
 
 			begun = time.Now()
@@ -114,6 +114,7 @@
 		Convey("An older report changes nothing, and a snapshot holds them all", t, func() {
 			last := f.follow("c1", nil, time.Second)
 			So(last.Snapshot.Reports, ShouldHaveLength, 1)
+			So(last.Snapshot.Reports[0].Status.State, ShouldEqual, wire.ServerState_SERVER_STATE_DRAINING)
 			f.report("f1", 2, &wire.ServerStatus{Name: "m1", State: wire.ServerState_SERVER_STATE_READY})
 			So(f.follow("c1", last, 2*time.Second).Changes, ShouldBeEmpty)
 		})
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -570,6 +570,8 @@
 			dirty = f.takePlan(what.Plan) || dirty
 		case *wire.Change_Report:
 			dirty = f.reports.Merge(what.Report, f.FleetNow()) || dirty
+		case *wire.Change_Load:
+			dirty = f.reports.MergeLoad(what.Load) || dirty
 		}
 	}
 	if resp.Learned > f.state.Epoch {
