--- a/internal/node/spend/shard.go
+++ b/internal/node/spend/shard.go
@@ -201,10 +201,10 @@
 	if silent := answer.err != nil; silent != o.silent[answer.holder] {
 		if silent {
 			o.silent[answer.holder] = true
-			o.spend.log.Emit(HolderSilent, "holder", answer.holder, "owner", o.name, "error", answer.err)
+			o.spend.log.Emit(events.HolderSilent, "holder", answer.holder, "owner", o.name, "error", answer.err)
 		} else {
 			delete(o.silent, answer.holder)
-			o.spend.log.Emit(HolderBack, "holder", answer.holder, "owner", o.name)
+			o.spend.log.Emit(events.HolderBack, "holder", answer.holder, "owner", o.name)
 		}
 	}
 	if len(o.flush) > 0 {
@@ -224,11 +224,3 @@
 	}
 	o.flush = kept
 }
-
-// Events of the tally.
-var (
-	HolderSilent = events.Event{Number: 4201, Name: "holder_silent", Level: events.Warn,
-		Help: "The holder of some tenants' counts does not answer; this front spends its share of their limits until it does."}
-	HolderBack = events.Event{Number: 4202, Name: "holder_back", Level: events.Info,
-		Help: "The holder of some tenants' counts answers again."}
-)
