Spread readiness, addresses and losses of processes by the cores' feed

Cause: a front learned of other fronts by sampled hellos and by its own pings. At 410 fronts a record came by about once in ten minutes, which is also when the directory forgets it, so that holders of counts were unknown for a while; readiness was as old as that; and a front that was lost stayed a holder until its own turn among the pings, 205 s.

Ruled out: a pace of gossip that grows with the fleet; taking members out of the holders at silence, since both sides of a cut would then move the same counts.

Sights that come up together ride one answer per tick. Fronts take View.Fronts, Live and Silent from them; what a front met itself goes before an older word of the feed; 4 s without a core, pings and hellos decide as before. The directory keeps what the feed attests. Records carry the process's own counter, so that hellos and feed are ordered alike. Peers of large rosters that did not answer are pinged again at the next pace.

--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -48,18 +48,27 @@
 	news    kernel.Time // when a process or an incarnation was last new
 	hellos  chan []*wire.Process
 	table   atomic.Pointer[map[string]Sight]
+	vouched atomic.Pointer[attested]
+	wake    chan struct{}
 }
 
-// NewDirectory returns a directory. Self gives the process's own record
-// without counter at each call; seeds are internal addresses, ip:port.
+// attested is what the cores' feed says of who lives.
+type attested struct {
+	live  []*wire.Process
+	names map[string]bool
+}
+
+// NewDirectory returns a directory. Self gives the process's own record at each
+// call, with a counter that rises, or none; seeds are internal addresses, ip:port.
 func NewDirectory(pool *Pool, clock kernel.Clock, log events.Log, seeds []string, self func() *wire.Process) *Directory {
 	name := self().Name
 	d := &Directory{
 		clock: clock, pool: pool, log: log, seeds: seeds, self: self,
 		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
-		hellos: make(chan []*wire.Process, 64),
+		hellos: make(chan []*wire.Process, 64), wake: make(chan struct{}, 1),
 	}
 	d.table.Store(&map[string]Sight{})
+	d.vouched.Store(&attested{})
 	return d
 }
 
@@ -126,7 +135,7 @@
 // Serve keeps the directory until the context ends.
 func (d *Directory) Serve(ctx kernel.Context) error {
 	d.news = d.clock.Now()
-	d.merge([]*wire.Process{d.ownRecord()})
+	d.merge([]*wire.Process{d.ownRecord()}, true)
 	for {
 		wait := helloInterval
 		if len(*d.table.Load()) < 2 || d.clock.Now().Sub(d.news) < helloSettle {
@@ -141,18 +150,20 @@
 				stop()
 				return ctx.Err()
 			case records := <-d.hellos:
-				d.merge(records)
+				d.merge(records, true)
+			case <-d.wake:
+				d.merge(d.vouched.Load().live, false)
 			case <-wake:
 				break waiting
 			}
 		}
-		d.merge([]*wire.Process{d.ownRecord()})
+		d.merge([]*wire.Process{d.ownRecord()}, true)
 	}
 }
 
 func (d *Directory) ownRecord() *wire.Process {
 	own := d.self()
-	d.counter++
+	d.counter = max(d.counter+1, own.Counter)
 	own.Counter = d.counter
 	return own
 }
@@ -204,13 +215,15 @@
 }
 
 // merge keeps the record with the higher (incarnation, counter) of each name.
-func (d *Directory) merge(records []*wire.Process) {
+// Gossip tells whether others learn of news only by hellos.
+func (d *Directory) merge(records []*wire.Process, gossip bool) {
 	now := d.clock.Now()
 	own := d.self()
 	old := *d.table.Load()
+	vouched := d.vouched.Load().names
 	next := make(map[string]Sight, len(old)+1)
 	for name, s := range old {
-		if now.Sub(s.Seen) < forgetAfter || name == own.Name {
+		if now.Sub(s.Seen) < forgetAfter || name == own.Name || vouched[name] {
 			next[name] = s
 		}
 	}
@@ -225,7 +238,7 @@
 			continue
 		}
 		have, ok := next[r.Name]
-		if !ok || r.Incarnation > have.Process.Incarnation || changed(r, have.Process) {
+		if gossip && (!ok || r.Incarnation > have.Process.Incarnation || changed(r, have.Process)) {
 			d.news = now
 		}
 		if !ok || newer(r, have.Process) {
@@ -235,10 +248,17 @@
 	d.table.Store(&next)
 }
 
-// Learn takes in what other ways have told of processes. It never waits.
-func (d *Directory) Learn(records []*wire.Process) {
+// Attest takes in all processes that a core's feed says are live: they are
+// known by these records and kept, whether hellos tell of them or not. It never
+// waits.
+func (d *Directory) Attest(live []*wire.Process) {
+	names := make(map[string]bool, len(live))
+	for _, p := range live {
+		names[p.Name] = true
+	}
+	d.vouched.Store(&attested{live: live, names: names})
 	select {
-	case d.hellos <- records:
+	case d.wake <- struct{}{}:
 	default:
 	}
 }
--- a/internal/adapter/internalrpc/directory_test.go
+++ b/internal/adapter/internalrpc/directory_test.go
@@ -118,3 +118,31 @@
 		})
 	})
 }
+
+func TestAttest(t *testing.T) {
+	Convey("What a core's feed attests is known at once and kept without hellos; what it drops is forgotten in time", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			d := start(ctx, memnet.New(ctx), 0, "a fleet's secret")
+			synctest.Wait()
+			far := &wire.Process{Name: "far", Address: "127.0.1.99:1", Front: true, Incarnation: 1, Counter: 5}
+			d.Attest([]*wire.Process{far})
+			synctest.Wait()
+			if got := names(d); got != "far n0" {
+				t.Errorf("knows %q", got)
+			}
+			<-time.After(20 * time.Minute)
+			if got := names(d); got != "far n0" {
+				t.Errorf("after 20 minutes knows %q", got)
+			}
+			d.Attest(nil)
+			<-time.After(20 * time.Minute)
+			if got := names(d); got != "n0" {
+				t.Errorf("after it was dropped knows %q", got)
+			}
+			cancel()
+			<-time.After(5 * time.Second)
+			synctest.Wait()
+		})
+	})
+}
--- a/internal/core/grant/grant_test.go
+++ b/internal/core/grant/grant_test.go
@@ -191,6 +191,47 @@
 	return &wire.RenewRequest{Self: &wire.Process{Name: name, Incarnation: life, Front: true}, Epoch: epoch}
 }
 
+func TestSights(t *testing.T) {
+	Convey("Given a core that tells of a process on the roster and of one that is not", t, func() {
+		l, s, members := NewLedger("c1", ttl, at(0)), NewSights(), roster("a", "b")
+		l.Renew(renewal("a", 1, 5), 5, at(100))
+		l.Renew(renewal("z", 1, 5), 5, at(100))
+		So(s.LookAll(l, members, at(100)), ShouldHaveLength, 2)
+		Convey("what was told is not told again, whatever the counter", func() {
+			again := renewal("a", 1, 5)
+			again.Self.Counter = 9
+			l.Renew(again, 5, at(600))
+			So(s.LookAll(l, members, at(600)), ShouldBeEmpty)
+		})
+		Convey("readiness, a later life, silence and loss are each told once", func() {
+			ready := renewal("a", 1, 5)
+			ready.Self.Ready = true
+			l.Renew(ready, 5, at(600))
+			So(s.Look(l, "a", members, at(600)).Process.Ready, ShouldBeTrue)
+			l.Renew(renewal("a", 2, 5), 5, at(700))
+			So(s.Look(l, "a", members, at(700)).Process.Incarnation, ShouldEqual, 2)
+			So(s.Look(l, "a", members, at(2700)).Silent, ShouldBeTrue)
+			So(s.Look(l, "a", members, at(2800)), ShouldBeNil)
+			l.Gone("a", 2, at(2900))
+			So(s.Look(l, "a", members, at(2900)).Gone, ShouldBeTrue)
+			So(s.Look(l, "a", members, at(2900)), ShouldBeNil)
+		})
+		Convey("a member that never came is silent once the core is settled", func() {
+			So(s.Look(l, "b", members, at(2000)), ShouldBeNil)
+			So(s.Look(l, "b", members, at(2001)).Silent, ShouldBeTrue)
+		})
+		Convey("one that left and is on no roster is told gone, then forgotten", func() {
+			l.Release("z", 1, at(200))
+			So(s.Look(l, "z", members, at(200)).Gone, ShouldBeTrue)
+			l.Expire(at(61_000))
+			So(s.Look(l, "z", members, at(61_000)), ShouldBeNil)
+			for _, sight := range s.Told() {
+				So(sight.Process.Name, ShouldNotEqual, "z")
+			}
+		})
+	})
+}
+
 func TestLedger(t *testing.T) {
 	Convey("Given a core that learned epoch 5", t, func() {
 		l := NewLedger("c1", ttl, at(0))
--- a/internal/core/grant/ledger.go
+++ b/internal/core/grant/ledger.go
@@ -12,6 +12,7 @@
 
 type entry struct {
 	member      sheet.Member
+	process     *wire.Process
 	incarnation uint64
 	epoch       uint64
 	until       kernel.Time
@@ -69,6 +70,9 @@
 		e = &entry{incarnation: self.GetIncarnation()}
 		l.members[name] = e
 	}
+	if !SameProcess(e.process, self) {
+		e.process = self
+	}
 	e.member = sheet.Member{Name: name, Region: self.GetRegion(), Zone: self.GetZone(), Core: self.GetCore(), Front: self.GetFront()}
 	e.heard = now
 	delete(l.gone, name)
@@ -103,7 +107,7 @@
 	case incarnation == e.incarnation:
 		e.heard = now
 	default:
-		l.members[name] = &entry{member: e.member, incarnation: incarnation, heard: now}
+		l.members[name] = &entry{member: e.member, process: e.process, incarnation: incarnation, heard: now}
 	}
 }
 
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -126,6 +126,9 @@
 	plan      *wire.Plan
 	outboxes  map[string]*outbox
 	sights    map[string]sight
+	processes *grant.Sights
+	untold    bool // sights ride the feed that no waiter has been answered with
+	lastLook  kernel.Time
 	pinging   map[string]bool
 	jobs      map[string]bool
 	wonTerm   uint64 // of the planner's duty, by this life of the process
@@ -154,6 +157,7 @@
 		feed:    newFeed(config.Self, config.Incarnation, config.FeedBound),
 		reports: newReports(config.Self, config.Incarnation, config.Merge), outboxes: map[string]*outbox{}, sights: map[string]sight{},
 		pinging: map[string]bool{}, jobs: map[string]bool{}, since: map[string]kernel.Time{},
+		processes: grant.NewSights(),
 	}
 }
 
@@ -188,6 +192,7 @@
 	c.feed.prune()
 	c.foldReports(now)
 	c.pingQuiet(now)
+	c.lookAll(now)
 	c.askViews(now)
 	c.keepRoster(now)
 	c.keepDuty(now)
@@ -368,6 +373,7 @@
 		if !resp.Granted {
 			c.log.Emit(events.GrantDeclined, "member", req.Self.Name, "code", kernel.Code(resp.Decline), "epoch", req.Epoch, "learned", resp.Learned)
 		}
+		c.look(req.Self.Name, c.clock.Now())
 		return answer{resp: resp}
 	})
 	if err != nil {
@@ -383,6 +389,7 @@
 func (c *Core) Release(ctx kernel.Context, req *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
 	_, err := ask(ctx, c, func() bool {
 		c.ledger.Release(req.Name, req.Incarnation, c.clock.Now())
+		c.look(req.Name, c.clock.Now())
 		c.log.Emit(events.GrantReleased, "member", req.Name, "by", "itself")
 		return true
 	})
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -122,6 +122,7 @@
 	state := c.state
 	snapshot := &wire.Snapshot{Epoch: state.Epoch, Plan: c.plan, Reports: c.reports.snapshot()}
 	resp = &wire.FollowResponse{Feed: c.feed.id(), Place: c.feed.changes.Last(), Learned: state.Epoch, Snapshot: snapshot}
+	snapshot.Sights = c.processes.Told()
 	if state.Epoch == 0 || req.Epoch >= state.Epoch {
 		return &pulled{resp: resp}
 	}
@@ -137,6 +138,7 @@
 
 // answerWaiters answers those for whom there is something new.
 func (c *Core) answerWaiters() {
+	c.untold = false
 	kept := c.feed.waiters[:0]
 	for _, w := range c.feed.waiters {
 		if w.ctx.Err() != nil {
--- a/internal/node/core/fleet_test.go
+++ b/internal/node/core/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
@@ -28,6 +29,7 @@
 	agreed    atomic.Pointer[agreed]
 	names     []string
 	processes map[string]*wire.Process
+	records   map[string]*atomic.Pointer[wire.Process] // what each says of itself
 	cores     map[string]*core.Core
 	fronts    map[string]*follow.Follower
 	stop      map[string]context.CancelFunc
@@ -46,7 +48,7 @@
 var voters = []string{"c1", "c2", "c3"}
 
 func newFleet(ctx context.Context, fronts int) *fleet {
-	f := &fleet{ctx: ctx, processes: map[string]*wire.Process{}, cores: map[string]*core.Core{},
+	f := &fleet{ctx: ctx, processes: map[string]*wire.Process{}, records: map[string]*atomic.Pointer[wire.Process]{}, cores: map[string]*core.Core{},
 		fronts: map[string]*follow.Follower{}, stop: map[string]context.CancelFunc{}}
 	f.agreed.Store(&agreed{changed: make(chan struct{})})
 	f.silent.Store(&map[string]bool{})
@@ -80,11 +82,13 @@
 
 func (f *fleet) build(name string) {
 	own := f.processes[name]
+	f.records[name] = &atomic.Pointer[wire.Process]{}
+	f.records[name].Store(own)
 	peers := links{f, name}
 	if own.Core {
 		f.cores[name] = core.New(core.Config{Self: name, Incarnation: own.Incarnation}, ballots{f}, peers, kernel.System(), events.Discard)
 	}
-	f.fronts[name] = follow.New(follow.Config{Self: func() *wire.Process { return own }, GrantTTL: 2 * time.Second,
+	f.fronts[name] = follow.New(follow.Config{Self: f.records[name].Load, GrantTTL: 2 * time.Second,
 		RenewEvery: 500 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second, CoreStaleFor: time.Second,
 		Sighted: func() []follow.Sight { return nil }}, peers, kernel.System(), events.Discard)
 }
@@ -105,6 +109,14 @@
 	f.mark(&f.dead, true, name)
 }
 
+// says changes what a process says of itself.
+func (f *fleet) says(name string, change func(*wire.Process)) {
+	next := proto.Clone(f.records[name].Load()).(*wire.Process)
+	change(next)
+	next.Counter++
+	f.records[name].Store(next)
+}
+
 // pass lets virtual time go on.
 func (f *fleet) pass(d time.Duration) { <-time.After(d) }
 
--- a/internal/node/core/roster.go
+++ b/internal/node/core/roster.go
@@ -48,6 +48,7 @@
 			c.log.Emit(events.GrantReleased, "member", quiet.Name, "by", "refusal")
 		}
 		c.ledger.Gone(quiet.Name, quiet.Incarnation, now)
+		c.look(quiet.Name, now)
 	}
 }
 
--- /dev/null
+++ b/internal/node/core/sights.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const lookEvery = 200 * kernel.Millisecond
+
+// look feeds what is new about one process.
+func (c *Core) look(name string, now kernel.Time) {
+	if sight := c.processes.Look(c.ledger, name, c.state.Roster, now); sight != nil {
+		c.tell(sight)
+	}
+}
+
+// lookAll feeds what the passing of time alone tells, and answers with all
+// that came up since the last tick: many processes that change at once cost
+// those who wait one answer, not one each.
+func (c *Core) lookAll(now kernel.Time) {
+	if now.Sub(c.lastLook) >= lookEvery {
+		c.lastLook = now
+		for _, sight := range c.processes.LookAll(c.ledger, c.state.Roster, now) {
+			c.tell(sight)
+		}
+	}
+	if c.untold {
+		c.answerWaiters()
+	}
+}
+
+func (c *Core) tell(sight *wire.Sight) {
+	c.feed.publish(&wire.Change{What: &wire.Change_Sight{Sight: sight}})
+	c.untold = true
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/merge"
@@ -25,6 +24,9 @@
 	FeedWait     kernel.Duration
 	Sighted      func() []Sight  // processes known to the directory, by name
 	CoreStaleFor kernel.Duration // silence after which another core is followed
+	// Attest takes every process that the feed says is live, after each change;
+	// nil lets it be.
+	Attest func(live []*wire.Process)
 }
 
 // Sight is a process and when it was last seen to live, by the clock.
@@ -47,6 +49,7 @@
 const (
 	pingWhole = 32
 	pingShare = 1
+	pingAgain = 2
 	pingBurst = 64
 )
 
@@ -78,7 +81,9 @@
 	pinging  map[string]bool
 	contact  map[string]kernel.Time // last answer of each peer
 	asked    map[string]kernel.Time // first ping of each peer that is still unanswered
-	refused  map[string]bool        // peers whose last answer was a refused connection
+	refused  map[string]kernel.Time // peers whose last answer was a refused connection, and when
+	told     map[string]told        // what the feed says of processes
+	fedAt    kernel.Time            // when a core last answered with the feed
 	words    map[string]word        // what each peer last said of itself
 	turn     int
 	again    map[string]bool
@@ -106,6 +111,7 @@
 type word struct {
 	incarnation    uint64
 	ready, leaving bool
+	at             kernel.Time
 }
 
 type standing struct {
@@ -119,7 +125,7 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]bool{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, tell: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]kernel.Time{}, told: map[string]told{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, tell: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -324,6 +330,7 @@
 			f.turn = (f.turn + 1) % len(roster)
 			targets = append(targets, roster[f.turn])
 		}
+		targets = append(targets, f.unanswered()...)
 	}
 	for _, name := range targets {
 		if len(f.pinging) >= pingBurst {
@@ -334,6 +341,20 @@
 	f.judge()
 }
 
+// unanswered returns a few of those whose last ping was not answered, so that a
+// peer of a large roster doesn't count as silent until its turn comes again.
+func (f *Follower) unanswered() (names []string) {
+	for name := range f.asked {
+		if len(names) == pingAgain {
+			break
+		}
+		if _, member := f.state.Roster[name]; member {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // wavering tells whether the grant is half way to its lapse.
 func (f *Follower) wavering() bool {
 	verdict := f.holder.Ruling(f.clock.Now())
@@ -366,10 +387,10 @@
 				f.heard(peer, sent, resp.Msg)
 			case err != nil && port.Refused(err):
 				delete(f.contact, name)
-				f.asked[name], f.refused[name] = kernel.Time{}, true
+				f.asked[name], f.refused[name] = kernel.Time{}, f.clock.Now()
 				f.noticePeer(name, refuses, 0)
 				f.holder.Refused(name, f.clock.Now())
-			case f.clock.Now().Sub(f.asked[name]) >= pingFresh && !f.refused[name]:
+			case f.clock.Now().Sub(f.asked[name]) >= pingFresh && f.refused[name].IsZero():
 				f.noticePeer(name, silent, 0)
 			}
 			if f.tell[name] {
@@ -383,7 +404,7 @@
 
 func (f *Follower) heard(peer *wire.Process, sent kernel.Time, resp *wire.PingResponse) {
 	f.holder.Heard(resp.Name, resp.Incarnation, sent, resp.Epoch, resp.Unconfirmed)
-	f.words[resp.Name] = word{incarnation: resp.Incarnation, ready: resp.Ready, leaving: resp.Leaving}
+	f.words[resp.Name] = word{incarnation: resp.Incarnation, ready: resp.Ready, leaving: resp.Leaving, at: f.clock.Now()}
 	if resp.Epoch > f.state.Epoch && !resp.Unconfirmed {
 		f.fetch(peer.Address)
 	}
@@ -554,18 +575,27 @@
 
 func (f *Follower) takeFeed(core string, resp *wire.FollowResponse) {
 	f.feed = place{core: core, feed: resp.Feed, number: resp.Place, heard: f.clock.Now()}
-	dirty := false
+	f.fedAt = f.clock.Now()
+	dirty, churn := false, false
 	if s := resp.Snapshot; s != nil {
 		f.takeSnapshot(s.Epoch, s.State)
 		dirty = f.takePlan(s.Plan) || dirty
 		for _, report := range s.Reports {
 			dirty = f.reports.Merge(report, f.FleetNow()) || dirty
 		}
+		clear(f.told)
+		for _, sight := range s.Sights {
+			f.takeSight(sight)
+		}
+		churn = true
 	}
 	for _, change := range resp.Changes {
 		switch what := change.What.(type) {
 		case *wire.Change_Chosen:
 			f.takeChosen(what.Chosen)
+		case *wire.Change_Sight:
+			f.takeSight(what.Sight)
+			churn = true
 		case *wire.Change_Plan:
 			dirty = f.takePlan(what.Plan) || dirty
 		case *wire.Change_Report:
@@ -574,59 +604,19 @@
 			dirty = f.reports.MergeLoad(what.Load) || dirty
 		}
 	}
+	if churn {
+		f.attest()
+	}
 	if resp.Learned > f.state.Epoch {
 		if p, ok := f.peers.Process(core); ok {
 			f.fetch(p.Address)
 		}
 	}
-	if dirty {
+	if dirty || churn {
 		f.publish()
 	}
 }
 
-// fronts returns the live fronts that don't leave, in the order of their
-// names: ready ones and those that will be.
-func (f *Follower) fronts() []*wire.Process {
-	now := f.clock.Now()
-	var live []*wire.Process
-	for _, s := range f.config.Sighted() {
-		p := s.Process
-		if said, ok := f.words[p.Name]; ok && said.incarnation >= p.Incarnation && (said.ready != p.Ready || said.leaving != p.Leaving) {
-			p = proto.Clone(p).(*wire.Process)
-			p.Ready, p.Leaving = said.ready, said.leaving
-		}
-		if !p.Front || p.Leaving {
-			continue
-		}
-		asked, pinged := f.asked[p.Name]
-		switch {
-		case p.Name == f.name:
-		case pinged && now.Sub(asked) >= pingFresh && now.Sub(f.contact[p.Name]) >= pingFresh:
-			continue
-		case !pinged && now.Sub(f.contact[p.Name]) >= sightFresh && now.Sub(s.Seen) >= sightFresh:
-			continue
-		}
-		live = append(live, p)
-	}
-	return live
-}
-
-// split tells of the roster who is not known to be gone, and who of those is
-// silent. A peer that refuses connections is gone until it answers again.
-func (f *Follower) split(roster []string) (live, silent []string) {
-	now := f.clock.Now()
-	for _, name := range roster {
-		if f.refused[name] {
-			continue
-		}
-		live = append(live, name)
-		if asked, open := f.asked[name]; open && now.Sub(asked) >= pingFresh {
-			silent = append(silent, name)
-		}
-	}
-	return live, silent
-}
-
 // takePlan drops a plan of a lower (term, number).
 func (f *Follower) takePlan(plan *wire.Plan) bool {
 	if plan == nil {
--- /dev/null
+++ b/internal/node/follow/members.go
@@ -0,0 +1,145 @@
+package follow
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// fedFresh is how long the feed's word on processes stands when no core
+// answers; then only pings and the directory's sights tell who lives.
+const fedFresh = 4 * kernel.Second
+
+const goneFor = 10 * kernel.Minute // how long one that left the roster is remembered as gone
+
+// told is what the feed says of a process, and when that came.
+type told struct {
+	process      *wire.Process
+	gone, silent bool
+	at           kernel.Time
+}
+
+func (f *Follower) takeSight(sight *wire.Sight) {
+	if p := sight.GetProcess(); p.GetName() != "" {
+		f.told[p.Name] = told{process: p, gone: sight.Gone, silent: sight.Silent, at: f.clock.Now()}
+	}
+}
+
+// attest hands on every process that the feed says is live.
+func (f *Follower) attest() {
+	if f.config.Attest == nil {
+		return
+	}
+	now := f.clock.Now()
+	live := make([]*wire.Process, 0, len(f.told))
+	for name, t := range f.told {
+		if _, member := f.state.Roster[name]; t.gone && !member && now.Sub(t.at) >= goneFor {
+			delete(f.told, name)
+		}
+		if !t.gone && t.process.Address != "" {
+			live = append(live, t.process)
+		}
+	}
+	f.config.Attest(live)
+}
+
+// said returns the feed's word on a process while a core answers.
+func (f *Follower) said(name string, now kernel.Time) (told, bool) {
+	t, ok := f.told[name]
+	return t, ok && now.Sub(f.fedAt) < fedFresh
+}
+
+type fate int
+
+const (
+	lives fate = iota
+	isSilent
+	isGone
+)
+
+// fate tells what is known of a process: what this front met itself goes
+// before the feed's word, unless that is newer.
+func (f *Follower) fate(name string, now kernel.Time) fate {
+	if name == f.name {
+		return lives
+	}
+	word, said := f.said(name, now)
+	met := f.contact[name]
+	fresh := !met.IsZero() && now.Sub(met) < pingFresh && met.After(word.at)
+	asked, open := f.asked[name]
+	refused, refuses := f.refused[name]
+	switch {
+	case refuses && !(said && !word.gone && !word.silent && word.at.After(refused)):
+		return isGone
+	case said && word.gone && !fresh:
+		return isGone
+	case said && word.silent && !fresh:
+		return isSilent
+	case open && now.Sub(asked) >= pingFresh && !(said && word.at.After(asked)):
+		return isSilent
+	}
+	return lives
+}
+
+// fronts returns the live fronts that don't leave, in the order of their
+// names: ready ones and those that will be.
+func (f *Follower) fronts() []*wire.Process {
+	now := f.clock.Now()
+	var live []*wire.Process
+	take := func(p *wire.Process, seen kernel.Time) {
+		word, said := f.said(p.Name, now)
+		if said && later(word.process, p) {
+			p = word.process
+		}
+		if met, ok := f.words[p.Name]; ok && met.incarnation >= p.Incarnation && !(said && word.at.After(met.at)) &&
+			(met.ready != p.Ready || met.leaving != p.Leaving) {
+			p = proto.Clone(p).(*wire.Process)
+			p.Ready, p.Leaving = met.ready, met.leaving
+		}
+		if !p.Front || p.Leaving || f.fate(p.Name, now) != lives {
+			return
+		}
+		if _, pinged := f.asked[p.Name]; p.Name != f.name && !said && !pinged &&
+			now.Sub(f.contact[p.Name]) >= sightFresh && now.Sub(seen) >= sightFresh {
+			return
+		}
+		live = append(live, p)
+	}
+	known := map[string]bool{}
+	for _, s := range f.config.Sighted() {
+		known[s.Process.Name] = true
+		take(s.Process, s.Seen)
+	}
+	for name, t := range f.told {
+		if !known[name] && t.process.Address != "" {
+			take(t.process, t.at)
+		}
+	}
+	slices.SortFunc(live, func(a, b *wire.Process) int { return strings.Compare(a.Name, b.Name) })
+	return live
+}
+
+func later(a, b *wire.Process) bool {
+	return a.Incarnation > b.Incarnation || (a.Incarnation == b.Incarnation && a.Counter > b.Counter)
+}
+
+// split tells of the roster who is not known to be gone, and who of those is
+// silent. A peer that refuses connections, or of which a core says that it does
+// or has left, is gone until it answers again.
+func (f *Follower) split(roster []string) (live, silent []string) {
+	now := f.clock.Now()
+	for _, name := range roster {
+		switch f.fate(name, now) {
+		case isGone:
+			continue
+		case isSilent:
+			silent = append(silent, name)
+		}
+		live = append(live, name)
+	}
+	return live, silent
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 	p.follower = follow.New(follow.Config{
 		Self: p.self, GrantTTL: values.Duration("grant.ttl"), RenewEvery: values.Duration("grant.renew"),
 		PingEvery: values.Duration("ping.interval"), FeedWait: values.Duration("feed.wait"),
-		Sighted: p.sighted, CoreStaleFor: coreStaleFor,
+		Sighted: p.sighted, CoreStaleFor: coreStaleFor, Attest: p.directory.Attest,
 	}, p.directory, clock, log)
 
 	registry := prometheus.NewRegistry()
@@ -246,6 +246,7 @@
 	own := &wire.Process{
 		Name: p.base.Name, Address: p.base.Address, CallerAddress: p.base.CallerAddress,
 		Region: p.base.Region, Zone: p.base.Zone, Core: p.base.Core, Front: p.base.Front, Incarnation: p.base.Incarnation,
+		Counter: 1 + uint64(max(p.clock.Now().UnixNano()-int64(p.base.Incarnation), 0))/uint64(kernel.Millisecond),
 	}
 	if p.replica != nil {
 		own.Standing, own.Formation, own.Voters = p.replica.Standing(), p.replica.Formation(), p.replica.Voters()
