Leave out adds from a clock that is far ahead

Cause: one count stamped some windows ahead advanced the holder's ring and dropped what the others had added, so the tenant's limit was gone. Found by reading; the test feeds such a count.

--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -299,8 +299,8 @@
 			if k < len(total.AckedSlices) {
 				tokens -= total.AckedSlices[k]
 			}
-			if tokens > 0 && int64(k) < b.grid.slices {
-				a.all.raise(first+int64(k), tokens+a.own.get(first+int64(k)))
+			if slice := first + int64(k); tokens > 0 && slice >= 0 && slice <= b.grid.bound(now) {
+				a.all.raise(slice, tokens+a.own.get(slice))
 			}
 		}
 	}
--- a/internal/core/tally/book_test.go
+++ b/internal/core/tally/book_test.go
@@ -158,6 +158,14 @@
 		So(got.Acked, ShouldEqual, 16)
 		So(add(l, "a", 2, 2, count(1)).Total, ShouldEqual, 24)
 	})
+	Convey("A front with a clock far ahead pushes nobody's adds out", t, func() {
+		l := NewLedger("a", 1, Config{})
+		add(l, "a", 1, 1, count(10))
+		ahead := count(99)
+		ahead.Window += 10
+		So(add(l, "b", 1, 1, ahead).Total, ShouldEqual, 0)
+		So(add(l, "a", 1, 1, count(11)).Total, ShouldEqual, 11)
+	})
 	Convey("A new holder takes the highest totals learned, so that a dead front's adds stay counted", t, func() {
 		before, fresh := NewLedger("a", 1, Config{}), NewLedger("a", 2, Config{})
 		b := NewBook("b", Config{})
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -13,7 +13,6 @@
 	config      Config
 	grid        grid
 	began       kernel.Time
-	newest      kernel.Time
 	roster      []string
 	silent      map[string]kernel.Time // when last told so
 	tenants     map[string]*held
@@ -85,9 +84,6 @@
 // slice of a front keeps the highest count seen, so an Add may be sent again,
 // late or out of order.
 func (l *Ledger) Add(req *wire.AddRequest, now kernel.Time) *wire.AddResponse {
-	if now.After(l.newest) {
-		l.newest = now
-	}
 	if l.began.IsZero() {
 		l.began = now
 	}
@@ -114,7 +110,7 @@
 			}
 			continue
 		}
-		l.take(t, c, count)
+		l.take(t, c, count, now)
 		resp.Totals = append(resp.Totals, l.total(t, c, count))
 		if i+1 == len(req.Counts) || req.Counts[i+1].Tenant != count.Tenant {
 			resp.Totals = append(resp.Totals, l.standing(t, c, count.Tenant, now))
@@ -123,15 +119,21 @@
 	return resp
 }
 
-func (l *Ledger) take(t *held, c *contribution, count *wire.Count) {
-	first := count.Window * l.grid.slices
+// take adds what is new in a count, and nothing that lies in the future: a front
+// with a wrong clock must not push the others' slices out.
+func (l *Ledger) take(t *held, c *contribution, count *wire.Count, now kernel.Time) {
+	first, bound := count.Window*l.grid.slices, l.grid.bound(now)
 	for k, tokens := range count.Slices[:min(len(count.Slices), int(l.grid.slices))] {
-		if risen := c.own.raise(first+int64(k), tokens); risen > 0 {
-			t.sum.add(first+int64(k), risen)
+		if slice := first + int64(k); slice >= 0 && slice <= bound {
+			if risen := c.own.raise(slice, tokens); risen > 0 {
+				t.sum.add(slice, risen)
+			}
 		}
 	}
 	for k, tokens := range count.LearnedSlices[:min(len(count.LearnedSlices), int(l.grid.slices))] {
-		t.learned.raise(first+int64(k), tokens)
+		if slice := first + int64(k); slice >= 0 && slice <= bound {
+			t.learned.raise(slice, tokens)
+		}
 	}
 }
 
--- a/internal/core/tally/ring.go
+++ b/internal/core/tally/ring.go
@@ -18,6 +18,12 @@
 	return slice, float64(us%g.slice) / float64(g.slice)
 }
 
+// bound is the newest slice that another process's clock may be ahead to.
+func (g grid) bound(now kernel.Time) int64 {
+	slice, _ := g.at(now)
+	return slice + g.slices/4
+}
+
 func (g grid) window(slice int64) int64 { return slice / g.slices }
 
 // ring keeps the tokens of the newest slices; older ones fall out.
