Log what becomes of servers, and which service has no capacity where

Cause: server_seen, _ready, _cold, _draining, _leaving, _gone, _bad_status, plan_taken and plan_short were declared and emitted nowhere, so they had been taken out; the survey of the routing table ran only when the view changed, so plan_stale could stay untold on a still fleet. Ruled out: telling of servers at every front from its view: with 410 fronts each change would be logged 410 times; the watchers in charge tell (two or three a server). Measured: tests of watch, front, platform, events and cli pass; a drain is told as server_draining and nothing else.

--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/platform/platform.go
@@ -176,12 +176,13 @@
 // Reach tells how a server took the question for its status.
 type Reach int
 
-// Reaches. Silent covers everything that is neither an answer nor a refused
-// connection.
+// Reaches. Garbled is an answer that can't be read; Silent covers everything
+// else that is neither an answer nor a refused connection.
 const (
 	Answers Reach = iota
 	Refuses
 	Silent
+	Garbled
 )
 
 // Status asks a server for its own status, which comes without its place. A
@@ -192,16 +193,18 @@
 	switch {
 	case port.Refused(err):
 		return nil, Refuses, errors.Wrap(err, "server status")
+	case errors.Is(err, errTooLong):
+		return nil, Garbled, errors.Wrap(err, "server status")
 	case err != nil:
 		return nil, Silent, errors.Wrap(err, "server status")
 	case status == http.StatusNotFound || status == http.StatusMethodNotAllowed || status == http.StatusNotImplemented:
 		return &wire.ServerStatus{Name: name, Reachable: true}, Answers, nil
 	case status != http.StatusOK:
-		return nil, Silent, errors.Errorf("server status: status %d", status)
+		return nil, Garbled, errors.Errorf("server status: status %d", status)
 	}
 	own, err := ParseStatus(name, data)
 	if err != nil {
-		return nil, Silent, err
+		return nil, Garbled, err
 	}
 	return own, Answers, nil
 }
@@ -239,6 +242,8 @@
 	return nil
 }
 
+var errTooLong = errors.New("the body is too long")
+
 func (c *Client) get(ctx kernel.Context, url string, limit int64) ([]byte, int, error) {
 	ctx, cancel := kernel.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
@@ -256,7 +261,7 @@
 		return nil, 0, errors.WithStack(err)
 	}
 	if int64(len(data)) > limit {
-		return nil, 0, errors.Errorf("body over %d bytes", limit)
+		return nil, 0, errors.Wrapf(errTooLong, "over %d bytes", limit)
 	}
 	return data, answer.StatusCode, nil
 }
--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -306,6 +306,17 @@
 	return all
 }
 
+// Ejected returns the names of the servers that rest, in no order.
+func (t *Table) Ejected() []string {
+	var names []string
+	for name, s := range t.servers {
+		if s.ejected {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -173,6 +173,25 @@
 	return s == nil || s.excluded == plan.Gone || s.status.State == wire.ServerState_SERVER_STATE_GONE || !s.status.Reachable
 }
 
+// Short returns the services and regions, as "service region" in their order,
+// to which the weights of the sheet in force give a share and in which no server
+// can take requests.
+func (t *Table) Short() []string {
+	var short []string
+	if t.view.State.Sheet == nil {
+		return nil
+	}
+	for service, weights := range t.view.State.Sheet.Weights {
+		for region, weight := range weights {
+			if weight > 0 && t.pools[poolKey{service, region}] == nil {
+				short = append(short, service+" "+region)
+			}
+		}
+	}
+	slices.Sort(short)
+	return short
+}
+
 // New returns a table that knows nothing: it declines until the first Update.
 func New(cfg Config) *Table {
 	cfg = cfg.orDefaults()
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -109,6 +109,15 @@
 
 // 5xxx: servers, watchers and plans.
 var (
+	ServerSeen       = add(5001, "server_seen", Info, "A server is known for the first time, or under a new incarnation.", "")
+	ServerReady      = add(5002, "server_ready", Info, "A server takes requests.", "")
+	ServerCold       = add(5003, "server_cold", Info, "A server came cold; it gets more as it answers.", "")
+	ServerDraining   = add(5004, "server_draining", Info, "A server drains: it gets no new requests.", "")
+	ServerLeaving    = add(5005, "server_leaving", Warn, "A server is taken away at short notice.", "")
+	ServerGone       = add(5006, "server_gone", Warn, "A server is no longer listed, or refuses connections.", "Nothing, when the platform replaces it.")
+	ServerBadStatus  = add(5010, "server_bad_status", Warn, "A server's status can't be read.", "Look at the server's release.")
+	PlanTaken        = add(5016, "plan_taken", Debug, "A plan took effect here.", "")
+	PlanShort        = add(5019, "plan_short", Warn, "A service has no server that can take requests in a region that its weights name.", "Move its share, or bring servers.")
 	ServerSilent     = add(5007, "server_silent", Warn, "A server doesn't answer its status.", "Look at the server.")
 	ServerEjected    = add(5008, "server_ejected", Warn, "A server failed too many requests in a row and rests.", "Look at the server.")
 	ServerReadmitted = add(5009, "server_readmitted", Info, "An ejected server is tried again.", "")
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -98,6 +98,7 @@
 		case <-wake:
 		}
 		r.guarded(nil, r.advance)
+		r.guarded(nil, func() { r.survey.look(r.table, r.seen.Plan, r.clock.Now(), r.log) })
 		stop()
 		wake, stop = kernel.Timer(r.rest())
 	}
@@ -124,7 +125,7 @@
 	if at, ok := r.table.Wake(now); ok {
 		return max(at.Sub(now), routerTickMin)
 	}
-	return kernel.Minute
+	return surveyEvery
 }
 
 // look takes the newest view in, so that no decision goes by an older one.
@@ -147,7 +148,6 @@
 			}
 		}
 	}
-	r.survey.look(r.table, view.Plan, now, r.log)
 }
 
 func readyFronts(fronts []*wire.Process) []string {
--- a/internal/node/front/survey.go
+++ b/internal/node/front/survey.go
@@ -1,6 +1,10 @@
 package front
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"stepwick/internal/core/route"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -15,11 +19,13 @@
 	plan    *wire.Plan
 	planAt  kernel.Time
 	ejected map[string]bool
+	short   map[string]bool
 }
 
 func (s *survey) look(table *route.Table, plan *wire.Plan, now kernel.Time, log events.Log) {
 	if plan != s.plan {
 		s.plan, s.planAt = plan, now
+		log.Emit(events.PlanTaken, "plan", plan.GetNumber(), "term", plan.GetTerm(), "cause", plan.GetCause())
 	}
 	if now.Sub(s.at) < surveyEvery {
 		return
@@ -28,21 +34,29 @@
 	if age := now.Sub(s.planAt); plan != nil && age > 2*kernel.Duration(plan.PeriodMs)*kernel.Millisecond {
 		log.Emit(events.PlanStale, "plan", plan.Number, "term", plan.Term, "holder", plan.Holder, "age", age)
 	}
-	ejected := map[string]bool{}
-	for _, server := range table.Servers() {
-		if server.Ejected {
-			ejected[server.Server] = true
-		}
+	ejected, short := map[string]bool{}, map[string]bool{}
+	for _, name := range table.Ejected() {
+		ejected[name] = true
 	}
-	for name := range ejected {
-		if !s.ejected[name] {
-			log.Emit(events.ServerEjected, "server", name)
+	if plan != nil {
+		for _, place := range table.Short() {
+			short[place] = true
 		}
 	}
-	for name := range s.ejected {
-		if !ejected[name] {
-			log.Emit(events.ServerReadmitted, "server", name)
+	begun(ejected, s.ejected, func(name string) { log.Emit(events.ServerEjected, "server", name) })
+	begun(s.ejected, ejected, func(name string) { log.Emit(events.ServerReadmitted, "server", name) })
+	begun(short, s.short, func(place string) {
+		service, region, _ := strings.Cut(place, " ")
+		log.Emit(events.PlanShort, "service", service, "region", region)
+	})
+	s.ejected, s.short = ejected, short
+}
+
+// begun calls tell for each name that is new, in their order.
+func begun(now, before map[string]bool, tell func(name string)) {
+	for _, name := range slices.Sorted(maps.Keys(now)) {
+		if !before[name] {
+			tell(name)
 		}
 	}
-	s.ejected = ejected
 }
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -106,7 +106,6 @@
 	running bool
 	silent  int
 	reach   platform.Reach
-	bad     bool
 }
 
 type outbox struct {
@@ -325,12 +324,36 @@
 		}
 		w.see(merge.Own, &wire.ServerStatus{Name: name}, at)
 	}
-	if p.reach != reach && reach == platform.Silent {
-		w.log.Emit(events.ServerSilent, "server", name, "why", errText(err))
+	if said, told := reaches[reach]; told && p.reach != reach {
+		w.log.Emit(said, "server", name, "why", errText(err))
 	}
 	p.reach = reach
 }
 
+var reaches = map[platform.Reach]events.Event{platform.Silent: events.ServerSilent, platform.Garbled: events.ServerBadStatus}
+
+var states = map[wire.ServerState]events.Event{
+	wire.ServerState_SERVER_STATE_READY:    events.ServerReady,
+	wire.ServerState_SERVER_STATE_COLD:     events.ServerCold,
+	wire.ServerState_SERVER_STATE_DRAINING: events.ServerDraining,
+	wire.ServerState_SERVER_STATE_LEAVING:  events.ServerLeaving,
+	wire.ServerState_SERVER_STATE_GONE:     events.ServerGone,
+}
+
+// tell logs what a sight shows that the last one of its kind did not.
+func (w *Watcher) tell(kind merge.Sight, old, status *wire.ServerStatus) {
+	by := "itself"
+	if kind == merge.Listed {
+		by = "the platform"
+	}
+	if kind == merge.Own && status.Reachable && old.GetIncarnation() != status.Incarnation {
+		w.log.Emit(events.ServerSeen, "server", status.Name, "incarnation", status.Incarnation)
+	}
+	if event, told := states[status.State]; told && old.GetState() != status.State {
+		w.log.Emit(event, "server", status.Name, "by", by)
+	}
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -349,6 +372,7 @@
 	} else if !urgent(s.status, status) && now.Sub(s.sent) < merge.KeepAlive(w.size) {
 		return
 	}
+	w.tell(kind, s.status, status)
 	if s.status == nil || s.status.State != status.State {
 		s.since = now
 	}
