--- a/sim/ballots/model.go
+++ b/sim/ballots/model.go
@@ -1,6 +1,10 @@
 // Package ballots explores internal/core/ballot: exhaustively in a small world
 // of one slot, and at random over many slots, seeds and faults. The decisions
 // are those that run in production; only calls, disks and time are the model's.
+//
+//	go test ./sim/ballots                                             as CI does
+//	go test ./sim/ballots -run ExhaustiveLong -long -v -timeout 30m   further
+//	go test ./sim/ballots -run 'Random$' -seeds 3000 -seed 1001 -v    more seeds
 package ballots
 
 import (
