Send a process's record with a renewal only when a core has not answered it yet

Ruled out: a digest of the record in each renewal; the core knows the life by its incarnation and asks when it holds none (RenewResponse.who).

Change: RenewRequest carries name and incarnation, and the record only when it differs from what that core answered last. An answer that asks for the record is neither a grant nor word of an epoch. A record that comes late does not undo a newer one, as its counter is lower.

--- a/internal/core/grant/grant_test.go
+++ b/internal/core/grant/grant_test.go
@@ -216,6 +216,14 @@
 			So(s.Look(l, "a", members, at(2900)).Gone, ShouldBeTrue)
 			So(s.Look(l, "a", members, at(2900)), ShouldBeNil)
 		})
+		Convey("an older record that comes late doesn't undo a newer one", func() {
+			late, ready := renewal("a", 1, 5), renewal("a", 1, 5)
+			late.Self.Counter, late.Self.Zone = 1, "old"
+			ready.Self.Counter, ready.Self.Ready = 2, true
+			l.Renew(ready, 5, at(600))
+			l.Renew(late, 5, at(700))
+			So(s.Look(l, "a", members, at(700)).Process.Ready, ShouldBeTrue)
+		})
 		Convey("a member that never came is silent once the core is settled", func() {
 			So(s.Look(l, "b", members, at(2000)), ShouldBeNil)
 			So(s.Look(l, "b", members, at(2001)).Silent, ShouldBeTrue)
@@ -263,6 +271,23 @@
 			So(l.Renew(renewal("a", 1, 5), 5, at(1000)).Granted, ShouldBeFalse)
 			So(l.Renew(renewal("a", 2, 5), 5, at(1000)).Granted, ShouldBeTrue)
 		})
+		Convey("a renewal without a record counts for a life that is known, and is asked for it else", func() {
+			brief := func(name string, life uint64) *wire.RenewRequest {
+				return &wire.RenewRequest{Name: name, Incarnation: life, Epoch: 5}
+			}
+			So(l.Renew(brief("a", 1), 5, at(600)).Granted, ShouldBeTrue)
+			So(l.Live("a", at(2500)), ShouldBeTrue)
+			for _, req := range []*wire.RenewRequest{brief("b", 1), brief("a", 2)} {
+				resp := l.Renew(req, 5, at(700))
+				So(resp.Who, ShouldBeTrue)
+				So(resp.Granted, ShouldBeFalse)
+				So(resp.Learned, ShouldEqual, 0)
+			}
+			l.Heard("a", 2, at(800))
+			So(l.Renew(brief("a", 1), 5, at(900)).Who, ShouldBeTrue)
+			So(l.Renew(brief("a", 2), 5, at(900)).Who, ShouldBeTrue)
+			So(l.Renew(renewal("a", 2, 5), 5, at(900)).Granted, ShouldBeTrue)
+		})
 		Convey("a released life is granted nothing more, a later one is", func() {
 			l.Release("a", 1, at(200))
 			So(l.Live("a", at(210)), ShouldBeFalse)
--- a/internal/core/grant/ledger.go
+++ b/internal/core/grant/ledger.go
@@ -55,11 +55,15 @@
 }
 
 // Renew grants a member that has confirmed what the core learned; to any
-// other it answers EpochBehind with its learned epoch. It must only be asked
+// other it answers EpochBehind with its learned epoch. A request without a
+// record that comes from a life unknown here is asked for it. It must only be asked
 // when the core has caught up with a majority since its own start.
 func (l *Ledger) Renew(req *wire.RenewRequest, learned uint64, now kernel.Time) *wire.RenewResponse {
 	resp := &wire.RenewResponse{Core: l.core, Learned: learned, TtlMs: uint32(l.ttl.Milliseconds()), TimeUs: now.UnixMicro()}
-	self := req.GetSelf()
+	self := l.record(req)
+	if self == nil {
+		return &wire.RenewResponse{Core: l.core, TimeUs: now.UnixMicro(), Who: true}
+	}
 	name := self.GetName()
 	e, ok := l.members[name]
 	if r, gone := l.left[name]; (gone && self.GetIncarnation() <= r.incarnation) || (ok && self.GetIncarnation() < e.incarnation) {
@@ -70,7 +74,7 @@
 		e = &entry{incarnation: self.GetIncarnation()}
 		l.members[name] = e
 	}
-	if !SameProcess(e.process, self) {
+	if !SameProcess(e.process, self) && !before(self, e.process) {
 		e.process = self
 	}
 	e.member = sheet.Member{Name: name, Region: self.GetRegion(), Zone: self.GetZone(), Core: self.GetCore(), Front: self.GetFront()}
@@ -86,6 +90,16 @@
 	return resp
 }
 
+func (l *Ledger) record(req *wire.RenewRequest) *wire.Process {
+	if req.Self != nil {
+		return req.Self
+	}
+	if e, ok := l.members[req.Name]; ok && e.process != nil && e.process.Incarnation == req.Incarnation && e.incarnation == req.Incarnation {
+		return e.process
+	}
+	return nil
+}
+
 // Release ends the grant of a member that stops of itself. A renewal of that
 // life which comes in later grants nothing.
 func (l *Ledger) Release(name string, incarnation uint64, now kernel.Time) {
--- a/internal/core/grant/sight.go
+++ b/internal/core/grant/sight.go
@@ -100,3 +100,8 @@
 	other.Counter = a.Counter
 	return proto.Equal(a, other)
 }
+
+// before tells whether a record is an older one than another of the process.
+func before(a, b *wire.Process) bool {
+	return b != nil && (a.Incarnation < b.Incarnation || (a.Incarnation == b.Incarnation && a.Counter < b.Counter))
+}
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -347,8 +347,12 @@
 // this core has accepted a value that it has not learned: it may be chosen, and
 // the member's former life may have ruled by it.
 func (c *Core) Renew(ctx kernel.Context, req *wire.RenewRequest) (*wire.RenewResponse, error) {
-	if req.GetSelf().GetName() == "" {
-		return nil, kernel.Decline(kernel.MissingField, "self.name")
+	name := req.Name
+	if req.Self != nil {
+		name = req.Self.Name
+	}
+	if name == "" {
+		return nil, kernel.Decline(kernel.MissingField, "name")
 	}
 	type answer struct {
 		resp  *wire.RenewResponse
@@ -370,10 +374,13 @@
 			return answer{fault: kernel.Decline(kernel.NoMajority, "the ballot of epoch %d is open", accepted)}
 		}
 		resp := c.ledger.Renew(req, c.learned(), c.clock.Now())
+		if resp.Who {
+			return answer{resp: resp}
+		}
 		if !resp.Granted {
-			c.log.Emit(events.GrantDeclined, "member", req.Self.Name, "code", kernel.Code(resp.Decline), "epoch", req.Epoch, "learned", resp.Learned)
+			c.log.Emit(events.GrantDeclined, "member", name, "code", kernel.Code(resp.Decline), "epoch", req.Epoch, "learned", resp.Learned)
 		}
-		c.look(req.Self.Name, c.clock.Now())
+		c.look(name, c.clock.Now())
 		return answer{resp: resp}
 	})
 	if err != nil {
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -87,6 +87,7 @@
 	words    map[string]word        // what each peer last said of itself
 	turn     int
 	again    map[string]bool
+	recorded map[string]*wire.Process // own record as each core last answered it
 	behind   map[string]uint64
 	fetching bool
 	feed     place
@@ -125,7 +126,7 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]kernel.Time{}, told: map[string]told{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, tell: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]kernel.Time{}, told: map[string]told{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, recorded: map[string]*wire.Process{}, tell: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -271,7 +272,13 @@
 	}
 	f.renewing[core.Name] = true
 	sent := f.clock.Now()
-	req := &wire.RenewRequest{Self: f.config.Self(), Epoch: f.state.Epoch, Unconfirmed: f.holder.Unconfirmed()}
+	own := f.config.Self()
+	req := &wire.RenewRequest{Epoch: f.state.Epoch, Unconfirmed: f.holder.Unconfirmed()}
+	if grant.SameProcess(f.recorded[core.Name], own) {
+		req.Name, req.Incarnation = own.Name, own.Incarnation
+	} else {
+		req.Self = own
+	}
 	go func() {
 		ctx, cancel := kernel.WithTimeout(f.ctx, 2*f.config.RenewEvery)
 		defer cancel()
@@ -279,7 +286,14 @@
 		back := f.clock.Now()
 		f.post(func() {
 			f.renewing[core.Name] = false
-			if err == nil {
+			switch {
+			case err != nil:
+				delete(f.recorded, core.Name)
+			case resp.Msg.Who:
+				delete(f.recorded, core.Name)
+				f.again[core.Name] = true
+			default:
+				f.recorded[core.Name] = own
 				f.renewed(core, sent, back, req, resp.Msg)
 			}
 			if f.again[core.Name] {
