Publish a fresh status in the test of homes

Cause: the test changed a status that the router may be reading. Change: it publishes a copy, as the follower does; no check changed. Measured: go test -race -count=3 of front, watch and clientapi passes.

--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -684,6 +684,8 @@
 				f := newFleet(t, kind, 8, near, far)
 				defer f.stop()
 				f.views.publish(func(v *follow.View) {
+					v.Servers = maps.Clone(v.Servers)
+					v.Servers["s1"] = proto.CloneOf(v.Servers["s1"])
 					v.Servers["s1"].Region = "abeokuta"
 					next := *v.State.Sheet
 					next.Tenants = map[string]sheet.Tenant{"press": {KeyHashes: []string{sheet.HashKey("k")}, Home: "abeokuta"}}
