Say that no majority answers only once a core has looked for two seconds

Cause: a restarted core logged majority_lost at level error within its first milliseconds and majority_regained half a second later: an alarm at each rolling restart. Change: the first two seconds of a core's life are not told as a loss. Measured: go test ./internal/node/replica passes.

--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -27,11 +27,15 @@
 	learned uint64
 }
 
+// startGrace is how long after its start a core looks for a majority before it
+// says that there is none.
+const startGrace = 2 * kernel.Second
+
 // keep brings the core into its formation, and afterwards looks at the others
 // regularly: it fetches what it missed and finishes what was left open.
 func (r *Replica) keep(ctx kernel.Context) {
 	var watch openSlot
-	offered, heard := false, true
+	offered, heard, begun := false, true, r.clock.Now()
 	for {
 		wait := r.cfg.Interval
 		state, err := r.stateNow(ctx)
@@ -48,7 +52,7 @@
 		default:
 			target, top, count := r.readAll(ctx, state)
 			r.reached.Store(count >= state.Majority())
-			if now := count >= state.Majority(); now != heard && ctx.Err() == nil {
+			if now := count >= state.Majority(); now != heard && (now || r.clock.Now().Sub(begun) >= startGrace) && ctx.Err() == nil {
 				heard = now
 				if heard {
 					r.events.Emit(events.MajorityRegained, "core", r.cfg.Self)
