Measure hollow fleets with servers, and the bytes of watching apart

Cause: a node's control cost was measured without servers, whose reports turned out to be most of it.

--- a/cmd/rig/hollow/hollow.go
+++ b/cmd/rig/hollow/hollow.go
@@ -39,6 +39,7 @@
 	Fronts   int
 	Cores    int
 	Tenants  int // in the sheet
+	Servers  int // that the platform lists
 	Warm     kernel.Duration
 	Span     kernel.Duration
 	Orders   int // changes put in force one after another after the span
@@ -51,9 +52,11 @@
 type Result struct {
 	Fronts          int     `json:"fronts"`
 	Tenants         int     `json:"tenants"`
+	Servers         int     `json:"servers"`
 	Ruling          int     `json:"ruling"`
 	FrontCore       float64 `json:"front_core_share"`
 	FrontBytes      float64 `json:"front_bytes_per_s"`
+	WatchBytes      float64 `json:"front_watch_bytes_per_s"`
 	FrontHeapKiB    float64 `json:"front_heap_kib"`
 	FrontGoroutines float64 `json:"front_goroutines"`
 	CoreCore        float64 `json:"core_core_share"`
@@ -97,18 +100,24 @@
 }
 
 type run struct {
-	options Options
-	base    int
-	procs   []*exec.Cmd
-	count   counters
-	ended   chan error
-	stop    kernel.Cancel
+	options  Options
+	base     int
+	procs    []*exec.Cmd
+	count    counters // of the fleet's own messages
+	watching counters // of the platform's list and the servers' status
+	ended    chan error
+	stop     kernel.Cancel
 }
 
 func (r *run) address(group, i, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", r.base, group+i/200, 1+i%200, port)
 }
 
+// zones and regions keep the letter's ratio of nodes to places: 410 nodes in 65
+// zones of 22 regions.
+func (r *run) zones() int   { return max(3, r.options.Fronts*zones/410) }
+func (r *run) regions() int { return max(2, r.options.Fronts*regions/410) }
+
 func (r *run) settingsOf(i int, core bool) map[string]string {
 	group, name := 100, fmt.Sprintf("front%03d", i)
 	if core {
@@ -118,13 +127,16 @@
 	for c := range min(3, r.options.Cores) {
 		seeds = append(seeds, r.address(90, c, 7001))
 	}
-	s := map[string]string{"name": name, "region": fmt.Sprintf("r%02d", i%zones%regions), "zone": fmt.Sprintf("z%02d", i%zones),
+	s := map[string]string{"name": name, "region": fmt.Sprintf("r%02d", i%r.zones()%r.regions()), "zone": fmt.Sprintf("z%02d", i%r.zones()),
 		"listen.caller": r.address(group, i, 7000), "listen.internal": r.address(group, i, 7001), "bind": strings.Split(r.address(group, i, 0), ":")[0],
 		"seeds": strings.Join(seeds, ","), "core.voters": fmt.Sprint(r.options.Cores), "fleet.secret": secret,
 		"operator.keys": "ada:" + fleet.Hash("ada's key"), "log.level": "warn"}
 	if core {
 		s["data"] = filepath.Join(r.options.Dir, name)
 	}
+	if r.options.Servers > 0 {
+		s["platform.url"] = "http://" + r.platform() + "/servers"
+	}
 	for name, value := range r.options.Settings {
 		s[name] = value
 	}
@@ -139,6 +151,11 @@
 	defer r.close()
 	clock := kernel.System()
 	before := heap()
+	if options.Servers > 0 {
+		if err := r.startServers(ctx); err != nil {
+			return result, err
+		}
+	}
 	for i := range options.Cores {
 		if err := r.startCore(i); err != nil {
 			return result, err
@@ -159,14 +176,15 @@
 		return result, err
 	}
 	<-clock.After(options.Warm)
-	result = Result{Fronts: options.Fronts, Tenants: options.Tenants}
-	cpu, coreCPU, bytes, at := ownCPU(), r.coreCPU(), r.count.bytes.Load(), clock.Now()
+	result = Result{Fronts: options.Fronts, Tenants: options.Tenants, Servers: options.Servers}
+	cpu, coreCPU, bytes, watching, at := ownCPU(), r.coreCPU(), r.count.bytes.Load(), r.watching.bytes.Load(), clock.Now()
 	<-clock.After(options.Span)
 	span := clock.Now().Sub(at).Seconds()
 	n := float64(options.Fronts)
 	result.FrontCore = (ownCPU() - cpu) / span / n
 	result.CoreCore = (r.coreCPU() - coreCPU) / span / float64(options.Cores)
 	result.FrontBytes = float64(r.count.bytes.Load()-bytes) / span / n
+	result.WatchBytes = float64(r.watching.bytes.Load()-watching) / span / n
 	result.FrontHeapKiB = float64(heap()-before) / 1024 / n
 	result.FrontGoroutines = float64(runtime.NumGoroutine()) / n
 	result.CoreRSSMiB = r.coreRSS()
@@ -226,6 +244,9 @@
 			if err != nil {
 				return nil, err
 			}
+			if strings.HasSuffix(address, ":8000") {
+				return countedConn{c, &r.watching}, nil
+			}
 			return countedConn{c, &r.count}, nil
 		}}
 	go func() { r.ended <- node.RunIn(ctx, world, node.RoleFront, values, events.Discard) }()
--- a/cmd/rig/hollow_command.go
+++ b/cmd/rig/hollow_command.go
@@ -12,7 +12,7 @@
 )
 
 func hollowCommand() *cobra.Command {
-	var fronts, tenants []int
+	var fronts, tenants, servers []int
 	var settings map[string]string
 	var cores, warm, span, orders int
 	var profile string
@@ -25,27 +25,30 @@
 			defer remove()
 			for _, t := range tenants {
 				for _, n := range fronts {
-					dir, err := os.MkdirTemp("", "stepwick-hollow-")
-					if err != nil {
-						return err
+					for _, m := range servers {
+						dir, err := os.MkdirTemp("", "stepwick-hollow-")
+						if err != nil {
+							return err
+						}
+						result, err := hollow.Measure(cmd.Context(), hollow.Options{Binary: binary, Dir: dir, Fronts: n, Cores: cores, Tenants: t, Servers: m,
+							Warm: kernel.Duration(warm) * kernel.Second, Span: kernel.Duration(span) * kernel.Second, Orders: orders, Settings: settings, Profile: profile})
+						os.RemoveAll(dir)
+						if err != nil {
+							return err
+						}
+						line, err := json.Marshal(result)
+						if err != nil {
+							return err
+						}
+						fmt.Println(string(line))
 					}
-					result, err := hollow.Measure(cmd.Context(), hollow.Options{Binary: binary, Dir: dir, Fronts: n, Cores: cores, Tenants: t,
-						Warm: kernel.Duration(warm) * kernel.Second, Span: kernel.Duration(span) * kernel.Second, Orders: orders, Settings: settings, Profile: profile})
-					os.RemoveAll(dir)
-					if err != nil {
-						return err
-					}
-					line, err := json.Marshal(result)
-					if err != nil {
-						return err
-					}
-					fmt.Println(string(line))
 				}
 			}
 			return nil
 		}}
 	c.Flags().IntSliceVar(&fronts, "fronts", []int{10, 50, 100}, "numbers of fronts")
 	c.Flags().IntSliceVar(&tenants, "tenants", []int{5}, "numbers of tenants in the sheet")
+	c.Flags().IntSliceVar(&servers, "servers", []int{0}, "numbers of servers")
 	c.Flags().StringToStringVar(&settings, "set", nil, "settings of every process, NAME=VALUE")
 	c.Flags().StringVar(&profile, "profile", "", "file for a heap profile of the fronts")
 	c.Flags().IntVar(&cores, "cores", 3, "number of cores")
