Ask cores for grant views once an order, and of one member for a duty

Cause: an order that waited to be in force asked every other core for the names and lives of all members every 6 to 50 ms, and each core asked the others for the same twice a second only to see whether the planner's holder lives.

Ruled out: digests of the members' confirmations: the rule needs each member's newest life over all cores, and once an order the names are cheap.

Change: GrantView waits up to 250 ms for the asked core's part of the rule (grant.Ledger.Whole) and answers at the renewal that completes it; the round ends as soon as the views that came are enough. For a duty only the holder's grant is told (about).

--- a/internal/core/grant/grant_test.go
+++ b/internal/core/grant/grant_test.go
@@ -288,6 +288,17 @@
 			So(l.Renew(brief("a", 2), 5, at(900)).Who, ShouldBeTrue)
 			So(l.Renew(renewal("a", 2, 5), 5, at(900)).Granted, ShouldBeTrue)
 		})
+		Convey("its part of the rule holds once no grant stands below the epoch and more than half of those that don't refuse have one", func() {
+			members := roster("a", "b", "c", "d")
+			l.Renew(renewal("b", 1, 5), 5, at(100))
+			So(l.Whole(5, members, at(200)), ShouldBeFalse)
+			l.Gone("d", 0, at(200))
+			So(l.Whole(5, members, at(200)), ShouldBeTrue)
+			So(l.Whole(6, members, at(200)), ShouldBeFalse)
+			So(l.Whole(5, members, at(2100)), ShouldBeFalse)
+			So(l.About("a", 5, at(200)).Confirmed, ShouldResemble, []string{MemberID("a", 1)})
+			So(l.About("a", 5, at(2100)).Confirmed, ShouldBeEmpty)
+		})
 		Convey("a released life is granted nothing more, a later one is", func() {
 			l.Release("a", 1, at(200))
 			So(l.Live("a", at(210)), ShouldBeFalse)
--- a/internal/core/grant/ledger.go
+++ b/internal/core/grant/ledger.go
@@ -214,6 +214,38 @@
 	return view
 }
 
+// About is View reduced to the grant of one member.
+func (l *Ledger) About(name string, learned uint64, now kernel.Time) *wire.GrantViewResponse {
+	view := &wire.GrantViewResponse{Core: l.core, Learned: learned, Settled: l.Settled(now)}
+	if e, ok := l.members[name]; ok && l.Live(name, now) {
+		view.Confirmed = []string{MemberID(name, e.incarnation)}
+	}
+	return view
+}
+
+// Whole tells whether every grant that stands is confirmed at an epoch, and
+// they are more than half of a roster of which some refuse connections. It is
+// this core's part of InForce, worked out without a view.
+func (l *Ledger) Whole(epoch uint64, roster map[string]sheet.Member, now kernel.Time) bool {
+	confirmed := 0
+	for _, e := range l.members {
+		if !now.Before(e.until) {
+			continue
+		}
+		if e.epoch < epoch {
+			return false
+		}
+		confirmed++
+	}
+	of := len(roster)
+	for name := range l.gone {
+		if _, member := roster[name]; member {
+			of--
+		}
+	}
+	return confirmed*2 > of
+}
+
 // Newcomers returns the processes that renew here but are not on the roster.
 // Sorted by name.
 func (l *Ledger) Newcomers(roster map[string]sheet.Member, now kernel.Time) []sheet.Member {
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -8,8 +8,6 @@
 	"slices"
 	"sync/atomic"
 
-	"connectrpc.com/connect"
-
 	"stepwick/internal/core/duty"
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/merge"
@@ -98,6 +96,7 @@
 const (
 	tickEvery   = 50 * kernel.Millisecond
 	viewTimeout = 400 * kernel.Millisecond
+	viewWait    = 250 * kernel.Millisecond
 	jobTimeout  = 3 * kernel.Second
 	gatherFor   = 1500 * kernel.Millisecond
 	inboxBound  = 1024
@@ -126,6 +125,7 @@
 	plan      *wire.Plan
 	outboxes  map[string]*outbox
 	sights    map[string]sight
+	viewers   []*viewer
 	processes *grant.Sights
 	untold    bool // sights ride the feed that no waiter has been answered with
 	lastLook  kernel.Time
@@ -137,9 +137,11 @@
 	lastPings kernel.Time
 }
 
+// sight is a core's view of one member's grant.
 type sight struct {
-	at   kernel.Time
-	view *wire.GrantViewResponse
+	at    kernel.Time
+	about string
+	view  *wire.GrantViewResponse
 }
 
 type encodedState struct {
@@ -193,6 +195,7 @@
 	c.foldReports(now)
 	c.pingQuiet(now)
 	c.lookAll(now)
+	c.answerViewers()
 	c.askViews(now)
 	c.keepRoster(now)
 	c.keepDuty(now)
@@ -381,6 +384,7 @@
 			c.log.Emit(events.GrantDeclined, "member", name, "code", kernel.Code(resp.Decline), "epoch", req.Epoch, "learned", resp.Learned)
 		}
 		c.look(name, c.clock.Now())
+		c.answerViewers()
 		return answer{resp: resp}
 	})
 	if err != nil {
@@ -397,23 +401,13 @@
 	_, err := ask(ctx, c, func() bool {
 		c.ledger.Release(req.Name, req.Incarnation, c.clock.Now())
 		c.look(req.Name, c.clock.Now())
+		c.answerViewers()
 		c.log.Emit(events.GrantReleased, "member", req.Name, "by", "itself")
 		return true
 	})
 	return &wire.ReleaseResponse{}, err
 }
 
-// GrantView answers another core's question whether an epoch is in force.
-func (c *Core) GrantView(ctx kernel.Context, req *wire.GrantViewRequest) (*wire.GrantViewResponse, error) {
-	return ask(ctx, c, func() *wire.GrantViewResponse { return c.view(req.Epoch) })
-}
-
-func (c *Core) view(epoch uint64) *wire.GrantViewResponse {
-	view := c.ledger.View(epoch, c.learned(), c.clock.Now())
-	view.Settled = view.Settled && c.opened
-	return view
-}
-
 // others returns the other cores that are known, by name.
 func (c *Core) others() []*wire.Process {
 	var others []*wire.Process
@@ -428,35 +422,6 @@
 	return others
 }
 
-// views asks all cores, this one included, for one round of grant views. Cores
-// that don't answer in time are left out.
-func (c *Core) views(ctx kernel.Context, epoch uint64) []*wire.GrantViewResponse {
-	ctx, cancel := kernel.WithTimeout(ctx, viewTimeout)
-	defer cancel()
-	others := c.others()
-	found := make(chan *wire.GrantViewResponse, len(others))
-	for _, p := range others {
-		go func() {
-			resp, err := c.peers.Client(p.Address).GrantView(ctx, connect.NewRequest(&wire.GrantViewRequest{Epoch: epoch}))
-			if err != nil || resp.Msg.Core != p.Name {
-				found <- nil
-				return
-			}
-			found <- resp.Msg
-		}()
-	}
-	var views []*wire.GrantViewResponse
-	if own, err := ask(ctx, c, func() *wire.GrantViewResponse { return c.view(epoch) }); err == nil {
-		views = append(views, own)
-	}
-	for range others {
-		if view := <-found; view != nil {
-			views = append(views, view)
-		}
-	}
-	return views
-}
-
 // rank is this core's place among the voters, by which cores that would
 // propose the same take turns.
 func (c *Core) rank() (place int, voter bool) {
--- a/internal/node/core/fleet_test.go
+++ b/internal/node/core/fleet_test.go
@@ -35,8 +35,9 @@
 	stop      map[string]context.CancelFunc
 	silent    atomic.Pointer[map[string]bool]
 	dead      atomic.Pointer[map[string]bool]
-	told      sync.Map    // "from>to" -> epoch of the newest ping
-	split     atomic.Bool // no majority of cores reaches another
+	told      sync.Map     // "from>to" -> epoch of the newest ping
+	asked     atomic.Int64 // grant views of whole cores asked for over the network
+	split     atomic.Bool  // no majority of cores reaches another
 }
 
 type agreed struct {
@@ -232,6 +233,9 @@
 }
 
 func (c client) GrantView(ctx context.Context, req *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error) {
+	if req.Msg.About == "" {
+		c.f.asked.Add(1)
+	}
 	return reach(ctx, c, req, c.f.cores[c.to].GrantView)
 }
 
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -161,15 +161,22 @@
 	return faulty(result.Fault(), result.Epoch, id)
 }
 
-// await asks all cores for their grant views until the epoch is in force, first
-// in quick turns, as a fleet in good health confirms within milliseconds.
+// await asks all cores for their grant views until the epoch is in force. They
+// answer when their part of it is met, so a fleet in good health is asked once.
 func (c *Core) await(ctx kernel.Context, result sheet.Result, id string) *wire.OrderResponse {
 	why, pace := "no core answered", c.config.AckPace/8
 	for {
 		state := c.agreement.Current()
-		question := grant.Question{Epoch: result.Epoch, Voters: len(c.agreement.Voters()),
-			Views: c.views(ctx, result.Epoch), Roster: state.Roster, Prior: state.PriorRoster}
-		met, reason := grant.InForce(question)
+		question := grant.Question{Epoch: result.Epoch, Voters: len(c.agreement.Voters()), Roster: state.Roster, Prior: state.PriorRoster}
+		met, reason := false, ""
+		question.Views = c.views(ctx, &wire.GrantViewRequest{Epoch: result.Epoch}, func(views []*wire.GrantViewResponse) bool {
+			question.Views = views
+			met, reason = grant.InForce(question)
+			return met
+		})
+		if !met {
+			met, reason = grant.InForce(question)
+		}
 		if met {
 			count := grant.Confirmations(question)
 			c.log.Emit(events.OrderAcknowledged, "order", id, "epoch", result.Epoch, "confirmed", count.Confirmed)
--- a/internal/node/core/roster.go
+++ b/internal/node/core/roster.go
@@ -3,6 +3,7 @@
 import (
 	"connectrpc.com/connect"
 
+	"stepwick/internal/core/duty"
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
@@ -52,19 +53,23 @@
 	}
 }
 
-// askViews keeps a fresh view of the other cores, by which vacancy of a duty
-// is judged.
+// askViews keeps a fresh view of what the other cores know of a duty's holder,
+// by which vacancy is judged.
 func (c *Core) askViews(now kernel.Time) {
 	if now.Sub(c.lastViews) < c.config.PingEvery {
 		return
 	}
 	c.lastViews = now
+	about := c.state.Duties[duty.Planner].Holder
+	if about == "" {
+		about = c.config.Self
+	}
 	c.job("views", viewTimeout*2, func(ctx kernel.Context) func() {
-		views := c.views(ctx, 0)
+		views := c.views(ctx, &wire.GrantViewRequest{About: about}, nil)
 		return func() {
 			at := c.clock.Now()
 			for _, view := range views {
-				c.sights[view.Core] = sight{at: at, view: view}
+				c.sights[view.Core] = sight{at: at, about: about, view: view}
 			}
 		}
 	})
@@ -96,8 +101,12 @@
 		return
 	}
 	c.job("settle", jobTimeout, func(ctx kernel.Context) func() {
-		met, _ := grant.Settled(grant.Question{Epoch: state.RosterEpoch, Voters: len(c.agreement.Voters()),
-			Views: c.views(ctx, state.RosterEpoch), Roster: state.Roster, Prior: state.PriorRoster})
+		question, met := grant.Question{Epoch: state.RosterEpoch, Voters: len(c.agreement.Voters()), Roster: state.Roster, Prior: state.PriorRoster}, false
+		c.views(ctx, &wire.GrantViewRequest{Epoch: state.RosterEpoch}, func(views []*wire.GrantViewResponse) bool {
+			question.Views = views
+			met, _ = grant.Settled(question)
+			return met
+		})
 		if !met {
 			select {
 			case <-c.clock.After(2 * c.config.AckPace):
--- a/internal/node/core/sights_test.go
+++ b/internal/node/core/sights_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
 
@@ -102,3 +103,24 @@
 		})
 	})
 }
+
+func TestOrdersAskOnce(t *testing.T) {
+	inFleet(t, 40, func(t *testing.T, f *fleet) {
+		Convey("A fleet in good health is asked for its views once an order", t, func() {
+			before := f.asked.Load()
+			f.put(t)
+			So(f.asked.Load()-before, ShouldBeBetweenOrEqual, 1, 2)
+		})
+		Convey("A silent member's grant is waited for without many asks", t, func() {
+			f.mark(&f.silent, true, "f40")
+			f.pass(600 * time.Millisecond)
+			before, begun := f.asked.Load(), time.Now()
+			resp, err := f.cores["c1"].Order(f.ctx, &wire.OrderRequest{Operator: "ada", Verb: "evacuate",
+				Body: []byte(`{"order_id":"second","locality":"lagos/a"}`)})
+			So(err, ShouldBeNil)
+			So(kernel.Code(resp.Code), ShouldEqual, kernel.OK)
+			So(time.Since(begun), ShouldBeBetween, 900*time.Millisecond, 2100*time.Millisecond)
+			So(f.asked.Load()-before, ShouldBeLessThan, 20)
+		})
+	})
+}
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -68,7 +68,7 @@
 		return nil, err
 	}
 	state := own.state
-	views := c.views(ctx, state.Epoch)
+	views := c.views(ctx, &wire.GrantViewRequest{Epoch: state.Epoch}, nil)
 	voters := slices.Clone(c.agreement.Voters())
 	slices.Sort(voters)
 	question := grant.Question{Epoch: state.Epoch, Voters: len(voters), Views: views, Roster: state.Roster, Prior: state.PriorRoster}
--- /dev/null
+++ b/internal/node/core/views.go
@@ -0,0 +1,118 @@
+package core
+
+import (
+	"connectrpc.com/connect"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// viewer waits for this core's part of the rule at an epoch.
+type viewer struct {
+	ctx   kernel.Context
+	epoch uint64
+	reply chan *wire.GrantViewResponse
+}
+
+// GrantView answers a core's question whether an epoch is in force. With a
+// wait it answers once this core's part is met, or as it stands when the wait
+// is over.
+func (c *Core) GrantView(ctx kernel.Context, req *wire.GrantViewRequest) (*wire.GrantViewResponse, error) {
+	if req.About != "" {
+		return ask(ctx, c, func() *wire.GrantViewResponse {
+			return c.vouched(c.ledger.About(req.About, c.learned(), c.clock.Now()))
+		})
+	}
+	if req.WaitMs > 0 {
+		waiting, cancel := kernel.WithTimeout(ctx, min(kernel.Duration(req.WaitMs)*kernel.Millisecond, viewTimeout))
+		defer cancel()
+		v := &viewer{ctx: waiting, epoch: req.Epoch, reply: make(chan *wire.GrantViewResponse, 1)}
+		c.post(waiting, func() {
+			c.viewers = append(c.viewers, v)
+			c.answerViewers()
+		})
+		select {
+		case view := <-v.reply:
+			return view, nil
+		case <-waiting.Done():
+		}
+	}
+	return ask(ctx, c, func() *wire.GrantViewResponse { return c.view(req.Epoch) })
+}
+
+func (c *Core) view(epoch uint64) *wire.GrantViewResponse {
+	return c.vouched(c.ledger.View(epoch, c.learned(), c.clock.Now()))
+}
+
+// vouched leaves a view unsettled until the core has caught up since its start.
+func (c *Core) vouched(view *wire.GrantViewResponse) *wire.GrantViewResponse {
+	view.Settled = view.Settled && c.opened
+	return view
+}
+
+// answerViewers answers those whose epoch this core's part of the rule holds
+// for, and forgets those that no longer wait.
+func (c *Core) answerViewers() {
+	if len(c.viewers) == 0 {
+		return
+	}
+	now, kept, whole := c.clock.Now(), c.viewers[:0], map[uint64]bool{}
+	for _, v := range c.viewers {
+		if v.ctx.Err() != nil {
+			continue
+		}
+		if _, known := whole[v.epoch]; !known {
+			whole[v.epoch] = c.learned() >= v.epoch && c.ledger.Whole(v.epoch, c.state.Roster, now)
+		}
+		if whole[v.epoch] {
+			v.reply <- c.view(v.epoch)
+			continue
+		}
+		kept = append(kept, v)
+	}
+	clear(c.viewers[len(kept):])
+	c.viewers = kept
+}
+
+// views asks all cores, this one included, for one round of grant views. Cores
+// that don't answer in time are left out. With enough given, the cores wait for
+// their part of the rule, and the round ends as soon as what came is enough.
+func (c *Core) views(ctx kernel.Context, req *wire.GrantViewRequest, enough func([]*wire.GrantViewResponse) bool) []*wire.GrantViewResponse {
+	ctx, cancel := kernel.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	if enough != nil {
+		req.WaitMs = uint32(viewWait.Milliseconds())
+	}
+	others := c.others()
+	found := make(chan *wire.GrantViewResponse, len(others)+1)
+	go func() {
+		view, err := c.GrantView(ctx, req)
+		if err != nil {
+			view = nil
+		}
+		found <- view
+	}()
+	for _, p := range others {
+		go func() {
+			resp, err := c.peers.Client(p.Address).GrantView(ctx, connect.NewRequest(req))
+			if err != nil || resp.Msg.Core != p.Name {
+				found <- nil
+				return
+			}
+			found <- resp.Msg
+		}()
+	}
+	var views []*wire.GrantViewResponse
+	for range len(others) + 1 {
+		view := <-found
+		if view == nil {
+			continue
+		}
+		views = append(views, view)
+		if enough != nil && len(views) >= grant.Majority(len(others)+1) && enough(views) {
+			break
+		}
+	}
+	return views
+}
