Reach every member of a large roster when control is lost, in waves

Cause: with all cores gone a front of a roster above 32 pinged at each pace the first 64 of it by name, and never the rest: above 128 members no front could hear more than half, and the whole fleet stopped with its cores. The same pings began when the cores were merely late, which on a busy machine made them later: a hollow fleet of 410 in one process ran out of files that way.

Ruled out: a larger burst, which is the same fault at another size.

Change: a wave goes over the whole roster once in half a TTL, 64 at once, the next sent as one returns; it begins when the grant is half way to its lapse and a majority of cores failed to answer. Steps for a follower that has ended no longer wait for ever.

--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -43,9 +43,10 @@
 )
 
 // A roster of up to pingWhole members is pinged as a whole at each interval.
-// Of a larger one only pingShare members are, in turn, while the grant stands,
-// so that the cost of a node does not grow with the fleet; once no majority of
-// cores has renewed for half of the TTL all are, pingBurst at once.
+// Of a larger one only pingShare members are, in turn, and a few that did not
+// answer, while the grant stands, so that the cost of a node does not grow with
+// the fleet. Once no majority of cores has renewed for half of the TTL, and a
+// majority fails to answer, all are, once in half a TTL, pingBurst at once.
 const (
 	pingWhole = 32
 	pingShare = 1
@@ -68,8 +69,9 @@
 	offset  atomic.Int64                // fleet time less the clock, nanoseconds
 	pinged  atomic.Pointer[standing]
 
-	inbox chan func()
-	ctx   kernel.Context
+	inbox   chan func()
+	serving atomic.Pointer[kernel.Context] // of the newest Serve
+	ctx     kernel.Context
 
 	holder   *grant.Holder
 	state    sheet.State
@@ -86,6 +88,9 @@
 	fedAt    kernel.Time            // when a core last answered with the feed
 	words    map[string]word        // what each peer last said of itself
 	turn     int
+	wave     []string    // peers still to be pinged at this pace
+	waved    kernel.Time // when the whole of a large roster was last begun
+	failing  map[string]bool
 	again    map[string]bool
 	recorded map[string]*wire.Process // own record as each core last answered it
 	behind   map[string]uint64
@@ -126,10 +131,12 @@
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
 		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
-		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]kernel.Time{}, told: map[string]told{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, recorded: map[string]*wire.Process{}, tell: map[string]bool{}, behind: map[string]uint64{},
+		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]kernel.Time{}, told: map[string]told{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, failing: map[string]bool{}, recorded: map[string]*wire.Process{}, tell: map[string]bool{}, behind: map[string]uint64{},
 	}
 	first := make(chan struct{})
 	f.changed.Store(&first)
+	idle := kernel.Background()
+	f.serving.Store(&idle)
 	f.lapse.Store(&kernel.Time{})
 	f.pinged.Store(&standing{unconfirmed: true})
 	f.view.Store(&View{Index: sheet.State{}.Index(), Servers: map[string]*wire.ServerStatus{}})
@@ -201,13 +208,20 @@
 	select {
 	case f.inbox <- step:
 	default:
-		go func() { f.inbox <- step }()
+		serving := *f.serving.Load()
+		go func() {
+			select {
+			case f.inbox <- step:
+			case <-serving.Done():
+			}
+		}()
 	}
 }
 
 // Serve runs the owner until the context ends.
 func (f *Follower) Serve(ctx kernel.Context) error {
 	f.ctx = ctx
+	f.serving.Store(&ctx)
 	renew, ping, fold := f.clock.Ticker(f.config.RenewEvery), f.clock.Ticker(f.config.PingEvery), f.clock.Ticker(f.config.RenewEvery)
 	defer renew.Stop()
 	defer ping.Stop()
@@ -288,11 +302,13 @@
 			f.renewing[core.Name] = false
 			switch {
 			case err != nil:
+				f.failing[core.Name] = true
 				delete(f.recorded, core.Name)
 			case resp.Msg.Who:
 				delete(f.recorded, core.Name)
 				f.again[core.Name] = true
 			default:
+				delete(f.failing, core.Name)
 				f.recorded[core.Name] = own
 				f.renewed(core, sent, back, req, resp.Msg)
 			}
@@ -336,23 +352,34 @@
 
 // pingAll pings those whose turn it is; see pingWhole.
 func (f *Follower) pingAll() {
+	now := f.clock.Now()
 	roster := rosterNames(f.state)
-	targets := roster
-	if len(roster) > pingWhole && !f.wavering() {
-		targets = nil
+	switch {
+	case len(roster) <= pingWhole:
+		f.wave = append(f.wave[:0], roster...)
+	case !f.wavering(now):
+		f.wave = f.wave[:0]
 		for range pingShare {
 			f.turn = (f.turn + 1) % len(roster)
-			targets = append(targets, roster[f.turn])
+			f.wave = append(f.wave, roster[f.turn])
 		}
-		targets = append(targets, f.unanswered()...)
+		f.wave = append(f.wave, f.unanswered()...)
+	case len(f.wave) == 0 && now.Sub(f.waved) >= f.config.GrantTTL/2:
+		f.turn = (f.turn + 1) % len(roster)
+		f.wave = append(append(f.wave, roster[f.turn:]...), roster[:f.turn]...)
+		f.waved = now
 	}
-	for _, name := range targets {
-		if len(f.pinging) >= pingBurst {
-			break
-		}
+	f.surge()
+	f.judge()
+}
+
+// surge pings who is left of the wave, pingBurst at once.
+func (f *Follower) surge() {
+	for len(f.wave) > 0 && len(f.pinging) < pingBurst {
+		name := f.wave[0]
+		f.wave = f.wave[1:]
 		f.ping(name)
 	}
-	f.judge()
 }
 
 // unanswered returns a few of those whose last ping was not answered, so that a
@@ -369,10 +396,20 @@
 	return names
 }
 
-// wavering tells whether the grant is half way to its lapse.
-func (f *Follower) wavering() bool {
-	verdict := f.holder.Ruling(f.clock.Now())
-	return !verdict.Ruling || verdict.By != grant.ByGrant || verdict.Until.Sub(f.clock.Now()) < f.config.GrantTTL/2
+// wavering tells whether the grant is half way to its lapse and a majority of
+// the cores failed to answer; those that are merely late set off no wave.
+func (f *Follower) wavering(now kernel.Time) bool {
+	verdict := f.holder.Ruling(now)
+	if verdict.Ruling && verdict.By == grant.ByGrant && verdict.Until.Sub(now) >= f.config.GrantTTL/2 {
+		return false
+	}
+	voters, failing := f.voters(), 0
+	for _, core := range voters {
+		if f.failing[core] {
+			failing++
+		}
+	}
+	return failing*2 >= len(voters)
 }
 
 func (f *Follower) ping(name string) {
@@ -411,6 +448,7 @@
 				f.tell[name] = false
 				f.ping(name)
 			}
+			f.surge()
 			f.judge()
 		})
 	}()
