Walk fleets through SIGTERM, replacement in turn and operators' races

Change: sim/fleet stops nodes through their context while the walk goes on, replaces two nodes in turn (a core's disk gone, where the others vote), and sends two orders on one base in a fifth of the cases: exactly one is told that it won, the loser's key is never taken, and an order that no other raced is never told that its base moved. An order that is answered otherwise is sent again as before.

--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -155,6 +155,22 @@
 	m.stop = nil
 }
 
+// Terminate asks node i to stop of itself, as SIGTERM does; it is up until Ended.
+func (f *Fleet) Terminate(i int) { f.nodes[i].stop() }
+
+// Ended tells whether node i, asked to stop, has; then it is down.
+func (f *Fleet) Ended(i int) (bool, error) {
+	m := f.nodes[i]
+	select {
+	case err := <-m.ended:
+		f.Net.Down(host(i))
+		m.stop = nil
+		return true, err
+	default:
+		return false, nil
+	}
+}
+
 // Running tells whether node i is up.
 func (f *Fleet) Running(i int) bool { return f.nodes[i].stop != nil }
 
--- a/sim/fleet/walk.go
+++ b/sim/fleet/walk.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 
 	"stepwick/internal/kernel"
 )
@@ -19,10 +20,11 @@
 	Violations   []string
 }
 
-// Walk drives a fleet of nine through random faults for a span while an
-// operator replaces the only key again and again, and judges: no node takes an
-// older key 2.5 s after a newer one was acknowledged, none steps back, and
-// what was acknowledged is read back at the end.
+// Walk drives a fleet of nine through random faults for a span while operators
+// replace the only key again and again, now and then two of them on one base,
+// and judges: no node takes an older key 2.5 s after a newer one was
+// acknowledged, none steps back, of a race one operator wins and the other's key
+// is never taken, and what was acknowledged is read back at the end.
 func Walk(ctx kernel.Context, seed uint64, folder string, span kernel.Duration) (t Tally, err error) {
 	const n = 9
 	t.Seed = seed
@@ -32,7 +34,7 @@
 		return t, err
 	}
 	defer f.Close()
-	w := &walk{fleet: f, random: random, clock: kernel.System(), tally: &t, took: map[int]int{}, n: n}
+	w := &walk{fleet: f, random: random, clock: kernel.System(), tally: &t, took: map[int]int{}, lost: map[int]bool{}, leaving: map[int]bool{}, n: n}
 	w.start = w.clock.Now()
 	if !w.form() {
 		t.Violations = append(t.Violations, "no first sheet in force within 30 s")
@@ -54,14 +56,26 @@
 	tally  *Tally
 	n      int
 
-	orders chan Answer // of the order under way, nil when none is
-	key    int         // newest key that was sent
-	base   uint64
-	acked  []ack
-	took   map[int]int // newest key that each life of a node took
-	split  map[int]bool
-	heal   kernel.Time
-	back   map[int]kernel.Time
+	race    []*sending // orders under way, all on one base
+	key     int        // newest key that was sent
+	base    uint64
+	next    uint64 // base after the orders under way
+	acked   []ack
+	lost    map[int]bool // keys of orders that lost a race
+	took    map[int]int  // newest key that each life of a node took
+	split   map[int]bool
+	heal    kernel.Time
+	back    map[int]kernel.Time
+	leaving map[int]bool // asked to stop and still up
+	turns   []int        // nodes to be replaced, one after another
+	turnAt  kernel.Time
+}
+
+// sending is one operator's order and what became of it.
+type sending struct {
+	key     int
+	answers chan Answer
+	outcome int // status of the answer that settled it, 0 while it is open
 }
 
 type ack struct {
@@ -99,31 +113,75 @@
 }
 
 func (w *walk) order() {
-	if w.orders != nil {
-		select {
-		case a := <-w.orders:
-			w.orders = nil
-			switch {
-			case a.Status == 200 && a.InForce:
-				w.tally.Acknowledged++
-				w.base = a.SheetEpoch
-				w.acked = append(w.acked, ack{w.key, w.clock.Now()})
-			default:
-				w.tally.Pending++
-				w.send()
-			}
-		default:
+	if w.race == nil {
+		if w.random.IntN(6) == 0 {
+			w.begin()
 		}
 		return
 	}
-	if w.random.IntN(6) == 0 {
+	open, winners := 0, 0
+	for _, s := range w.race {
+		if s.outcome == 0 {
+			w.answered(s)
+		}
+		switch s.outcome {
+		case 0:
+			open++
+		case http.StatusOK:
+			winners++
+		}
+	}
+	if winners > 1 {
+		w.violate("%d operators were told that they won on base %d", winners, w.base)
+	}
+	if open > 0 {
+		return
+	}
+	if winners == 0 {
+		w.violate("no order won on base %d", w.base)
+	}
+	w.race = nil
+	w.base = w.next
+}
+
+// begin sends an order, or two that race on one base.
+func (w *walk) begin() {
+	n := 1
+	if w.random.IntN(5) == 0 {
+		n = 2
+	}
+	for range n {
 		w.key++
-		w.send()
+		s := &sending{key: w.key}
+		w.race = append(w.race, s)
+		w.send(s)
+	}
+}
+
+// answered takes the answer to an order, if there is one. What settles nothing
+// is sent again.
+func (w *walk) answered(s *sending) {
+	select {
+	case a := <-s.answers:
+		switch {
+		case a.Status == http.StatusOK && a.InForce:
+			s.outcome = a.Status
+			w.tally.Acknowledged++
+			w.next = a.SheetEpoch
+			w.acked = append(w.acked, ack{s.key, w.clock.Now()})
+		case a.Status == http.StatusConflict && a.Code == kernel.BaseMoved:
+			s.outcome = a.Status
+			w.lost[s.key] = true
+		default:
+			w.tally.Pending++
+			w.send(s)
+		}
+	default:
 	}
 }
 
-// send sends the newest order, again if need be, through a node that is up.
-func (w *walk) send() {
+// send sends an order, again if need be, through a node that is up.
+func (w *walk) send(s *sending) {
 	i := w.random.IntN(w.n)
 	for range w.n {
 		if w.fleet.Running(i) {
@@ -131,17 +189,21 @@
 		}
 		i = (i + 1) % w.n
 	}
-	orders, key, base := make(chan Answer, 1), w.key, w.base
-	w.orders = orders
+	answers, base := make(chan Answer, 1), w.base
+	s.answers = answers
 	go func() {
-		a := w.fleet.Change(i, key, base)
-		if a.Status != 200 {
+		a := w.fleet.Change(i, s.key, base)
+		if a.Status != http.StatusOK {
 			<-w.clock.After(300 * kernel.Millisecond)
 		}
-		orders <- a
+		answers <- a
 	}()
 }
 
+func (w *walk) violate(format string, args ...any) {
+	w.tally.Violations = append(w.tally.Violations, w.since()+" "+fmt.Sprintf(format, args...))
+}
+
 func (w *walk) fault() {
 	now := w.clock.Now()
 	if w.split != nil && now.After(w.heal) {
@@ -158,10 +220,20 @@
 			w.note("up %d", i)
 		}
 	}
+	w.leave(now)
+	w.replace(now)
 	if w.random.IntN(40) != 0 {
 		return
 	}
-	switch w.random.IntN(5) {
+	switch w.random.IntN(7) {
+	case 5:
+		w.terminate(w.random.IntN(w.n))
+	case 6:
+		if len(w.turns) == 0 {
+			i := w.random.IntN(w.n)
+			w.turns = []int{i, (i + 1 + w.random.IntN(w.n-1)) % w.n}
+			w.note("replace %v in turn", w.turns)
+		}
 	case 0, 1:
 		w.kill(w.random.IntN(w.n))
 	case 2:
@@ -186,22 +258,72 @@
 	}
 }
 
+// terminate asks a node to stop of itself.
+func (w *walk) terminate(i int) {
+	if !w.fleet.Running(i) || w.leaving[i] {
+		return
+	}
+	w.fleet.Terminate(i)
+	w.leaving[i] = true
+	w.note("terminate %d", i)
+}
+
+// leave looks after those that were asked to stop.
+func (w *walk) leave(now kernel.Time) {
+	for i := range w.n {
+		if !w.leaving[i] {
+			continue
+		}
+		ended, err := w.fleet.Ended(i)
+		if !ended {
+			continue
+		}
+		if err != nil {
+			w.violate("node %d ended with %v", i, err)
+		}
+		delete(w.leaving, i)
+		delete(w.took, i)
+		w.back[i] = now.Add(kernel.Duration(1+w.random.IntN(6)) * kernel.Second)
+		w.note("ended %d", i)
+	}
+}
+
+// replace takes the next node away for good and puts one of the same name and
+// without its disk in its place, once the one before is up again for 3 s.
+func (w *walk) replace(now kernel.Time) {
+	if len(w.turns) == 0 || now.Before(w.turnAt) {
+		return
+	}
+	i := w.turns[0]
+	w.turns = w.turns[1:]
+	if !w.fleet.Running(i) {
+		return
+	}
+	w.lose(i, now.Add(2*kernel.Second), i < cores && w.wipeable(i))
+	w.turnAt = now.Add(5 * kernel.Second)
+}
+
 // kill ends a node for a while; one core at a time may lose its disk, and only
 // while the others are up.
 func (w *walk) kill(i int) {
 	if !w.fleet.Running(i) {
 		return
 	}
+	back := w.clock.Now().Add(kernel.Duration(1+w.random.IntN(12)) * kernel.Second)
+	w.lose(i, back, i < cores && w.random.IntN(3) == 0 && w.wipeable(i))
+}
+
+func (w *walk) lose(i int, back kernel.Time, wiped bool) {
 	w.fleet.Kill(i)
 	delete(w.took, i)
-	w.back[i] = w.clock.Now().Add(kernel.Duration(1+w.random.IntN(12)) * kernel.Second)
+	delete(w.leaving, i)
+	w.back[i] = back
 	if w.split != nil {
 		w.fleet.Split(w.split, true)
 	}
-	wiped := i < cores && w.random.IntN(3) == 0 && w.wipeable(i)
 	if wiped {
 		if err := w.fleet.Wipe(i); err != nil {
-			w.tally.Violations = append(w.tally.Violations, err.Error())
+			w.violate("%v", err)
 		}
 	}
 	w.note("kill %d wiped %v", i, wiped)
@@ -231,13 +353,17 @@
 	if !w.fleet.Running(i) {
 		return
 	}
-	newest := -1
+	newest, older := -1, -1
 	for _, a := range w.acked {
 		if w.clock.Now().Sub(a.at) > 2500*kernel.Millisecond {
-			newest = a.key
+			newest, older = a.key, newest
 		}
 	}
-	for _, k := range []int{w.key, newest - 1} {
+	asked := []int{w.key, older}
+	if len(w.race) == 2 || w.lost[w.key] {
+		asked = append(asked, w.key-1)
+	}
+	for _, k := range asked {
 		if k < 0 {
 			continue
 		}
@@ -247,6 +373,9 @@
 			continue
 		}
 		w.tally.Taken++
+		if w.lost[k] {
+			w.violate("node %d took key %d of an order that lost", i, k)
+		}
 		if k < newest {
 			w.tally.Violations = append(w.tally.Violations, fmt.Sprintf("%s node %d took key %d although %d was acknowledged 2.5 s before", w.since(), i, k, newest))
 		}
@@ -262,27 +391,21 @@
 	if w.split != nil {
 		w.fleet.Split(w.split, false)
 	}
-	for i := range w.back {
-		if err := w.fleet.Up(i); err != nil {
-			w.tally.Violations = append(w.tally.Violations, fmt.Sprintf("node %d doesn't start: %v", i, err))
-		}
-	}
-	last := w.acked[len(w.acked)-1].key
 	for range 40 {
 		w.pause(500 * kernel.Millisecond)
-		if w.orders != nil {
-			select {
-			case a := <-w.orders:
-				w.orders = nil
-				if a.Status != 200 || !a.InForce {
-					w.send()
-				} else {
-					last = w.key
+		w.leave(w.clock.Now())
+		for i := range w.back {
+			if !w.fleet.Running(i) {
+				if err := w.fleet.Up(i); err != nil {
+					w.violate("node %d doesn't start: %v", i, err)
 				}
-			default:
 			}
+		}
+		if w.race != nil {
+			w.order()
 			continue
 		}
+		last := w.acked[len(w.acked)-1].key
 		a := w.fleet.Read(w.random.IntN(w.n))
 		if a.Status == 200 && a.Holds(last) {
 			return
@@ -292,5 +415,5 @@
 			return
 		}
 	}
-	w.tally.Violations = append(w.tally.Violations, fmt.Sprintf("20 s after the last fault: order under way %v, nothing can be read back", w.orders != nil))
+	w.tally.Violations = append(w.tally.Violations, fmt.Sprintf("20 s after the last fault: order under way %v, nothing can be read back", w.race != nil))
 }
