Read an unchanged list without its body, and poll servers within a budget a node

Ruled out: fewer watchers a server (two are what a drain needs when one dies); polling by answers seen only (a front that sends nothing would know nothing). Change: a list that the platform tags (ETag) is asked for by its tag; a front polls at most 20 servers a second, so its polls stretch when it watches more than ten. Drains come by the list and keep their half second. A test reads a list that changes and breaks. Conclusion: a dark server that nobody calls is noticed later on large fleets, up to two stretched polls.

--- a/cmd/rig/hollow/servers.go
+++ b/cmd/rig/hollow/servers.go
@@ -37,7 +37,13 @@
 			return err
 		}
 	}
-	return r.serve(ctx, r.platform(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return r.serve(ctx, r.platform(), http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		const tag = `"one list"`
+		w.Header().Set("ETag", tag)
+		if q.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		kernel.Reply(w, http.StatusOK, map[string]any{"servers": list})
 	}))
 }
--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/platform/platform.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -36,6 +37,7 @@
 type Client struct {
 	cfg  Config
 	http *http.Client
+	held atomic.Pointer[heldList]
 }
 
 // New returns a client. It dials nothing.
@@ -85,16 +87,36 @@
 	LeaveAtMS int64    `json:"leave_at_ms"`
 }
 
-// List reads the platform's list.
+// List reads the platform's list. Where the platform tags its content (ETag), an
+// unchanged list is not sent again; what is returned must not be changed.
 func (c *Client) List(ctx kernel.Context) (Listing, error) {
-	data, status, err := c.get(ctx, c.cfg.URL, c.cfg.ListLimit)
+	held := c.held.Load()
+	etag := ""
+	if held != nil {
+		etag = held.etag
+	}
+	data, answer, err := c.get(ctx, c.cfg.URL, c.cfg.ListLimit, etag)
 	if err != nil {
 		return Listing{}, errors.Wrap(err, "platform list")
 	}
-	if status != http.StatusOK {
-		return Listing{}, errors.Errorf("platform list: status %d", status)
+	if answer.StatusCode == http.StatusNotModified && etag != "" {
+		return held.listing, nil
+	}
+	if answer.StatusCode != http.StatusOK {
+		return Listing{}, errors.Errorf("platform list: status %d", answer.StatusCode)
 	}
-	return ParseList(data)
+	listing, err := ParseList(data)
+	c.held.Store(nil)
+	if tag := answer.Header.Get("ETag"); err == nil && tag != "" {
+		c.held.Store(&heldList{etag: tag, listing: listing})
+	}
+	return listing, err
+}
+
+// heldList is the last list that came with a tag of its content.
+type heldList struct {
+	etag    string
+	listing Listing
 }
 
 // ParseList reads a list's body.
@@ -189,7 +211,11 @@
 // server that has no such call answers, with no figures. The error explains a
 // reach other than Answers, and figures that can't be read.
 func (c *Client) Status(ctx kernel.Context, name, address string) (*wire.ServerStatus, Reach, error) {
-	data, status, err := c.get(ctx, "http://"+address+"/v1/status", c.cfg.StatusLimit)
+	data, answer, err := c.get(ctx, "http://"+address+"/v1/status", c.cfg.StatusLimit, "")
+	status := 0
+	if answer != nil {
+		status = answer.StatusCode
+	}
 	switch {
 	case port.Refused(err):
 		return nil, Refuses, errors.Wrap(err, "server status")
@@ -244,24 +270,27 @@
 
 var errTooLong = errors.New("the body is too long")
 
-func (c *Client) get(ctx kernel.Context, url string, limit int64) ([]byte, int, error) {
+func (c *Client) get(ctx kernel.Context, url string, limit int64, etag string) ([]byte, *http.Response, error) {
 	ctx, cancel := kernel.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, 0, errors.WithStack(err)
+		return nil, nil, errors.WithStack(err)
+	}
+	if etag != "" {
+		request.Header.Set("If-None-Match", etag)
 	}
 	answer, err := c.http.Do(request)
 	if err != nil {
-		return nil, 0, errors.WithStack(err)
+		return nil, nil, errors.WithStack(err)
 	}
 	defer answer.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
 	if err != nil {
-		return nil, 0, errors.WithStack(err)
+		return nil, nil, errors.WithStack(err)
 	}
 	if int64(len(data)) > limit {
-		return nil, 0, errors.Wrapf(errTooLong, "over %d bytes", limit)
+		return nil, nil, errors.Wrapf(errTooLong, "over %d bytes", limit)
 	}
-	return data, answer.StatusCode, nil
+	return data, answer, nil
 }
--- a/internal/adapter/platform/platform_test.go
+++ b/internal/adapter/platform/platform_test.go
@@ -122,3 +122,45 @@
 		})
 	})
 }
+
+func TestUnchangedList(t *testing.T) {
+	Convey("A list that the platform tags is sent again only when it changed, or when the last one was bad", t, func() {
+		body, tag, sent := `{"servers":[]}`, `"1"`, 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("If-None-Match") == tag {
+				w.WriteHeader(http.StatusNotModified)
+				return
+			}
+			sent++
+			w.Header().Set("ETag", tag)
+			_, _ = w.Write([]byte(body))
+		}))
+		defer server.Close()
+		client := New(Config{URL: server.URL})
+		read := func() (int, error) {
+			listing, err := client.List(context.Background())
+			return len(listing.Servers), err
+		}
+		for range 3 {
+			n, err := read()
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, 0)
+		}
+		So(sent, ShouldEqual, 1)
+
+		body, tag = `{"servers":[{"name":"m1","address":"127.0.0.1:80","kind":"model","services":["chat"],"region":"r","zone":"z","state":"ready"}]}`, `"2"`
+		for range 2 {
+			n, err := read()
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, 1)
+		}
+		So(sent, ShouldEqual, 2)
+
+		body, tag = `{"servers":`, `"3"`
+		for range 2 {
+			_, err := read()
+			So(err, ShouldNotBeNil)
+		}
+		So(sent, ShouldEqual, 4)
+	})
+}
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -52,6 +52,11 @@
 	return c
 }
 
+// pollCost is the least time between two polls of a front, so that the bytes
+// it spends on them stay bounded when it watches many servers. Drains come by
+// the list, and servers that fail show in the calls that they are sent.
+const pollCost = 50 * kernel.Millisecond
+
 // View is what the watcher needs to know: the folded servers and the fronts
 // that are ready. It must not be changed afterwards.
 type View struct {
@@ -168,8 +173,8 @@
 		w.pollList(ctx)
 	}
 	if !now.Before(w.pollAt) {
-		w.pollAt = now.Add(w.cfg.StatusEvery)
 		w.duePolls(v)
+		w.pollAt = now.Add(max(w.cfg.StatusEvery, kernel.Duration(len(w.polls))*pollCost))
 	}
 	for len(w.waiting) > 0 && w.busy < w.cfg.Workers {
 		name := w.waiting[0]
