Feed a plan that repeats the last one without its shares and caps

Ruled out: feeding nothing when a plan repeats; fronts judge a plan's age and its epoch. An empty plan never claims to repeat one. Conclusion: the largest message of the aimed size is sent only when it changes.

--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -230,12 +231,29 @@
 		c.log.Emit(events.PlanOlder, "term", next.Term, "number", next.Number)
 		return false
 	}
+	next, fed := repeating(c.plan, next)
 	c.plan = next
-	c.feed.publish(&wire.Change{What: &wire.Change_Plan{Plan: next}})
+	c.feed.publish(&wire.Change{What: &wire.Change_Plan{Plan: fed}})
 	c.answerWaiters()
 	return true
 }
 
+// repeating returns the plan to hold and the one to feed: where shares and caps
+// are those of the plan before, the feed says so in their place.
+func repeating(prior, next *wire.Plan) (held, fed *wire.Plan) {
+	held = proto.Clone(next).(*wire.Plan)
+	held.Repeats = 0
+	if prior == nil || prior.Term != next.Term || len(next.Shares)+len(next.Caps) == 0 ||
+		!slices.EqualFunc(prior.Shares, next.Shares, func(a, b *wire.Share) bool { return proto.Equal(a, b) }) ||
+		!slices.EqualFunc(prior.Caps, next.Caps, func(a, b *wire.Cap) bool { return proto.Equal(a, b) }) {
+		return held, held
+	}
+	held.Repeats = cmp.Or(prior.Repeats, prior.Number)
+	fed = proto.Clone(held).(*wire.Plan)
+	fed.Shares, fed.Caps = nil, nil
+	return held, fed
+}
+
 // flushAll sends each other core what it has not taken, one call at a time.
 func (c *Core) flushAll() {
 	for _, p := range c.others() {
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"stepwick/internal/core/grant"
 	"stepwick/internal/core/merge"
@@ -669,7 +670,8 @@
 	}
 }
 
-// takePlan drops a plan of a lower (term, number).
+// takePlan drops a plan of a lower (term, number). One that repeats another
+// than is held is asked for whole, by a snapshot.
 func (f *Follower) takePlan(plan *wire.Plan) bool {
 	if plan == nil {
 		return false
@@ -677,10 +679,26 @@
 	if f.plan != nil && (plan.Term < f.plan.Term || (plan.Term == f.plan.Term && plan.Number <= f.plan.Number)) {
 		return false
 	}
+	if plan.Repeats != 0 && len(plan.Shares)+len(plan.Caps) == 0 {
+		if f.plan == nil || f.plan.Term != plan.Term || firstOf(f.plan) != plan.Repeats {
+			f.feed = place{core: f.feed.core}
+			return false
+		}
+		plan = proto.Clone(plan).(*wire.Plan)
+		plan.Shares, plan.Caps = f.plan.Shares, f.plan.Caps
+	}
 	f.plan = plan
 	return true
 }
 
+// firstOf returns the number of the plan whose shares and caps a plan has.
+func firstOf(plan *wire.Plan) uint64 {
+	if plan.Repeats != 0 {
+		return plan.Repeats
+	}
+	return plan.Number
+}
+
 func (f *Follower) publish() {
 	old := f.view.Load()
 	view := &View{State: f.state, Index: old.Index.For(f.state), Plan: f.plan,
