Let a fleet that starts at once take its state once, encoded once

Cause: a front that starts asked for the whole state twice, from its feed and by a fetch after the first renewal, and so many asked at once that a core encoded the same state for each of them (38 ms at 14,000 tenants) and packed it at the default effort. All fronts that start in the same half second chose one core.

Ruled out: staggering by name, which makes every single start slower.

Change: the first state comes from the feed, and is fetched only after 2 s without; a core encodes an epoch's state once for all who wait; messages are packed at the least effort; the first core to follow is one that answers, by a hash of the name.

Larger herds were not run.

--- /dev/null
+++ b/cmd/rig/hollow/herd.go
@@ -0,0 +1,72 @@
+package hollow
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+)
+
+const (
+	herdPoll  = 100 * kernel.Millisecond
+	herdBound = 90 * kernel.Second
+)
+
+// herd stops every front, starts all of them anew at once, and measures until
+// the last one rules.
+func (r *run) herd(ctx kernel.Context, clock kernel.Clock, result *Result) error {
+	r.lose()
+	for range r.options.Fronts {
+		select {
+		case <-r.ended:
+		case <-clock.After(15 * kernel.Second):
+			return errors.New("a front did not stop")
+		}
+	}
+	fronts, lose := kernel.WithCancel(ctx)
+	r.lose = lose
+	begun, cpu := clock.Now(), r.coreCPU()
+	windowAt, windowCPU := begun, cpu
+	for i := range r.options.Fronts {
+		if err := r.startFront(fronts, i); err != nil {
+			return err
+		}
+	}
+	n := float64(r.options.Cores)
+	for last := 0; last < r.options.Fronts; {
+		<-clock.After(herdPoll)
+		now := clock.Now()
+		if span := now.Sub(windowAt).Seconds(); span >= 0.5 {
+			used := r.coreCPU()
+			result.HerdCorePeak = max(result.HerdCorePeak, (used-windowCPU)/span/n)
+			windowAt, windowCPU = now, used
+		}
+		if now.Sub(begun) > herdBound {
+			return errors.Errorf("%d of %d fronts rule %s after their start", last, r.options.Fronts, herdBound)
+		}
+		for last < r.options.Fronts && r.ready(ctx, last) {
+			last++
+		}
+	}
+	result.HerdMS = clock.Now().Sub(begun).Seconds() * 1000
+	result.HerdCoreSeconds = (r.coreCPU() - cpu) / n
+	return nil
+}
+
+// ready tells whether a front says that it takes requests, which it does only
+// when it rules.
+func (r *run) ready(ctx kernel.Context, i int) bool {
+	ctx, cancel := kernel.WithTimeout(ctx, kernel.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address(100, i, 7000)+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/cmd/rig/hollow/hollow.go
+++ b/cmd/rig/hollow/hollow.go
@@ -42,7 +42,8 @@
 	Servers  int // that the platform lists
 	Warm     kernel.Duration
 	Span     kernel.Duration
-	Orders   int // changes put in force one after another after the span
+	Orders   int  // changes put in force one after another after the span
+	Herd     bool // last, all fronts are stopped and started anew at once
 	Settings map[string]string
 	Profile  string // file for a heap profile of the fronts, or empty
 }
@@ -65,6 +66,9 @@
 	InForceMaxMS    float64 `json:"in_force_max_ms"`
 	Unmet           int     `json:"orders_not_in_force"`
 	Why             string  `json:"last_not_in_force,omitempty"`
+	HerdMS          float64 `json:"herd_ms,omitempty"`              // from the start until every front rules
+	HerdCorePeak    float64 `json:"herd_core_peak_share,omitempty"` // of the busiest half second, mean of the cores
+	HerdCoreSeconds float64 `json:"herd_core_seconds,omitempty"`    // processor seconds a core
 }
 
 type counters struct{ bytes atomic.Int64 }
@@ -107,6 +111,7 @@
 	watching counters // of the platform's list and the servers' status
 	ended    chan error
 	stop     kernel.Cancel
+	lose     kernel.Cancel // ends the fronts alone
 }
 
 func (r *run) address(group, i, port int) string {
@@ -162,8 +167,10 @@
 		}
 	}
 	started := 0
+	fronts, lose := kernel.WithCancel(ctx)
+	r.lose = lose
 	for i := range options.Fronts {
-		if err := r.startFront(ctx, i); err != nil {
+		if err := r.startFront(fronts, i); err != nil {
 			return result, err
 		}
 		started++
@@ -195,6 +202,9 @@
 	}
 	result.Ruling = r.ruling(ctx)
 	r.orders(ctx, clock, caller, &result)
+	if options.Herd {
+		return result, r.herd(ctx, clock, &result)
+	}
 	return result, nil
 }
 
--- a/cmd/rig/hollow_command.go
+++ b/cmd/rig/hollow_command.go
@@ -16,6 +16,7 @@
 	var settings map[string]string
 	var cores, warm, span, orders int
 	var profile string
+	var herd bool
 	c := &cobra.Command{Use: "hollow", Short: "Measure what control costs a node and a core as the fleet grows",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			binary, remove, err := built()
@@ -31,7 +32,7 @@
 							return err
 						}
 						result, err := hollow.Measure(cmd.Context(), hollow.Options{Binary: binary, Dir: dir, Fronts: n, Cores: cores, Tenants: t, Servers: m,
-							Warm: kernel.Duration(warm) * kernel.Second, Span: kernel.Duration(span) * kernel.Second, Orders: orders, Settings: settings, Profile: profile})
+							Warm: kernel.Duration(warm) * kernel.Second, Span: kernel.Duration(span) * kernel.Second, Orders: orders, Settings: settings, Profile: profile, Herd: herd})
 						os.RemoveAll(dir)
 						if err != nil {
 							return err
@@ -51,6 +52,7 @@
 	c.Flags().IntSliceVar(&servers, "servers", []int{0}, "numbers of servers")
 	c.Flags().StringToStringVar(&settings, "set", nil, "settings of every process, NAME=VALUE")
 	c.Flags().StringVar(&profile, "profile", "", "file for a heap profile of the fronts")
+	c.Flags().BoolVar(&herd, "herd", false, "last, stop all fronts and start them anew at once")
 	c.Flags().IntVar(&cores, "cores", 3, "number of cores")
 	c.Flags().IntVar(&warm, "warm", 10, "seconds before the measurement")
 	c.Flags().IntVar(&span, "seconds", 15, "seconds of the measurement")
--- a/internal/adapter/internalrpc/pool.go
+++ b/internal/adapter/internalrpc/pool.go
@@ -3,8 +3,10 @@
 package internalrpc
 
 import (
+	"compress/gzip"
 	"crypto/sha256"
 	"crypto/subtle"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -111,7 +113,7 @@
 // others get kernel.BadSecret before their body is read.
 func Handler(peer wireconnect.PeerHandler, secret string) http.Handler {
 	path, inner := wireconnect.NewPeerHandler(peer, connect.WithReadMaxBytes(messageBound),
-		connect.WithCompressMinBytes(compressFrom), connect.WithInterceptors(faultInterceptor()))
+		connect.WithCompressMinBytes(compressFrom), fastGzip(), connect.WithInterceptors(faultInterceptor()))
 	want := sha256.Sum256([]byte(secret))
 	mux := http.NewServeMux()
 	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -125,6 +127,17 @@
 	return mux
 }
 
+// fastGzip packs large messages at the least effort: a core sends the same
+// snapshot to many at once.
+func fastGzip() connect.HandlerOption {
+	return connect.WithCompression("gzip",
+		func() connect.Decompressor { return &gzip.Reader{} },
+		func() connect.Compressor {
+			w, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+			return w
+		})
+}
+
 // faultInterceptor turns faults into errors of the protocol that keep their
 // number.
 func faultInterceptor() connect.Interceptor {
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -6,7 +6,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 
 	"stepwick/internal/core/duty"
 	"stepwick/internal/core/grant"
@@ -112,7 +111,6 @@
 	clock     kernel.Clock
 	log       events.Log
 	orders    chan struct{}
-	encoded   atomic.Pointer[encodedState]
 	inbox     chan func()
 
 	ctx       kernel.Context
@@ -120,6 +118,7 @@
 	opened    bool
 	state     sheet.State
 	feed      *feed
+	encoded   *encodedState
 	reports   *reports
 	begun     kernel.Time
 	plan      *wire.Plan
@@ -144,11 +143,6 @@
 	view  *wire.GrantViewResponse
 }
 
-type encodedState struct {
-	epoch uint64
-	data  []byte
-}
-
 // New returns a core whose grants begin now.
 func New(config Config, agreement Agreement, peers port.Peers, clock kernel.Clock, log events.Log) *Core {
 	config = config.orDefaults(clock)
--- a/internal/node/core/feed.go
+++ b/internal/node/core/feed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"stepwick/internal/core/sheet"
 	"stepwick/internal/journal"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
@@ -126,14 +127,32 @@
 	if state.Epoch == 0 || req.Epoch >= state.Epoch {
 		return &pulled{resp: resp}
 	}
-	return &pulled{resp: resp, state: func() []byte {
-		if held := c.encoded.Load(); held != nil && held.epoch == state.Epoch {
-			return held.data
-		}
-		data := state.Encode()
-		c.encoded.Store(&encodedState{epoch: state.Epoch, data: data})
-		return data
-	}}
+	return &pulled{resp: resp, state: c.encodedOf(state)}
+}
+
+// encodedState is a state encoded once for all who start from it.
+type encodedState struct {
+	epoch uint64
+	ready chan struct{}
+	data  []byte
+}
+
+// encodedOf begins to encode a state outside the owner, unless that is done or
+// under way, and returns what waits for it.
+func (c *Core) encodedOf(state sheet.State) func() []byte {
+	held := c.encoded
+	if held == nil || held.epoch != state.Epoch {
+		held = &encodedState{epoch: state.Epoch, ready: make(chan struct{})}
+		c.encoded = held
+		go func() {
+			held.data = state.Encode()
+			close(held.ready)
+		}()
+	}
+	return func() []byte {
+		<-held.ready
+		return held.data
+	}
 }
 
 // answerWaiters answers those for whom there is something new.
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -1,10 +1,12 @@
 package follow
 
 import (
+	"slices"
 	"sort"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"stepwick/internal/core/grant"
@@ -73,6 +75,7 @@
 	inbox   chan func()
 	serving atomic.Pointer[kernel.Context] // of the newest Serve
 	ctx     kernel.Context
+	begun   kernel.Time
 
 	holder   *grant.Holder
 	state    sheet.State
@@ -126,6 +129,13 @@
 	unconfirmed bool
 }
 
+// A node that starts takes its first state from the feed. While that may be on
+// its way nothing else is asked for the same, and large ones are given time.
+const (
+	startByFeed  = 2 * kernel.Second
+	largeTimeout = 5 * kernel.Second
+)
+
 // New returns a follower that knows nothing yet.
 func New(config Config, peers port.Peers, clock kernel.Clock, log events.Log) *Follower {
 	f := &Follower{
@@ -221,7 +231,7 @@
 
 // Serve runs the owner until the context ends.
 func (f *Follower) Serve(ctx kernel.Context) error {
-	f.ctx = ctx
+	f.ctx, f.begun = ctx, f.clock.Now()
 	f.serving.Store(&ctx)
 	renew, ping, fold := f.clock.Ticker(f.config.RenewEvery), f.clock.Ticker(f.config.PingEvery), f.clock.Ticker(f.config.RenewEvery)
 	defer renew.Stop()
@@ -325,7 +335,7 @@
 	f.offsets[core.Name] = kernel.UnixMicro(resp.TimeUs).Sub(sent.Add(back.Sub(sent) / 2))
 	f.setOffset()
 	f.behind[core.Name] = resp.Learned
-	if resp.Learned > f.state.Epoch || !f.held {
+	if f.held && resp.Learned > f.state.Epoch || !f.held && back.Sub(f.begun) >= startByFeed {
 		f.fetch(core.Address)
 	}
 	wasUnconfirmed := f.holder.Unconfirmed()
@@ -493,7 +503,7 @@
 		after = 0
 	}
 	go func() {
-		ctx, cancel := kernel.WithTimeout(f.ctx, 2*kernel.Second)
+		ctx, cancel := kernel.WithTimeout(f.ctx, largeTimeout)
 		defer cancel()
 		resp, err := f.peers.Client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{After: after}))
 		f.post(func() {
@@ -572,8 +582,12 @@
 	f.feed.open = true
 	at := f.feed
 	req := &wire.FollowRequest{Who: f.name, Feed: at.feed, Place: at.number, WaitMs: uint32(f.config.FeedWait.Milliseconds()), Epoch: f.state.Epoch}
+	patience := f.config.FeedWait + f.config.CoreStaleFor
+	if !f.held {
+		patience = largeTimeout
+	}
 	go func() {
-		ctx, cancel := kernel.WithTimeout(f.ctx, f.config.FeedWait+f.config.CoreStaleFor)
+		ctx, cancel := kernel.WithTimeout(f.ctx, patience)
 		defer cancel()
 		resp, err := f.peers.Client(core.Address).Follow(ctx, connect.NewRequest(req))
 		if err != nil {
@@ -600,7 +614,8 @@
 }
 
 // choose stays with the core that is followed; otherwise one of those that
-// renew comes next, in an order of this front's own so that fronts spread.
+// renew, or at the start at least answer, comes next, in an order of this
+// front's own so that fronts spread.
 func (f *Follower) choose(now kernel.Time) (*wire.Process, bool) {
 	if f.feed.core != "" {
 		if p, ok := f.peers.Process(f.feed.core); ok {
@@ -621,7 +636,17 @@
 		}
 	}
 	if best < 0 {
-		best = int(now.UnixNano()/int64(f.config.RenewEvery)) % len(cores)
+		answered := slices.DeleteFunc(slices.Clone(cores), func(core *wire.Process) bool {
+			_, ok := f.behind[core.Name]
+			return !ok
+		})
+		switch {
+		case len(answered) > 0:
+			cores = answered
+		case now.Sub(f.begun) < startByFeed:
+			return nil, false
+		}
+		best = int((xxhash.Sum64String(f.name) + uint64(now.UnixNano()/int64(f.config.RenewEvery))) % uint64(len(cores)))
 	}
 	return cores[best], true
 }
