--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -117,7 +117,7 @@
 
 	{Name: "quota_window", Type: Duration, Default: "8s", Rule: "8s to 1h", Check: within(8*kernel.Second, kernel.Hour),
 		Help: "The window of the tally; the same on every process."},
-	{Name: "quota_slices", Type: Int, Default: "32", Rule: "1 to 64", Check: counted(1, 64),
+	{Name: "quota_slices", Type: Int, Default: "50", Rule: "1 to 64", Check: counted(1, 64),
 		Help: "The slices that a window's spend is kept in, to bound any span of one window; the same on every process."},
 	{Name: "plain_tokens", Type: Float, Default: "50", Rule: "above 0, at most 1000000", Check: between(math.SmallestNonzeroFloat64, 1e6),
 		Help: "The tokens that a one-shot call counts for, where its service names none."},
