--- a/cmd/rig/measure.go
+++ b/cmd/rig/measure.go
@@ -128,7 +128,11 @@
 	if t.Kind != "stream" {
 		server = "web1"
 	}
+	t.MaxTokens = 4
 	for i := range count {
+		if s.Context().Err() != nil {
+			break
+		}
 		call := load.Call{Tenant: t, Place: s.Fleet.Place(server), Prefix: 1, Draw: .5, Front: s.Fleet.Nodes[3].Caller, Pick: uint64(i)}
 		for _, way := range []*hdrhistogram.Histogram{direct, through} {
 			var a ledger.Attempt
