Look for servers that are no longer listed only when there are any

Cause: each new view made the table look up all its servers in the view, also when it has just as many. Change: the look ends when both have the same number; after the first loop the table holds all that the view lists. Measured: BenchmarkUpdateOneOf12000, old and new in turns on a busy machine, ms: 9.8/8.1, 6.2/3.9, 11.1/6.8, 5.2/3.9. Conclusion: a quarter to two fifths less where the machine lets it be seen; still one look at all servers a view.

--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -262,6 +262,9 @@
 		moved = t.learn(s, status, now) || moved
 	}
 	for name, s := range t.servers {
+		if len(t.servers) == len(v.Servers) {
+			break
+		}
 		if _, listed := v.Servers[name]; listed {
 			continue
 		}
