Keep a peer that refused gone until it answers or lives anew

The holder of its tenants' counts moved back and forth with it, just when nodes and cores are lost together.

The hollow rig asks readiness for who rules: a status of each front relayed one to a core, which took minutes at 200 fronts.

Measured: go test ./internal/node/core -run LostStays fails before (a lost node came back) and passes after.

--- a/cmd/rig/hollow/herd.go
+++ b/cmd/rig/hollow/herd.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"encoding/json"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -45,7 +46,7 @@
 		if now.Sub(begun) > herdBound {
 			return errors.Errorf("%d of %d fronts rule %s after their start", last, r.options.Fronts, herdBound)
 		}
-		for last < r.options.Fronts && r.ready(ctx, last) {
+		for last < r.options.Fronts && r.rules(ctx, last) {
 			last++
 		}
 	}
@@ -54,9 +55,9 @@
 	return nil
 }
 
-// ready tells whether a front says that it takes requests, which it does only
-// when it rules.
-func (r *run) ready(ctx kernel.Context, i int) bool {
+// rules tells whether a front rules: it takes requests, or would if there were
+// a plan, which a fleet without servers has none of.
+func (r *run) rules(ctx kernel.Context, i int) bool {
 	ctx, cancel := kernel.WithTimeout(ctx, kernel.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address(100, i, 7000)+"/readyz", nil)
@@ -68,5 +69,9 @@
 		return false
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	var fault kernel.FaultBody
+	if resp.StatusCode == http.StatusOK {
+		return true
+	}
+	return json.NewDecoder(resp.Body).Decode(&fault) == nil && fault.Code == kernel.NoPlan && r.options.Servers == 0
 }
--- a/cmd/rig/hollow/orders.go
+++ b/cmd/rig/hollow/orders.go
@@ -105,27 +105,12 @@
 	result.InForceP50MS, result.InForceMaxMS = took[len(took)/2], took[len(took)-1]
 }
 
-// ruling counts the fronts that say they rule.
+// ruling counts the fronts that rule.
 func (r *run) ruling(ctx kernel.Context) (ruling int) {
-	type status struct {
-		Node struct {
-			Ruling bool `json:"ruling"`
-		} `json:"node"`
-	}
 	for i := range r.options.Fronts {
-		callCtx, cancel := kernel.WithTimeout(ctx, 2*kernel.Second)
-		req, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+r.address(100, i, 7000)+"/v1/control/status", nil)
-		if err == nil {
-			req.Header.Set("Authorization", "Bearer ada's key")
-			if resp, err := http.DefaultClient.Do(req); err == nil {
-				var s status
-				if json.NewDecoder(resp.Body).Decode(&s) == nil && s.Node.Ruling {
-					ruling++
-				}
-				resp.Body.Close()
-			}
+		if r.rules(ctx, i) {
+			ruling++
 		}
-		cancel()
 	}
 	return ruling
 }
--- a/internal/node/core/fallback_test.go
+++ b/internal/node/core/fallback_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,3 +22,29 @@
 		})
 	})
 }
+
+func TestLostStaysLost(t *testing.T) {
+	for _, later := range []time.Duration{200, 350, 500} {
+		inFleet(t, 9, func(t *testing.T, f *fleet) {
+			Convey("What a front met refusing is not brought back by a core that has not noticed yet", t, func() {
+				lost := map[string]bool{}
+				look := func(span time.Duration) {
+					for begun := time.Now(); time.Since(begun) < span; f.pass(10 * time.Millisecond) {
+						for _, name := range f.names[1:8] {
+							live := slices.Contains(f.fronts[name].View().Live, "f9")
+							So(live && lost[name], ShouldBeFalse)
+							lost[name] = lost[name] || !live
+						}
+					}
+				}
+				f.kill("f9")
+				look(later * time.Millisecond)
+				f.kill("c1")
+				look(4 * time.Second)
+				for _, name := range f.names[1:8] {
+					So(lost[name], ShouldBeTrue)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -661,10 +661,7 @@
 		for _, report := range s.Reports {
 			dirty = f.reports.Merge(report, f.FleetNow()) || dirty
 		}
-		clear(f.told)
-		for _, sight := range s.Sights {
-			f.takeSight(sight)
-		}
+		f.takeSights(s.Sights)
 		churn = true
 	}
 	for _, change := range resp.Changes {
--- a/internal/node/follow/members.go
+++ b/internal/node/follow/members.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"stepwick/internal/core/grant"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
@@ -24,8 +25,28 @@
 }
 
 func (f *Follower) takeSight(sight *wire.Sight) {
-	if p := sight.GetProcess(); p.GetName() != "" {
-		f.told[p.Name] = told{process: p, gone: sight.Gone, silent: sight.Silent, at: f.clock.Now()}
+	p := sight.GetProcess()
+	if p.GetName() == "" {
+		return
+	}
+	next := told{process: p, gone: sight.Gone, silent: sight.Silent, at: f.clock.Now()}
+	if held, ok := f.told[p.Name]; ok && held.gone == next.gone && held.silent == next.silent && grant.SameProcess(held.process, p) {
+		next.at = held.at
+	}
+	f.told[p.Name] = next
+}
+
+// takeSights takes those of a snapshot; what it doesn't name is no longer told.
+func (f *Follower) takeSights(sights []*wire.Sight) {
+	named := make(map[string]bool, len(sights))
+	for _, sight := range sights {
+		named[sight.GetProcess().GetName()] = true
+		f.takeSight(sight)
+	}
+	for name := range f.told {
+		if !named[name] {
+			delete(f.told, name)
+		}
 	}
 }
 
@@ -62,7 +83,9 @@
 )
 
 // fate tells what is known of a process: what this front met itself goes
-// before the feed's word, unless that is newer.
+// before the feed's word, unless that is newer; and a peer that refused stays
+// gone until it answers or another life of it is told of, as the core may not
+// have noticed yet.
 func (f *Follower) fate(name string, now kernel.Time) fate {
 	if name == f.name {
 		return lives
@@ -73,7 +96,7 @@
 	asked, open := f.asked[name]
 	refused, refuses := f.refused[name]
 	switch {
-	case refuses && !(said && !word.gone && !word.silent && word.at.After(refused)):
+	case refuses && !(said && !word.gone && !word.silent && word.at.After(refused) && word.process.Incarnation > f.lives[name]):
 		return isGone
 	case said && word.gone && !fresh:
 		return isGone
