Keep of each front only the slices with tokens at a holder

Cause: a holder kept a full ring of 125 slices for each front of each tenant. A front that spends in every slice takes up to twice a full ring: 16 bytes a slice instead of 8.

--- a/internal/core/tally/book_test.go
+++ b/internal/core/tally/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -279,6 +280,28 @@
 	})
 }
 
+func TestSparse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := grid{slice: 1, slices: 4}
+		s, dense, top := sparse{}, newRing(g), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			slice := max(0, top+rapid.Int64Range(-12, 12).Draw(t, "slice"))
+			top = max(top, slice)
+			tokens := float64(rapid.IntRange(0, 9).Draw(t, "tokens"))
+			if got, want := s.raise(g, slice, tokens), dense.raise(slice, tokens); got != want {
+				t.Fatalf("rose by %v, want %v", got, want)
+			}
+			window := g.window(top) - rapid.Int64Range(0, 1).Draw(t, "window")
+			if got, want := s.sum(top-7, top), dense.sum(top-7, top); got != want {
+				t.Fatalf("sum %v, want %v", got, want)
+			}
+			if got, want := s.window(g, window), dense.window(g, window); !slices.Equal(got, want) {
+				t.Fatalf("window %v, want %v", got, want)
+			}
+		}
+	})
+}
+
 func spread(tenants, fronts int) (*Book, *Ledger, []string) {
 	roster := make([]string, fronts)
 	for i := range roster {
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -42,7 +42,7 @@
 }
 
 type contribution struct {
-	own   ring
+	own   sparse
 	heard kernel.Time
 	prior kernel.Time // when the front was last told the window before the current one
 	left  bool        // the front said that the tenant is not active there
@@ -52,20 +52,20 @@
 
 // demand is what a front said that was asked of it of late; tokens.
 type demand struct {
-	at     kernel.Time // by the front's fleet time
+	at     int64 // microseconds of the front's fleet time
 	tokens float64
 }
 
 func (c *contribution) tell(tokens float64, at kernel.Time, apart kernel.Duration) {
-	if at.Sub(c.told[len(c.told)-1].at) >= apart {
+	if at.UnixMicro()-c.told[len(c.told)-1].at >= apart.Microseconds() {
 		copy(c.told[:], c.told[1:])
-		c.told[len(c.told)-1] = demand{at, tokens}
+		c.told[len(c.told)-1] = demand{at.UnixMicro(), tokens}
 	}
 }
 
 func (c *contribution) demandAt(t kernel.Time) float64 {
 	for i := len(c.told) - 1; i >= 0; i-- {
-		if !c.told[i].at.After(t) {
+		if c.told[i].at <= t.UnixMicro() {
 			return c.told[i].tokens
 		}
 	}
@@ -153,7 +153,7 @@
 		t := l.open(count.Tenant, now)
 		c := t.fronts[front]
 		if c == nil {
-			c = &contribution{own: newRing(l.grid)}
+			c = &contribution{}
 			t.fronts[front], t.weighed = c, kernel.Time{}
 		}
 		if c.left {
@@ -193,7 +193,7 @@
 	first, bound := count.Window*l.grid.slices, l.grid.bound(now)
 	for k, tokens := range count.Slices[:min(len(count.Slices), int(l.grid.slices))] {
 		if slice := first + int64(k); slice >= 0 && slice <= bound {
-			if risen := c.own.raise(slice, tokens); risen > 0 {
+			if risen := c.own.raise(l.grid, slice, tokens); risen > 0 {
 				t.sum.add(slice, risen)
 				t.notice(l.grid, slice, now)
 			}
--- a/internal/core/tally/ring.go
+++ b/internal/core/tally/ring.go
@@ -1,6 +1,11 @@
 package tally
 
-import "stepwick/internal/kernel"
+import (
+	"slices"
+	"sort"
+
+	"stepwick/internal/kernel"
+)
 
 // grid cuts time into slices and windows, both numbered since the unix epoch.
 type grid struct {
@@ -32,7 +37,10 @@
 	tokens []float64
 }
 
-func newRing(g grid) ring { return ring{tokens: make([]float64, 2*g.slices+g.slices/2)} }
+// kept is how many slices a ring keeps.
+func (g grid) kept() int64 { return 2*g.slices + g.slices/2 }
+
+func newRing(g grid) ring { return ring{tokens: make([]float64, g.kept())} }
 
 func (r *ring) advance(top int64) {
 	n := int64(len(r.tokens))
@@ -116,3 +124,59 @@
 	}
 	return out
 }
+
+// sparse is a ring that keeps only the slices with tokens, for the many fronts
+// of which most spend in few of them.
+type sparse struct {
+	top   int64
+	cells []cell // by slice
+}
+
+type cell struct {
+	slice  int64
+	tokens float64
+}
+
+func (s *sparse) from(slice int64) int {
+	return sort.Search(len(s.cells), func(i int) bool { return s.cells[i].slice >= slice })
+}
+
+// raise lifts a slice to at least tokens and returns by how much it rose.
+func (s *sparse) raise(g grid, slice int64, tokens float64) float64 {
+	s.top = max(s.top, slice)
+	oldest := s.top - g.kept() + 1
+	if slice < oldest || tokens <= 0 {
+		return 0
+	}
+	i := s.from(slice)
+	if i < len(s.cells) && s.cells[i].slice == slice {
+		risen := max(0, tokens-s.cells[i].tokens)
+		s.cells[i].tokens += risen
+		return risen
+	}
+	s.cells = slices.Insert(s.cells, i, cell{slice, tokens})
+	s.cells = slices.Delete(s.cells, 0, s.from(oldest))
+	return tokens
+}
+
+// sum adds up the slices from first to last, both included.
+func (s *sparse) sum(first, last int64) (total float64) {
+	for i := s.from(first); i < len(s.cells) && s.cells[i].slice <= last; i++ {
+		total += s.cells[i].tokens
+	}
+	return total
+}
+
+// window copies the slices of one window, without the empty ones at its end.
+func (s *sparse) window(g grid, window int64) []float64 {
+	first := window * g.slices
+	some := s.cells[s.from(first):s.from(first+g.slices)]
+	if len(some) == 0 {
+		return nil
+	}
+	out := make([]float64, some[len(some)-1].slice-first+1)
+	for _, c := range some {
+		out[c.slice-first] = c.tokens
+	}
+	return out
+}
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -96,16 +96,16 @@
 // TenantView is what a Book knows of one tenant; tokens, and Age the time since
 // the holder's totals were asked for (negative when it never answered).
 type TenantView struct {
-	Tenant   string
-	Limit    float64
-	Blend    float64
-	Recent   float64
-	Own      float64 // own part of Recent
-	Share    float64 // this node's part of the room
-	Reserved float64 // part of the limit kept for fronts that are silent
-	Marked   bool
-	Holder   string
-	Age      kernel.Duration
+	Tenant   string          `json:"tenant"`
+	Limit    float64         `json:"limit"`
+	Blend    float64         `json:"blend"`
+	Recent   float64         `json:"recent"`
+	Own      float64         `json:"own"`      // own part of Recent
+	Share    float64         `json:"share"`    // this node's part of the room
+	Reserved float64         `json:"reserved"` // part of the limit kept for fronts that are silent
+	Marked   bool            `json:"marked"`
+	Holder   string          `json:"holder"`
+	Age      kernel.Duration `json:"age"`
 }
 
 // HolderOf returns the front that holds a tenant's count: the highest of the
