Send a count again until its holder answers, also when the tenant went idle

Cause: a count whose send failed (its holder silent) was not sent again once the tenant was idle there for 0.4 s, so the next holder missed that spend. Change: an account with an unanswered ask goes on sending until it is answered or dropped.

--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -213,7 +213,7 @@
 		}
 		switch {
 		case b.quiet(a, now):
-		case idle <= askFor*b.config.Interval || a.unsent > 0:
+		case idle <= askFor*b.config.Interval || a.unsent > 0 || !a.asked.IsZero():
 			b.pack(batches, a, now, holderOf)
 		case !a.left:
 			a.left = true
