Let silent members keep their part of the servers' caps

Each side divided the cap among the fronts that it still heard, so both together had up to twice of it.

--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -10,7 +11,6 @@
 	"stepwick/internal/kernel"
 	"stepwick/internal/node/follow"
 	"stepwick/internal/stage"
-	"stepwick/internal/wire"
 )
 
 const (
@@ -140,7 +140,7 @@
 		r.tune(r.sheet, r.table)
 	}
 	now := r.clock.Now()
-	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: readyFronts(view.Fronts)}, now)
+	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: sharers(view)}, now)
 	for name, seats := range r.seated {
 		if r.table.Lost(name) {
 			for s := range seats {
@@ -150,10 +150,13 @@
 	}
 }
 
-func readyFronts(fronts []*wire.Process) []string {
-	names := make([]string, 0, len(fronts))
-	for _, front := range fronts {
-		if front.Front && front.Ready && !front.Leaving {
+// sharers names the fronts that share the servers' caps: those that take
+// traffic, and the members that are silent without being known to be gone, who
+// may go on sending from the far side of a cut.
+func sharers(view *follow.View) []string {
+	names := slices.Clone(view.Silent)
+	for _, front := range view.Fronts {
+		if front.Front && front.Ready && !front.Leaving && !slices.Contains(view.Silent, front.Name) {
 			names = append(names, front.Name)
 		}
 	}
