Take nobody for silent at a holder's start, nor for a pause between two counts

Change: a ledger's start counts as a thaw, for 2 s; only fronts that are told silent have something kept for them.

--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -17,7 +17,7 @@
 	activeFor   = 4    // intervals without counts after which a front is missed
 	calmFor     = 15   // intervals without an answer for which a request is held for the next holder
 	youngFor    = 3    // intervals in which a count that moved is asked for by all fronts where the tenant is active
-	missedFor   = 12   // intervals for which a missed front of which nothing is told is taken for silent
+	missedFor   = 12   // intervals for which a front that is not heard still counts as active
 	keptPart    = 0.85 // of an even part of the limit that is kept for a silent front
 	cutPart     = 0.25 // of the roster that falls silent where the load may be on another side of a cut
 	unsure      = 0.1  // part of its budget that a front spends before the first answer after a silence of its own
--- a/internal/core/tally/ledger.go
+++ b/internal/core/tally/ledger.go
@@ -20,7 +20,7 @@
 	reached     []string               // the roster without the silent ones: a tenant's holder is among them
 	silent      map[string]kernel.Time // when last told so
 	seen        kernel.Time            // last call
-	thawed      kernel.Time            // when calls came again after a long gap
+	thawed      kernel.Time            // when calls came first, or again after a long gap
 	cut         kernel.Time            // when so many fronts fell silent that there may be another side; zero: there is none
 	tenants     map[string]*held
 }
@@ -78,11 +78,11 @@
 	return &Ledger{self: self, incarnation: incarnation, config: config, grid: gridOf(config), silent: map[string]kernel.Time{}, tenants: map[string]*held{}}
 }
 
-// wake notices that this process stood still: its totals are from before, so
+// wake notices that this process has just started or stood still: its totals are from before, so
 // the fronts are asked for theirs, and whom it takes for silent itself is not
 // believed before it had time to hear them.
 func (l *Ledger) wake(now kernel.Time) {
-	if !l.seen.IsZero() && now.Sub(l.seen) > activeFor*l.config.Interval {
+	if l.seen.IsZero() || now.Sub(l.seen) > activeFor*l.config.Interval {
 		l.began, l.thawed = now, now
 		clear(l.silent)
 		l.reached = l.roster
@@ -102,7 +102,7 @@
 			l.rostered[name] = true
 		}
 	}
-	if !l.thawed.IsZero() && now.Sub(l.thawed) < silentAfter*l.config.Interval {
+	if !l.thawed.IsZero() && now.Sub(l.thawed) < 2*silentAfter*l.config.Interval {
 		silent = nil
 	}
 	for _, name := range silent {
@@ -285,8 +285,7 @@
 // keep sets apart what silent fronts may spend on their own: an even part for
 // each, less the part that is let go so that neither side of a cut starves, and
 // less still of a few fronts; on a side of a cut, more of those that last had a larger share. A
-// front is silent if it is told so, or if it stopped in the middle of an exchange
-// and nothing is told of it yet; to a guest every front is that it doesn't hear.
+// front is silent if it is told so; to a guest every front is that it doesn't hear.
 // One that left the roster spends nothing. On a side of a cut where nobody knows
 // what the other has spent, the whole limit is kept first, and that runs out. What the silent ones are known to
 // have spent counts towards what is kept.
@@ -296,15 +295,14 @@
 	slice, _ := l.grid.at(now)
 	oldest, even, missed, above := slice-l.grid.slices+1, 1/float64(max(1, len(l.roster))), 0, 0.0
 	for front, c := range t.fronts {
-		missing := now.Sub(c.heard)
-		if missing <= activeFor*l.config.Interval {
+		if now.Sub(c.heard) <= activeFor*l.config.Interval {
 			met[front.name] = true
 			continue
 		}
 		if c.left || !l.rostered[front.name] || l.restarted(t, front) || met[front.name] {
 			continue
 		}
-		if t.guest || l.toldSilent(front.name, now) || missing <= missedFor*l.config.Interval {
+		if t.guest || l.toldSilent(front.name, now) {
 			met[front.name] = true
 			missed++
 			above += max(0, c.share-even) / 2
