Say the core's standing in the answer to the readiness check

Cause: a core whose disk is full declines to vote, and its readiness said nothing of it. Ruled out: not ready, since the front beside it serves by the newest epoch all the same. Change: the body names the standing; the approved transcript has one exchange more and is otherwise as it was. Measured: go test ./internal/adapter/clientapi ./internal/node/... pass.

--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -337,11 +337,16 @@
 	}
 }
 
+type readyBody struct {
+	Ready    bool   `json:"ready"`
+	Standing string `json:"standing,omitempty"`
+}
+
 func serveReady(x *exchange) *kernel.Fault {
 	if fault := x.api.calls.Ready(); fault != nil {
 		return fault
 	}
-	kernel.Reply(x.writer, http.StatusOK, map[string]bool{"ready": true})
+	kernel.Reply(x.writer, http.StatusOK, readyBody{Ready: true, Standing: x.api.calls.Standing()})
 	return nil
 }
 
--- a/internal/adapter/clientapi/clientapi.go
+++ b/internal/adapter/clientapi/clientapi.go
@@ -145,6 +145,9 @@
 	OneShot(ctx kernel.Context, shot *OneShot) (*Answer, *kernel.Fault)
 	// Ready tells whether the node takes traffic.
 	Ready() *kernel.Fault
+	// Standing names the standing of the core beside this front, "" on a plain
+	// front. It rides the answer to the readiness check and doesn't decide it.
+	Standing() string
 	// Declined hears of each request that never became a call.
 	Declined(fault *kernel.Fault)
 	// Broke hears of a panic while a request was served.
--- a/internal/adapter/clientapi/clientapi_test.go
+++ b/internal/adapter/clientapi/clientapi_test.go
@@ -49,21 +49,23 @@
 
 // fakeCalls answers as the fields say.
 type fakeCalls struct {
-	knows  *kernel.Fault
-	ready  *kernel.Fault
-	events []string
-	fault  *kernel.Fault
-	panics any
-	answer *Answer
-	shots  []*OneShot
-	asked  []*Prompt
-	broke  int
-	ended  chan error
+	standing string
+	knows    *kernel.Fault
+	ready    *kernel.Fault
+	events   []string
+	fault    *kernel.Fault
+	panics   any
+	answer   *Answer
+	shots    []*OneShot
+	asked    []*Prompt
+	broke    int
+	ended    chan error
 }
 
 func (f *fakeCalls) Arrived() kernel.Time      { return time.Now() }
 func (f *fakeCalls) Knows(*Head) *kernel.Fault { return f.knows }
 func (f *fakeCalls) Ready() *kernel.Fault      { return f.ready }
+func (f *fakeCalls) Standing() string          { return f.standing }
 func (f *fakeCalls) Declined(*kernel.Fault)    {}
 func (f *fakeCalls) Broke(string, any)         { f.broke++ }
 
@@ -161,6 +163,7 @@
 		{"one-shot that breaks", &fakeCalls{panics: "oh"}, request("POST", "/v1/call/orders", keyed, "{}")},
 		{"connect", &fakeCalls{}, request("GET", "/v1/connect?service=chat&region=lagos", keyed, "")},
 		{"ready", &fakeCalls{}, request("GET", "/readyz", "", "")},
+		{"ready beside a core whose disk is full", &fakeCalls{standing: "disk_full"}, request("GET", "/readyz", "", "")},
 		{"not ready", &fakeCalls{ready: later}, request("GET", "/readyz", "", "")},
 	}
 	transcript := ""
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -45,6 +45,9 @@
 	// when they change.
 	Tune func(settings map[string]string) Tuned
 
+	// Standing tells the standing of the core beside this front; nil on a plain one.
+	Standing func() string
+
 	Control http.Handler // answers below /v1/control/; may be nil
 	Metrics http.Handler // answers /metrics; may be nil
 }
@@ -200,6 +203,14 @@
 	return nil
 }
 
+// Standing names the standing of the core beside this front.
+func (f *Front) Standing() string {
+	if f.config.Standing == nil {
+		return ""
+	}
+	return f.config.Standing()
+}
+
 // Drain lets no new request in and waits until the running ones have ended.
 // When the context ends first, the rest is cut, and Drain gives its error.
 func (f *Front) Drain(ctx kernel.Context) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,8 +210,13 @@
 		Setting: settings.CheckRuntime,
 	}, orders, inspect, p.clock, p.log)
 	var err error
+	var standing func() string
+	if p.replica != nil {
+		standing = func() string { return standingName(p.replica.Standing()) }
+	}
 	p.front, err = front.New(front.Config{
-		Name: p.base.Name, Address: p.base.CallerAddress, Region: p.base.Region, Zone: p.base.Zone,
+		Standing: standing,
+		Name:     p.base.Name, Address: p.base.CallerAddress, Region: p.base.Region, Zone: p.base.Zone,
 		Limits: clientapi.Limits{
 			BodyMax: int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
 			BodyTimeout: p.values.Duration("body.timeout"), HeaderTimeout: p.values.Duration("body.timeout"),
