Let a stand-still that follows closely on another continue it

A process that thaws on a busy machine soon stands still again for a moment; the second stand-still took the place of the first, so that requests which had waited since the freeze counted as new. Ruled out: a longer time after a thaw in which requests count as old, which would decline fresh ones for as long. Change: a stand-still that begins within a second of the end of another takes over its beginning. The new test fails without it (a request counted as come 5 s later than it may have). Measured: go test ./internal/node/front passes.

--- a/internal/node/front/pulse.go
+++ b/internal/node/front/pulse.go
@@ -32,7 +32,7 @@
 func (p *pulse) arrived() kernel.Time {
 	now := p.clock.Now()
 	if last := p.started.Add(kernel.Duration(p.last.Load())); now.Sub(last) > pulseLate {
-		return last
+		return p.from(last)
 	}
 	if still := p.still.Load(); still != nil && now.Before(still.until) {
 		return still.from
@@ -40,6 +40,16 @@
 	return now
 }
 
+// from returns the beginning of a stand-still after the beat at last. One that
+// follows closely on another, as on a machine that has much to make up for,
+// continues it: what came in the first may still be unread.
+func (p *pulse) from(last kernel.Time) kernel.Time {
+	if still := p.still.Load(); still != nil && last.Before(still.until) {
+		return still.from
+	}
+	return last
+}
+
 // Serve beats until the context ends.
 func (p *pulse) Serve(ctx kernel.Context) error {
 	ticker := p.clock.Ticker(pulseEvery)
@@ -59,7 +69,7 @@
 func (p *pulse) beat() {
 	now := p.clock.Now()
 	if last := p.started.Add(kernel.Duration(p.last.Load())); now.Sub(last) > pulseLate {
-		p.still.Store(&stillness{from: last, until: now.Add(pulseAfter)})
+		p.still.Store(&stillness{from: p.from(last), until: now.Add(pulseAfter)})
 	}
 	p.last.Store(int64(now.Sub(p.started)))
 }
--- /dev/null
+++ b/internal/node/front/pulse_test.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/kernel"
+)
+
+type handClock struct {
+	kernel.Clock
+	now kernel.Time
+}
+
+func (c *handClock) Now() kernel.Time { return c.now }
+
+func TestStandStillsThatFollowClosely(t *testing.T) {
+	clock := &handClock{now: time.Unix(1000, 0)}
+	p := newPulse(clock)
+	pass := func(d time.Duration) { clock.now = clock.now.Add(d) }
+	p.beat()
+	frozen := clock.now
+
+	Convey("What is read after a freeze came at its beginning at the earliest, also when the process stands still again at once", t, func() {
+		pass(5 * time.Second)
+		So(p.arrived(), ShouldEqual, frozen)
+		p.beat()
+		pass(300 * time.Millisecond)
+		So(p.arrived(), ShouldEqual, frozen)
+		p.beat()
+		pass(900 * time.Millisecond)
+		So(p.arrived(), ShouldEqual, frozen)
+	})
+	Convey("A process that has run for a second counts from now, and a later stand-still from its own beginning", t, func() {
+		p.beat()
+		for range 30 {
+			pass(50 * time.Millisecond)
+			p.beat()
+		}
+		So(p.arrived(), ShouldEqual, clock.now)
+		last := clock.now
+		pass(time.Second)
+		So(p.arrived(), ShouldEqual, last)
+	})
+}
