Decide by fleet time only once every core's clock is known

A front takes the median of the cores' clocks; in its first moments it knew one, its own core's, which is the first to answer and here was wrong, and it held counts by that time. Ruled out: leaving out the own core's clock, which may be the only right one of two. Change: a front neither rules nor answers for counts until every voter's clock is known, or 1.5 s after its start by those that live. The new test fails without it: a clock an hour ahead was decided by.

--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -70,6 +70,7 @@
 	changed atomic.Pointer[chan struct{}]
 	lapse   atomic.Pointer[kernel.Time] // until when the node rules; zero time when it does not
 	offset  atomic.Int64                // fleet time less the clock, nanoseconds
+	timed   atomic.Bool                 // fleet time may be decided by
 	pinged  atomic.Pointer[standing]
 
 	inbox   chan func()
@@ -361,6 +362,29 @@
 	f.offset.Store(int64(all[(len(all)-1)/2]))
 }
 
+// clockPatience is how long after its start a front waits for every core's
+// clock: one clock alone, or two that differ, can't out-vote a wrong one.
+const clockPatience = 1500 * kernel.Millisecond
+
+// Timed tells whether fleet time may be decided by.
+func (f *Follower) Timed() bool { return f.timed.Load() }
+
+func (f *Follower) settleTime() {
+	if f.timed.Load() || len(f.offsets) == 0 {
+		return
+	}
+	known := 0
+	voters := f.voters()
+	for _, core := range voters {
+		if _, ok := f.offsets[core]; ok {
+			known++
+		}
+	}
+	if (known > 0 && known == len(voters)) || f.clock.Now().Sub(f.begun) >= clockPatience {
+		f.timed.Store(true)
+	}
+}
+
 // pingAll pings those whose turn it is; see pingWhole.
 func (f *Follower) pingAll() {
 	now := f.clock.Now()
@@ -475,8 +499,9 @@
 
 // judge publishes until when the node rules.
 func (f *Follower) judge() {
+	f.settleTime()
 	verdict := f.holder.Ruling(f.clock.Now())
-	if f.left {
+	if f.left || !f.timed.Load() {
 		verdict = grant.Verdict{By: f.ruledBy}
 	}
 	until := kernel.Time{}
--- /dev/null
+++ b/internal/node/follow/time_test.go
@@ -0,0 +1,67 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+// clocks plays three cores of which the first is far ahead; each answers after
+// a while of its own.
+type clocks struct {
+	wireconnect.UnimplementedPeerHandler
+	step, after time.Duration
+	name        string
+}
+
+func (c clocks) Renew(ctx context.Context, _ *connect.Request[wire.RenewRequest]) (*connect.Response[wire.RenewResponse], error) {
+	<-time.After(c.after)
+	return connect.NewResponse(&wire.RenewResponse{Core: c.name, TimeUs: time.Now().Add(c.step).UnixMicro()}), nil
+}
+
+type cores map[string]clocks
+
+func (c cores) Process(name string) (*wire.Process, bool) {
+	return &wire.Process{Name: name, Address: name, Core: true, Voters: []string{"c1", "c2", "c3"}}, true
+}
+
+func (c cores) Processes() (all []*wire.Process) {
+	for _, name := range []string{"c1", "c2", "c3"} {
+		p, _ := c.Process(name)
+		all = append(all, p)
+	}
+	return all
+}
+
+func (c cores) Client(address string) wireconnect.PeerClient { return c[address] }
+
+func TestFleetTimeWaitsForEveryCoresClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		peers := cores{"c1": {name: "c1", step: time.Hour}, "c2": {name: "c2", after: 200 * time.Millisecond}, "c3": {name: "c3", after: 300 * time.Millisecond}}
+		f := follow.New(follow.Config{Self: func() *wire.Process { return &wire.Process{Name: "f1", Front: true} },
+			GrantTTL: 2 * time.Second, RenewEvery: 500 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second,
+			Sighted: func() []follow.Sight { return nil }, CoreStaleFor: time.Second}, peers, kernel.System(), events.Discard)
+		go f.Serve(ctx)
+		<-time.After(100 * time.Millisecond)
+		if f.Timed() {
+			t.Error("one clock, which is wrong, is decided by")
+		}
+		<-time.After(300 * time.Millisecond)
+		if off := f.FleetNow().Sub(time.Now()); !f.Timed() || off > time.Second || off < -time.Second {
+			t.Errorf("with every clock known: timed %v, off by %s", f.Timed(), off)
+		}
+		cancel()
+		<-time.After(5 * time.Second)
+		synctest.Wait()
+	})
+}
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -43,6 +43,9 @@
 }
 
 func (p *peer) Add(ctx kernel.Context, req *connect.Request[wire.AddRequest]) (*connect.Response[wire.AddResponse], error) {
+	if !p.follower.Timed() {
+		return nil, kernel.Decline(kernel.NotRuling, "this process does not know the fleet's time yet")
+	}
 	return answer(ctx, req, p.spend.Add)
 }
 
