Lend half of a server's room at a time

Fronts at their limit divided all of a server's room at each status, and two statuses in a row can tell of the same room. Ruled out: a lower bound on what is lent at all, which would take room from callers who come to one front. Change: half of the room is lent at a status. Conclusion: the sum of what is lent is still bounded by design at three caps only, see docs/ROUTING.md.

--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -130,8 +130,8 @@
 func (s *server) ramping() bool { return s.cap < s.full }
 
 // lend moves the part that a front may use beyond its share of the cap. At each
-// status of a server with room, the fronts that are at their limit divide the
-// room in proportion to what they have in flight; the others give back half of
+// status of a server with room, the fronts that are at their limit divide half
+// of the room in proportion to what they have in flight; the others give back half of
 // what they don't use. So the limits of all fronts add up to no more than three
 // caps, and to the cap itself while the server ramps.
 func (t *Table) lend(s *server) {
@@ -143,7 +143,7 @@
 	case s.ramping():
 		s.extra = 0
 	case free > 0 && s.limited && before:
-		s.extra = min(s.extra+float64(free)*float64(s.own)/float64(max(1, s.own+s.others)), float64(s.cap))
+		s.extra = min(s.extra+float64(free)/2*float64(s.own)/float64(max(1, s.own+s.others)), float64(s.cap))
 	default:
 		s.extra = max(float64(s.own-share), s.extra/2, 0)
 	}
