Let a relay that is shut hold no connection any more

Shut cancelled the connections and did not wait until they were reset. Change: Shut waits for what it carries, a failed connection is reset before it is given up, and a dial ends with the relay. The test is as it was.

--- a/cmd/rig/relay/relay.go
+++ b/cmd/rig/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -115,6 +116,7 @@
 type state struct {
 	listener net.Listener
 	cancel   kernel.Cancel
+	carried  *sync.WaitGroup // the connections that stand, and the accepting of more
 }
 
 // New returns a relay that is shut.
@@ -134,34 +136,40 @@
 			return
 		}
 		ctx, cancel := kernel.WithCancel(kernel.Background())
-		s.listener, s.cancel = l, cancel
-		go r.accept(ctx, l)
+		s.listener, s.cancel, s.carried = l, cancel, &sync.WaitGroup{}
+		carried := s.carried
+		carried.Go(func() { r.accept(ctx, l, carried) })
 	})
 	return errors.Wrapf(err, "relay to %s", r.Name)
 }
 
-// Shut stops listening, so that connections are refused, and resets those that stand.
+// Shut stops listening, so that connections are refused, and resets those that
+// stand. When it returns none stands any more.
 func (r *Relay) Shut() {
+	var carried *sync.WaitGroup
 	r.state.Ask(func(s *state) {
 		if s.listener == nil {
 			return
 		}
 		s.listener.Close()
 		s.cancel()
-		s.listener = nil
+		s.listener, carried = nil, s.carried
 	})
+	if carried != nil {
+		carried.Wait()
+	}
 }
 
 // Close shuts the relay for good.
 func (r *Relay) Close() { r.Shut(); r.state.End() }
 
-func (r *Relay) accept(ctx kernel.Context, l net.Listener) {
+func (r *Relay) accept(ctx kernel.Context, l net.Listener, carried *sync.WaitGroup) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go r.carry(ctx, conn.(*net.TCPConn))
+		carried.Go(func() { r.carry(ctx, conn.(*net.TCPConn)) })
 	}
 }
 
@@ -197,7 +205,7 @@
 		reset(near)
 		return
 	}
-	c, err := net.Dial("tcp4", r.target)
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp4", r.target)
 	if err != nil {
 		reset(near)
 		return
@@ -210,6 +218,8 @@
 	go r.pump(ctx, far, near, r.Name, from, ends)
 	if !<-ends || !<-ends {
 		cancel()
+		reset(near)
+		reset(far)
 		return
 	}
 	near.Close()
