--- a/cmd/stepwick/main.go
+++ b/cmd/stepwick/main.go
@@ -7,11 +7,14 @@
 	"stepwick/internal/cli"
 	"stepwick/internal/kernel"
 	"stepwick/internal/node"
+	"stepwick/platform"
 )
 
 func main() {
 	ctx, cancel := kernel.Signalled()
-	code := cli.New(node.Run).Main(ctx, os.Args[1:])
+	app := cli.New(node.Run)
+	app.Processes = append(app.Processes, platform.Command(app.Serve))
+	code := app.Main(ctx, os.Args[1:])
 	cancel()
 	os.Exit(code)
 }
--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/platform/platform.go
@@ -65,12 +65,8 @@
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Listing is the platform's list. Bad names the entries that could not be read
-// with the reason of each: they are neither listed nor gone.
-type Listing struct {
-	Servers []*wire.ServerStatus
-	Bad     map[string]string
-}
+// Listing is the platform's list.
+type Listing = port.Listing
 
 type listBody struct {
 	Servers *[]listEntry `json:"servers"`
@@ -196,15 +192,14 @@
 }
 
 // Reach tells how a server took the question for its status.
-type Reach int
+type Reach = port.Reach
 
-// Reaches. Garbled is an answer that can't be read; Silent covers everything
-// else that is neither an answer nor a refused connection.
+// Reaches; see port.Reach.
 const (
-	Answers Reach = iota
-	Refuses
-	Silent
-	Garbled
+	Answers = port.Answers
+	Refuses = port.Refuses
+	Silent  = port.Silent
+	Garbled = port.Garbled
 )
 
 // Status asks a server for its own status, which comes without its place. A
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -33,6 +33,8 @@
 	Transport http.RoundTripper
 	// Node runs a process of a role until its context ends.
 	Node func(ctx kernel.Context, role string, values *settings.Values, log events.Log) error
+	// Processes are further commands that run a process.
+	Processes []*cobra.Command
 }
 
 // New returns an app on the machine's own input, output, environment and clock.
@@ -137,6 +139,7 @@
 		}
 	}
 	add("run", a.run(settings.RoleCore), a.run(settings.RoleFront))
+	add("run", a.Processes...)
 	add("operate", a.sheet(), a.locality(), a.member(), a.status(), a.plan(), a.tally(), a.explain(), a.key())
 	add("look", a.settings(), a.codes(), a.events(), a.version())
 	root.SetHelpCommandGroupID("look")
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -32,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			return a.serve(command.Context(), role, values)
+			return a.Serve(command.Context(), role, values, a.Node)
 		},
 	}
 	command.Flags().SortFlags = false
@@ -42,7 +42,9 @@
 	return command
 }
 
-func (a *App) serve(ctx kernel.Context, role string, values *settings.Values) error {
+// Serve runs a process of a role, with a log on the app's standard error.
+func (a *App) Serve(ctx kernel.Context, role string, values *settings.Values,
+	node func(kernel.Context, string, *settings.Values, events.Log) error) error {
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(a.Err)), "node", values.String("name"))
 	stream := events.New(logger, a.Clock)
 	stream.SetLevel(events.Level(values.String("log.level")))
@@ -58,5 +60,5 @@
 			stream.Emit(events.ProofSetting, "setting", name, "value", values.Text(name))
 		}
 	}
-	return a.Node(ctx, role, values, stream)
+	return node(ctx, role, values, stream)
 }
--- /dev/null
+++ b/internal/core/balance/holders.go
@@ -0,0 +1,63 @@
+package balance
+
+import "stepwick/internal/kernel"
+
+const (
+	// heldFor is how long after its last use a shared prompt is taken to be kept
+	// by a server that this node sent it to.
+	heldFor = 8 * kernel.Second
+	// holdersMost bounds the shared prompts that are remembered, and placesMost
+	// the servers of each.
+	holdersMost = 8192
+	placesMost  = 4
+)
+
+// holders remembers which servers this node has sent a shared prompt to.
+type holders struct {
+	places map[uint64][]place
+}
+
+type place struct {
+	server string
+	used   kernel.Time
+}
+
+func newHolders() holders { return holders{places: map[uint64][]place{}} }
+
+func (h *holders) holds(key uint64, server string, now kernel.Time) bool {
+	for _, p := range h.places[key] {
+		if p.server == server {
+			return now.Sub(p.used) < heldFor
+		}
+	}
+	return false
+}
+
+func (h *holders) note(key uint64, server string, now kernel.Time) {
+	if key == 0 {
+		return
+	}
+	if len(h.places) >= holdersMost {
+		h.sweep(now)
+	}
+	kept := make([]place, 0, placesMost)
+	kept = append(kept, place{server: server, used: now})
+	for _, p := range h.places[key] {
+		if p.server != server && now.Sub(p.used) < heldFor && len(kept) < placesMost {
+			kept = append(kept, p)
+		}
+	}
+	h.places[key] = kept
+}
+
+// sweep drops what was not used of late, or everything where that is not enough.
+func (h *holders) sweep(now kernel.Time) {
+	for key, places := range h.places {
+		if now.Sub(places[0].used) >= heldFor {
+			delete(h.places, key)
+		}
+	}
+	if len(h.places) >= holdersMost {
+		clear(h.places)
+	}
+}
--- /dev/null
+++ b/internal/core/balance/server.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepwick/internal/core/plan"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const (
+	// failuresToEject in a row rest a server; a refused connection does at once.
+	failuresToEject = 2
+	// hungAfter is how long the oldest request at a server may wait for the
+	// beginning of its answer, with no other sign of life from the server, until
+	// new requests prefer others.
+	hungAfter = 1500 * kernel.Millisecond
+)
+
+// server is what one node knows of one server.
+type server struct {
+	name     string
+	hash     uint64
+	status   *wire.ServerStatus
+	excluded string // why it gets nothing; empty where it may
+	cold     coldLimit
+
+	inFlight int
+	waiting  []*Attempt // whose answers have not begun, the oldest first
+	backlog  float64    // prompt tokens of those
+	heard    kernel.Time
+
+	failures  int
+	ejections int
+	until     kernel.Time // rests until then
+	probing   bool        // one request finds out whether it is back
+}
+
+// Attempt is one request at one server.
+type Attempt struct {
+	server  *server
+	service string
+	began   kernel.Time
+	reads   float64 // prompt tokens that the server is expected to read
+	alone   bool    // nothing else of this node was there when it began
+	begun   bool
+	ended   bool
+}
+
+func newServer(name string) *server { return &server{name: name, hash: xxhash.Sum64String(name)} }
+
+func (t *Table) learn(s *server, status *wire.ServerStatus, now kernel.Time) {
+	s.status = status
+	s.excluded = plan.Excluded(t.view.State, status)
+	s.cold.until = now.Add(kernel.UnixMilli(status.ColdUntilMs).Sub(t.view.FleetNow))
+	if status.ColdUntilMs == 0 {
+		s.cold.until = kernel.Time{}
+	}
+}
+
+// open tells whether a server may get one more request of this node now.
+func (t *Table) open(s *server, now kernel.Time) bool {
+	switch {
+	case now.Before(s.until), s.probing:
+		return false
+	case s.inFlight >= t.connections(s):
+		return false
+	}
+	return t.coldOpen(s, now)
+}
+
+// connections returns this node's part of the connections that a server takes.
+func (t *Table) connections(s *server) int {
+	bound := 0
+	for _, service := range s.status.Services {
+		if t.view.State.Sheet != nil {
+			bound = max(bound, t.view.State.Sheet.Services[service].MaxConnections)
+		}
+	}
+	if bound == 0 {
+		return unbounded
+	}
+	return max(1, bound/len(t.fronts))
+}
+
+const unbounded = 1 << 20
+
+func (s *server) started(a *Attempt, now kernel.Time) {
+	s.inFlight++
+	s.waiting = append(s.waiting, a)
+	s.backlog += a.reads
+	s.cold.take(now)
+	if s.ejections > 0 {
+		s.probing = true
+	}
+}
+
+func (s *server) begun(a *Attempt, now kernel.Time) {
+	s.heard = now
+	s.leaveWaiting(a)
+}
+
+func (s *server) leaveWaiting(a *Attempt) {
+	at := slices.Index(s.waiting, a)
+	if at < 0 {
+		return
+	}
+	s.waiting = slices.Delete(s.waiting, at, at+1)
+	s.backlog -= a.reads
+	if len(s.waiting) == 0 {
+		s.backlog = 0
+	}
+}
+
+func (s *server) finished(a *Attempt, outcome Outcome, now kernel.Time, config Config) {
+	s.inFlight--
+	s.leaveWaiting(a)
+	s.probing = false
+	switch {
+	case outcome.OK, outcome.Rejected:
+		s.heard = now
+		s.failures, s.ejections = 0, 0
+		s.until = kernel.Time{}
+	case outcome.Refused:
+		s.eject(now, config)
+	case outcome.Failed:
+		s.failures++
+		if s.failures >= failuresToEject || s.ejections > 0 {
+			s.eject(now, config)
+		}
+	}
+}
+
+func (s *server) eject(now kernel.Time, config Config) {
+	if now.Before(s.until) {
+		return
+	}
+	s.until = now.Add(min(config.EjectFor<<min(s.ejections, 8), config.EjectMost))
+	s.ejections++
+	s.failures = 0
+}
+
+// hung tells whether a server has long been silent on what it was sent.
+func (s *server) hung(now kernel.Time) bool {
+	if len(s.waiting) == 0 {
+		return false
+	}
+	oldest := s.waiting[0].began
+	return now.Sub(oldest) >= hungAfter && now.Sub(s.heard) >= hungAfter
+}
--- /dev/null
+++ b/internal/core/balance/table.go
@@ -0,0 +1,278 @@
+// Package balance chooses the server of each request that comes by a route. All
+// state is in the Table, which has one owner and takes no locks; every decision
+// is a function of the Table, its arguments and now.
+//
+// A request goes to the server with the least cost: the time that it is
+// expected to wait there, the time to read again what the server is not known
+// to hold of its prompt, and the distance. Requests that share a prompt agree
+// on one server by rendezvous hashing, so that all nodes send them to the same
+// one without speaking to each other. Bounds that hold over the whole fleet
+// (connections to a server, requests to a cold server, retries) are parted
+// evenly among the nodes that carry traffic.
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stepwick/internal/core/plan"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Config is a node's place and the bounds that hold over the fleet. Zero
+// values take the defaults named.
+type Config struct {
+	Self, Region, Zone string
+	// RetryRatio bounds repeated sends to a service within RetryWindow to a
+	// share of its requests, plus RetrySlack over all nodes; 0.1, 10 s and 0.
+	RetryRatio  float64
+	RetryWindow kernel.Duration
+	RetrySlack  float64
+	// ColdOverage and ColdSlack widen what a cold server bears a second:
+	// rate × overage + slack over all nodes; 1 and 0.
+	ColdOverage float64
+	ColdSlack   float64
+	// EjectFor is the first rest of a server that failed, doubled up to
+	// EjectMost; 1 s and 5 s.
+	EjectFor  kernel.Duration
+	EjectMost kernel.Duration
+}
+
+func (c Config) orDefaults() Config {
+	c.RetryRatio = cmp.Or(c.RetryRatio, 0.1)
+	c.RetryWindow = cmp.Or(c.RetryWindow, 10*kernel.Second)
+	c.ColdOverage = cmp.Or(c.ColdOverage, 1)
+	c.EjectFor = cmp.Or(c.EjectFor, kernel.Second)
+	c.EjectMost = cmp.Or(c.EjectMost, 5*kernel.Second)
+	return c
+}
+
+// View is what the node knows of the fleet. Fronts are the names of the nodes
+// that carry traffic; the node itself counts even when it is missing. FleetNow
+// is the time by which servers are cold. The maps are never changed after they
+// were handed over.
+type View struct {
+	State    sheet.State
+	Servers  map[string]*wire.ServerStatus
+	Fronts   []string
+	FleetNow kernel.Time
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	ID       string
+	Service  string
+	Regions  []string    // that may serve it; empty for all
+	Affinity uint64      // digest of the shared prompt; 0 for none
+	Shared   float64     // tokens of the prompt that a server may hold already
+	Own      float64     // the prompt's other tokens
+	Urgency  int         // 0 is the most urgent
+	Until    kernel.Time // how long it may wait for room
+	Tried    []string    // servers that are out of the question, as it was tried there
+	Repeat   bool        // a server got it before, so that sending it again spends from the retry budget
+}
+
+// Choice is a server, a fault, or the word to wait.
+type Choice struct {
+	Server  string
+	Address string
+	Wait    bool
+	Fault   *kernel.Fault
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	OK       bool // the server answered, whatever its status
+	Rejected bool // the server said that it did not run the request
+	Refused  bool // the connection was refused
+	Failed   bool // no answer, or none that is whole
+}
+
+// Table is the balancing state of one node. It has one owner.
+type Table struct {
+	config  Config
+	view    View
+	fronts  []string
+	servers map[string]*server
+	pools   map[string][]*server // by service, by name
+	budgets map[string]*budget   // by service
+	speeds  map[string]*speed    // by service
+	holders holders
+	random  uint64
+}
+
+// New returns a table that knows no server.
+func New(config Config) *Table {
+	config = config.orDefaults()
+	return &Table{config: config, fronts: []string{config.Self}, servers: map[string]*server{}, pools: map[string][]*server{},
+		budgets: map[string]*budget{}, speeds: map[string]*speed{}, holders: newHolders(), random: xxhash.Sum64String(config.Self)}
+}
+
+// Update takes a new view in. Drains, evacuations and lost servers bite at once.
+func (t *Table) Update(view View, now kernel.Time) {
+	t.view = view
+	t.fronts = withSelf(view.Fronts, t.config.Self)
+	for name, s := range t.servers {
+		if view.Servers[name] == nil {
+			s.excluded = plan.Gone
+			if s.inFlight == 0 {
+				delete(t.servers, name)
+			}
+		}
+	}
+	clear(t.pools)
+	for name, status := range view.Servers {
+		s := t.servers[name]
+		if s == nil {
+			s = newServer(name)
+			t.servers[name] = s
+		}
+		t.learn(s, status, now)
+		if s.excluded != "" {
+			continue
+		}
+		for _, service := range status.Services {
+			t.pools[service] = append(t.pools[service], s)
+		}
+	}
+	for _, pool := range t.pools {
+		slices.SortFunc(pool, func(a, b *server) int { return cmp.Compare(a.name, b.name) })
+	}
+}
+
+func withSelf(fronts []string, self string) []string {
+	if slices.Contains(fronts, self) {
+		return fronts
+	}
+	return append(slices.Clone(fronts), self)
+}
+
+// Usable tells whether a server may be sent requests at this moment.
+func (t *Table) Usable(name string) bool {
+	s := t.servers[name]
+	return s != nil && s.excluded == ""
+}
+
+// Choose decides where a request goes now. A request that is a
+// Repeat spends from the retry budget of its service. The caller calls Started
+// when it follows the choice, before it asks again.
+func (t *Table) Choose(request *Request, now kernel.Time) Choice {
+	budget := t.budget(request.Service)
+	if request.Repeat && !budget.allows(now, t.retryShare()) {
+		return Choice{Fault: kernel.Decline(kernel.BudgetSpent, "repeated sends are bound to a share of the requests").After(retryPause)}
+	}
+	chosen, waits := t.pick(request, now)
+	switch {
+	case chosen != nil:
+		return Choice{Server: chosen.name, Address: chosen.status.Address}
+	case waits && now.Before(request.Until):
+		return Choice{Wait: true}
+	case waits:
+		return Choice{Fault: kernel.Decline(kernel.PendingFull, "the servers of %s have no room", request.Service).After(fullPause)}
+	}
+	return Choice{Fault: kernel.Decline(kernel.NoServer, "no server of %s can take requests", request.Service).After(emptyPause)}
+}
+
+// Count counts a client's request for a service, by which its retry budget grows.
+func (t *Table) Count(service string, now kernel.Time) { t.budget(service).count(now) }
+
+// When a client is told to come back.
+const (
+	retryPause = 300 * kernel.Millisecond
+	fullPause  = 200 * kernel.Millisecond
+	emptyPause = 500 * kernel.Millisecond
+)
+
+// pick returns the server with the least cost among those that may take the
+// request now; waits tells that there are others that may take it later.
+func (t *Table) pick(request *Request, now kernel.Time) (chosen *server, waits bool) {
+	best := 0.0
+	holder := t.holder(request)
+	for _, s := range t.pools[request.Service] {
+		if !t.allowed(s, request) {
+			continue
+		}
+		if !t.open(s, now) {
+			waits = true
+			continue
+		}
+		if cost := t.cost(s, request, holder, now); chosen == nil || cost < best {
+			chosen, best = s, cost
+		}
+	}
+	return chosen, waits
+}
+
+func (t *Table) allowed(s *server, request *Request) bool {
+	if len(request.Regions) > 0 && !slices.Contains(request.Regions, s.status.Region) {
+		return false
+	}
+	return !slices.Contains(request.Tried, s.name)
+}
+
+// Started counts a request that was sent on to its server.
+func (t *Table) Started(name string, request *Request, now kernel.Time) *Attempt {
+	s := t.servers[name]
+	if s == nil {
+		return nil
+	}
+	a := &Attempt{server: s, service: request.Service, began: now, reads: request.Own}
+	if !t.holders.holds(request.Affinity, name, now) {
+		a.reads += request.Shared
+	}
+	a.alone = s.inFlight == 0
+	s.started(a, now)
+	t.holders.note(request.Affinity, name, now)
+	if request.Repeat {
+		t.budget(request.Service).spend(now)
+	}
+	return a
+}
+
+// Began tells that the answer to an attempt has begun: its prompt is read.
+func (t *Table) Began(a *Attempt, now kernel.Time) {
+	if a == nil || a.begun {
+		return
+	}
+	a.begun = true
+	a.server.begun(a, now)
+	if a.alone {
+		t.speed(a.service).learn(a.reads, now.Sub(a.began))
+	}
+}
+
+// Finished ends an attempt.
+func (t *Table) Finished(a *Attempt, outcome Outcome, now kernel.Time) {
+	if a == nil || a.ended {
+		return
+	}
+	a.ended = true
+	a.server.finished(a, outcome, now, t.config)
+	if a.server.inFlight == 0 && t.view.Servers[a.server.name] == nil {
+		delete(t.servers, a.server.name)
+	}
+}
+
+func (t *Table) budget(service string) *budget {
+	b := t.budgets[service]
+	if b == nil {
+		b = newBudget(t.config.RetryRatio, t.config.RetryWindow)
+		t.budgets[service] = b
+	}
+	return b
+}
+
+func (t *Table) retryShare() float64 { return t.config.RetrySlack / float64(len(t.fronts)) }
+
+func (t *Table) speed(service string) *speed {
+	s := t.speeds[service]
+	if s == nil {
+		s = &speed{}
+		t.speeds[service] = s
+	}
+	return s
+}
--- a/internal/core/merge/fold.go
+++ b/internal/core/merge/fold.go
@@ -58,6 +58,7 @@
 		return status
 	}
 	status.State = worst(status.State, own.State)
+	status.ColdUntilMs = max(status.ColdUntilMs, own.ColdUntilMs)
 	if own.LeaveAtMs > 0 && (status.LeaveAtMs == 0 || own.LeaveAtMs < status.LeaveAtMs) {
 		status.LeaveAtMs = own.LeaveAtMs
 	}
@@ -93,6 +94,8 @@
 	for _, s := range listed {
 		said := s.report.Status
 		status.State = worst(status.State, said.State)
+		status.Slots = max(status.Slots, said.Slots)
+		status.ColdUntilMs = max(status.ColdUntilMs, said.ColdUntilMs)
 		if said.LeaveAtMs > 0 && (status.LeaveAtMs == 0 || said.LeaveAtMs < status.LeaveAtMs) {
 			status.LeaveAtMs = said.LeaveAtMs
 		}
--- a/internal/core/sheet/command.go
+++ b/internal/core/sheet/command.go
@@ -19,6 +19,7 @@
 const (
 	VerbPut      = "put"
 	VerbPatch    = "patch"
+	VerbMerge    = "merge"
 	VerbEvacuate = "evacuate"
 	VerbRestore  = "restore"
 	VerbRemove   = "remove"
@@ -61,12 +62,20 @@
 // that a put or patch was built on. A put or patch without an id goes by its
 // digest. Other orders without one are not known again: they are harmless when
 // repeated, and a zone emptied, taken back and emptied again is three orders.
+//
+// An order with a Revision numbers the sheet that it makes, by a number of the
+// operator's own choice above the number in force; it is built on BaseRevision,
+// and Base does not count.
 type Order struct {
 	OrderID  string `json:"order_id,omitempty"`
 	Operator string `json:"operator,omitempty"`
 	Digest   string `json:"digest,omitempty"`
 	Base     uint64 `json:"base,omitempty"`
-	AtMS     int64  `json:"at_ms,omitempty"`
+
+	Revision     uint64 `json:"revision,omitempty"`
+	BaseRevision uint64 `json:"base_revision,omitempty"`
+
+	AtMS int64 `json:"at_ms,omitempty"`
 }
 
 // The commands. PutSheet replaces the sheet; PatchSheet changes some cells.
@@ -81,6 +90,13 @@
 		Order
 		Changes []Change `json:"changes"`
 	}
+	// MergeSheet adds rows to the sheet, or replaces them by name, after it
+	// removed others.
+	MergeSheet struct {
+		Order
+		Upsert *Sheet  `json:"upsert,omitempty"`
+		Remove Removal `json:"remove"`
+	}
 	Evacuate struct {
 		Order
 		Locality string `json:"locality"`
@@ -121,6 +137,7 @@
 
 func (PutSheet) Verb() string      { return VerbPut }
 func (PatchSheet) Verb() string    { return VerbPatch }
+func (MergeSheet) Verb() string    { return VerbMerge }
 func (Evacuate) Verb() string      { return VerbEvacuate }
 func (Restore) Verb() string       { return VerbRestore }
 func (AddMembers) Verb() string    { return VerbAdd }
@@ -140,8 +157,7 @@
 		return s, s.declined(fault)
 	}
 	summary := fmt.Sprintf("%d services, %d tenants", len(c.Sheet.Services), len(c.Sheet.Tenants))
-	s.Sheet, s.SheetEpoch = c.Sheet, epoch
-	return s.accept(order, VerbPut, summary)
+	return s.install(c.Sheet, order).accept(order, VerbPut, summary)
 }
 
 // Apply changes the cells if the base still stands and the sheet stays sound.
@@ -155,8 +171,22 @@
 	if fault != nil {
 		return s, s.declined(fault)
 	}
-	s.Sheet, s.SheetEpoch = patched, epoch
-	return s.accept(order, VerbPatch, summarize(c.Changes))
+	return s.install(patched, order).accept(order, VerbPatch, summarize(c.Changes))
+}
+
+// Apply merges the rows if the base still stands and the sheet stays sound.
+func (c MergeSheet) Apply(s State, epoch uint64) (State, Result) {
+	s.Epoch = epoch
+	order := c.seal()
+	if result, done := s.before(order, true); done {
+		return s, result
+	}
+	merged := s.Sheet.Merged(c.Upsert, c.Remove)
+	if fault := merged.Check(); fault != nil {
+		return s, s.declined(fault)
+	}
+	summary := fmt.Sprintf("%d routes, %d services, %d tenants", len(merged.Routes), len(merged.Services), len(merged.Tenants))
+	return s.install(merged, order).accept(order, VerbMerge, summary)
 }
 
 // Apply empties the locality; one that is empty already stays as it is.
@@ -283,6 +313,9 @@
 			return Result{Code: kernel.OK, Epoch: earlier.Epoch, SheetEpoch: earlier.SheetEpoch}, true
 		}
 	}
+	if onBase && order.Revision > 0 {
+		return s.beforeRevision(order)
+	}
 	if onBase && order.Base != s.SheetEpoch {
 		won := s.winner(order.Base)
 		moved := s.result(kernel.BaseMoved, "base %d was taken by epoch %d; the sheet is at %d", order.Base, won, s.SheetEpoch)
@@ -295,6 +328,26 @@
 	return Result{}, false
 }
 
+// beforeRevision holds an order that numbers its sheet to the number in force.
+func (s State) beforeRevision(order Order) (Result, bool) {
+	switch {
+	case order.BaseRevision != s.Revision:
+		return s.result(kernel.BaseMoved, "base revision %d is not the sheet's; it is at %d", order.BaseRevision, s.Revision), true
+	case order.Revision <= s.Revision:
+		return s.result(kernel.InvalidSheet, "revision %d is not above the sheet's, %d", order.Revision, s.Revision), true
+	}
+	return Result{}, false
+}
+
+// install puts a sheet in force at the state's epoch.
+func (s State) install(sheet *Sheet, order Order) State {
+	s.Sheet, s.SheetEpoch = sheet, s.Epoch
+	if order.Revision > 0 {
+		s.Revision = order.Revision
+	}
+	return s
+}
+
 func (s State) accept(order Order, verb, summary string) (State, Result) {
 	s = s.remember(Record{Epoch: s.Epoch, SheetEpoch: s.SheetEpoch, Operator: order.Operator, Verb: verb,
 		OrderID: order.OrderID, Digest: order.Digest, AtMS: order.AtMS, Summary: summary})
@@ -345,6 +398,15 @@
 	return c.Order.sealed(VerbPatch, func() any { return c.Changes })
 }
 
+func (c MergeSheet) seal() Order {
+	return c.Order.sealed(VerbMerge, func() any {
+		return struct {
+			Upsert *Sheet
+			Remove Removal
+		}{c.Upsert, c.Remove}
+	})
+}
+
 func (c Evacuate) seal() Order {
 	return c.Order.sealed(VerbEvacuate, func() any { return c.Locality })
 }
@@ -368,10 +430,13 @@
 		}
 		h := sha256.New()
 		fmt.Fprintf(h, "%q %q %d ", o.Operator, verb, o.Base)
+		if o.Revision > 0 {
+			fmt.Fprintf(h, "%d on %d ", o.Revision, o.BaseRevision)
+		}
 		h.Write(body)
 		o.Digest = hex.EncodeToString(h.Sum(nil))
 	}
-	if o.OrderID == "" && (verb == VerbPut || verb == VerbPatch) {
+	if o.OrderID == "" && (verb == VerbPut || verb == VerbPatch || verb == VerbMerge) {
 		o.OrderID = o.Digest
 	}
 	return o
@@ -385,6 +450,8 @@
 		return c.seal(), true
 	case PatchSheet:
 		return c.seal(), true
+	case MergeSheet:
+		return c.seal(), true
 	case Evacuate:
 		return c.seal(), true
 	case Restore:
@@ -411,6 +478,9 @@
 	case PatchSheet:
 		c.Order = c.seal()
 		command = c
+	case MergeSheet:
+		c.Order = c.seal()
+		command = c
 	case Evacuate:
 		c.Order = c.seal()
 		command = c
@@ -444,6 +514,8 @@
 		return decodeAs[PutSheet](e.Body)
 	case VerbPatch:
 		return decodeAs[PatchSheet](e.Body)
+	case VerbMerge:
+		return decodeAs[MergeSheet](e.Body)
 	case VerbEvacuate:
 		return decodeAs[Evacuate](e.Body)
 	case VerbRestore:
--- a/internal/core/sheet/index.go
+++ b/internal/core/sheet/index.go
@@ -1,10 +1,13 @@
 package sheet
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
+	"strings"
 )
 
 // HashKey returns a key's SHA-256 in lower-case hexadecimal, as sheets hold it.
@@ -17,6 +20,13 @@
 type Index struct {
 	sheet  *Sheet
 	owners map[uint64][]owner
+	hosts  map[string][]NamedRoute // by lower-case host, the longest prefix first
+}
+
+// NamedRoute is a route with its name in the sheet.
+type NamedRoute struct {
+	Name string
+	Route
 }
 
 type owner struct {
@@ -30,6 +40,7 @@
 	if s.Sheet == nil {
 		return x
 	}
+	x.hosts = routesByHost(s.Sheet.Routes)
 	x.owners = make(map[uint64][]owner, len(s.Sheet.Tenants))
 	for name, tenant := range s.Sheet.Tenants {
 		for _, text := range tenant.KeyHashes {
@@ -68,5 +79,29 @@
 	return found, x.sheet.Tenants[found], true
 }
 
+func routesByHost(routes map[string]Route) map[string][]NamedRoute {
+	hosts := make(map[string][]NamedRoute)
+	for _, name := range sortedNames(routes) {
+		host := strings.ToLower(routes[name].Host)
+		hosts[host] = append(hosts[host], NamedRoute{Name: name, Route: routes[name]})
+	}
+	for _, list := range hosts {
+		slices.SortStableFunc(list, func(a, b NamedRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return hosts
+}
+
+// Route returns the route of a request: among those of its host the one with
+// the longest prefix that begins its path.
+func (x *Index) Route(host, path string) (*NamedRoute, bool) {
+	list := x.hosts[strings.ToLower(host)]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) {
+			return &list[i], true
+		}
+	}
+	return nil, false
+}
+
 // Sheet returns the sheet that the index was built from; nil before the first.
 func (x *Index) Sheet() *Sheet { return x.sheet }
--- a/internal/core/sheet/order.go
+++ b/internal/core/sheet/order.go
@@ -21,9 +21,14 @@
 	changesShape = &shape{kind: isList, code: kernel.InvalidChange, each: &shape{kind: isRecord,
 		fields: map[string]*shape{"path": text, "value": whole, "delete": truth}}}
 
+	removalShape = &shape{kind: isRecord, fields: map[string]*shape{"routes": texts, "services": texts, "tenants": texts}}
+
 	orderShapes = map[string]*shape{
-		VerbPut:      {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number, "sheet": sheetShape}},
-		VerbPatch:    {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number, "changes": changesShape}},
+		VerbPut: {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number, "sheet": sheetShape,
+			"revision": number, "base_revision": number}},
+		VerbPatch: {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number, "changes": changesShape}},
+		VerbMerge: {kind: isRecord, fields: map[string]*shape{"order_id": text, "base": number,
+			"revision": number, "base_revision": number, "upsert": sheetShape, "remove": removalShape}},
 		VerbEvacuate: {kind: isRecord, fields: map[string]*shape{"order_id": text, "locality": text}},
 		VerbRestore:  {kind: isRecord, fields: map[string]*shape{"order_id": text, "locality": text}},
 		VerbRemove:   {kind: isRecord, fields: map[string]*shape{"order_id": text, "names": texts}},
@@ -33,7 +38,11 @@
 type orderBody struct {
 	OrderID  string   `json:"order_id"`
 	Base     *uint64  `json:"base"`
+	Revision uint64   `json:"revision"`
+	OnRev    uint64   `json:"base_revision"`
 	Sheet    *Sheet   `json:"sheet"`
+	Upsert   *Sheet   `json:"upsert"`
+	Remove   Removal  `json:"remove"`
 	Changes  []Change `json:"changes"`
 	Locality string   `json:"locality"`
 	Names    []string `json:"names"`
@@ -43,12 +52,15 @@
 // or remove and checks all of it that needs no state:
 //
 //	put      {"order_id":"…","base":17,"sheet":{…}}
+//	merge    {"order_id":"…","base":17,"upsert":{…},"remove":{"routes":["r-1"]}}
 //	patch    {"order_id":"…","base":17,"changes":[{"path":"weights.chat.lagos","value":30}]}
 //	evacuate {"order_id":"…","locality":"lagos/a"}, and so restore
 //	remove   {"order_id":"…","names":["node-4"]}
 //
 // A put or patch without an order id goes by its digest, over operator, verb,
-// base and content, which is the same for any spelling of the same content.
+// base and content, which is the same for any spelling of the same content. A
+// put or merge may number its sheet: "revision":9,"base_revision":7 in place of
+// the base.
 func ParseOrder(verb, operator string, body []byte, limits Limits, atMS int64) (Command, *kernel.Fault) {
 	want, known := orderShapes[verb]
 	if !known {
@@ -65,7 +77,8 @@
 		return nil, kernel.Decline(kernel.BadField, "order_id: over %d bytes", MaxOrderID)
 	}
 	order := Order{OrderID: b.OrderID, Operator: operator, AtMS: atMS}
-	if verb == VerbPut || verb == VerbPatch {
+	order.Revision, order.BaseRevision = b.Revision, b.OnRev
+	if (verb == VerbPut || verb == VerbPatch || verb == VerbMerge) && b.Revision == 0 {
 		if b.Base == nil {
 			return nil, kernel.Decline(kernel.MissingField, "base: the sheet's epoch that the order is built on")
 		}
@@ -89,6 +102,15 @@
 		c := PutSheet{Order: order, Sheet: b.Sheet}
 		c.Order = c.seal()
 		return c, nil
+	case VerbMerge:
+		c := MergeSheet{Order: order, Upsert: b.Upsert, Remove: b.Remove}
+		if b.Upsert != nil {
+			if fault := b.Upsert.checkRunTime(limits); fault != nil {
+				return nil, fault
+			}
+		}
+		c.Order = c.seal()
+		return c, nil
 	case VerbPatch:
 		if len(b.Changes) == 0 {
 			return nil, kernel.Decline(kernel.MissingField, "changes")
--- a/internal/core/sheet/parse.go
+++ b/internal/core/sheet/parse.go
@@ -21,11 +21,12 @@
 	isTable  // an object with any names
 	isRecord // an object with known fields
 	isAny
+	isOpaque // any valid JSON, not looked into
 )
 
 const maxDepth = 16
 
-var kindNames = [...]string{"a text", "a number", "true or false", "a list", "an object", "an object", "a value"}
+var kindNames = [...]string{"a text", "a number", "true or false", "a list", "an object", "an object", "a value", "a value"}
 
 type shape struct {
 	kind   kind
@@ -39,18 +40,25 @@
 	number = &shape{kind: isNumber}
 	truth  = &shape{kind: isBool}
 	whole  = &shape{kind: isAny}
+	opaque = &shape{kind: isOpaque}
 	texts  = &shape{kind: isList, each: text}
 
 	rowShapes = map[string]*shape{
-		"services": {kind: isRecord, fields: map[string]*shape{"kind": text, "plain_tokens": number}},
-		"weights":  {kind: isTable, each: number},
-		"tenants":  {kind: isRecord, fields: map[string]*shape{"rate": number, "burst": number, "home": text, "keys": texts}},
+		"services": {kind: isRecord, fields: map[string]*shape{"kind": text, "plain_tokens": number, "health_path": text,
+			"max_connections": number, "cold_per_second": number, "cold_ms": number, "origin": opaque}},
+		"routes":  routeShape,
+		"weights": {kind: isTable, each: number},
+		"tenants": {kind: isRecord, fields: map[string]*shape{"rate": number, "burst": number, "home": text, "keys": texts,
+			"priority": number, "unit": text, "plain_tokens": number, "homes": texts, "origin": opaque}},
 	}
 	sheetShape = &shape{kind: isRecord, code: kernel.InvalidSheet, fields: map[string]*shape{
 		"services": {kind: isTable, each: rowShapes["services"]},
 		"weights":  {kind: isTable, each: rowShapes["weights"]},
 		"tenants":  {kind: isTable, each: rowShapes["tenants"]},
 		"settings": {kind: isTable, each: text},
+		"routes":   {kind: isTable, each: routeShape},
+		"limits":   limitsShape,
+		"origin":   opaque,
 	}}
 )
 
@@ -146,6 +154,9 @@
 
 func (s *scanner) value(want *shape, code kernel.Code, path *place, depth int) *kernel.Fault {
 	first := s.next()
+	if want.kind == isOpaque {
+		return s.pass()
+	}
 	if want.code != kernel.OK {
 		code = want.code
 	}
@@ -167,6 +178,17 @@
 	return nil
 }
 
+// pass goes over one value that is known to be valid.
+func (s *scanner) pass() *kernel.Fault {
+	decoder := json.NewDecoder(bytes.NewReader(s.data[s.at:]))
+	var raw json.RawMessage
+	if err := decoder.Decode(&raw); err != nil {
+		return kernel.Decline(kernel.BadJSON, "%v", err)
+	}
+	s.at += int(decoder.InputOffset())
+	return nil
+}
+
 func (s *scanner) list(want *shape, code kernel.Code, path *place, depth int) *kernel.Fault {
 	each := want.each
 	if want.kind == isAny {
--- a/internal/core/sheet/sheet.go
+++ b/internal/core/sheet/sheet.go
@@ -5,6 +5,7 @@
 package sheet
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
@@ -39,19 +40,39 @@
 )
 
 // Service is one row of the services. PlainTokens is what one one-shot call
-// costs its tenant; zero means the default.
+// costs its tenant; zero means the default. The fields after it concern http
+// services only.
 type Service struct {
 	Kind        string  `json:"kind"`
 	PlainTokens float64 `json:"plain_tokens,omitempty"`
+	HealthPath  string  `json:"health_path,omitempty"`
+	// MaxConnections bounds the connections to one server from all nodes
+	// together; zero means no bound.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// ColdPerSecond is how many requests a second a cold server bears from all
+	// nodes together; zero means that servers are never cold. ColdMS is how long
+	// a server stays cold after its start.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
+	ColdMS        int     `json:"cold_ms,omitempty"`
+	// Origin is the row in the form of the adapter that it came from; see Route.
+	Origin json.RawMessage `json:"origin,omitempty"`
 }
 
-// Tenant is one row of the tenants: Rate in tokens a second, Burst in tokens,
-// Home a region or empty, KeyHashes in lower-case hexadecimal SHA-256.
+// Tenant is one row of the tenants: Rate in units a second, Burst in units,
+// Home a region or empty, KeyHashes in lower-case hexadecimal SHA-256. The
+// fields after them concern requests that come by a route.
 type Tenant struct {
 	Rate      float64  `json:"rate"`
 	Burst     float64  `json:"burst,omitempty"`
 	Home      string   `json:"home,omitempty"`
 	KeyHashes []string `json:"keys,omitempty"`
+	Priority  int      `json:"priority,omitempty"` // 0 is the most urgent; goes before the route's
+	Unit      string   `json:"unit,omitempty"`     // tokens (also when empty) or requests
+	// PlainTokens is what a request that names no tokens counts for; zero means
+	// the node's setting.
+	PlainTokens float64         `json:"plain_tokens,omitempty"`
+	Homes       []string        `json:"homes,omitempty"` // the only regions that may serve it; empty for all
+	Origin      json.RawMessage `json:"origin,omitempty"`
 }
 
 // Sheet is what operators submit. Weights go by service, then region. Settings
@@ -61,6 +82,10 @@
 	Weights  map[string]map[string]float64 `json:"weights"`
 	Tenants  map[string]Tenant             `json:"tenants,omitempty"`
 	Settings map[string]string             `json:"settings,omitempty"`
+	Routes   map[string]Route              `json:"routes,omitempty"`
+	Limits   *ClientLimits                 `json:"limits,omitempty"`
+	// Origin holds what an adapter's form has beside the tables above.
+	Origin json.RawMessage `json:"origin,omitempty"`
 }
 
 // Locality names a zone of a region, such as lagos/a.
@@ -104,7 +129,10 @@
 func (s *Sheet) Size() int {
 	size := 64
 	for name := range s.Services {
-		size += len(name) + 40
+		size += len(name) + 40 + len(s.Services[name].Origin)
+	}
+	for name, route := range s.Routes {
+		size += len(name) + 200 + len(route.Host) + len(route.Prefix) + 64*len(route.Splits) + len(route.Origin)
 	}
 	for service, row := range s.Weights {
 		size += len(service) + 8
@@ -113,7 +141,7 @@
 		}
 	}
 	for name, tenant := range s.Tenants {
-		size += len(name) + len(tenant.Home) + 64 + 67*len(tenant.KeyHashes)
+		size += len(name) + len(tenant.Home) + 64 + 67*len(tenant.KeyHashes) + len(tenant.Origin)
 	}
 	for name, value := range s.Settings {
 		size += len(name) + len(value) + 8
@@ -146,6 +174,8 @@
 	s.checkWeights(&broken)
 	s.checkTenants(&broken, tenants)
 	s.checkSettings(&broken)
+	s.checkRoutes(&broken)
+	s.checkLimits(&broken)
 	return broken.fault(kernel.InvalidSheet)
 }
 
@@ -159,13 +189,16 @@
 			broken.add("services: %s is no name", strconv.Quote(clip(name)))
 			continue
 		}
-		if service.Kind != KindModel && service.Kind != KindWeb {
-			broken.add("services.%s.kind: %s is neither model nor web", name, strconv.Quote(clip(service.Kind)))
+		if service.Kind != KindModel && service.Kind != KindWeb && service.Kind != KindHTTP {
+			broken.add("services.%s.kind: %s is none of model, web and http", name, strconv.Quote(clip(service.Kind)))
+		}
+		if service.MaxConnections < 0 || service.ColdMS < 0 || !validNumber(service.ColdPerSecond) {
+			broken.add("services.%s: a bound is below zero", name)
 		}
 		if !validNumber(service.PlainTokens) {
 			broken.add("services.%s.plain_tokens: %v is out of bounds", name, service.PlainTokens)
 		}
-		if !hasWeight(s.Weights[name]) {
+		if service.Kind != KindHTTP && !hasWeight(s.Weights[name]) {
 			broken.add("weights.%s: no region has a weight above zero", name)
 		}
 	}
@@ -215,6 +248,16 @@
 		if !validNumber(tenant.Burst) {
 			broken.add("tenants.%s.burst: %v is out of bounds", name, tenant.Burst)
 		}
+		if tenant.Priority < 0 || tenant.Priority > MaxPriority {
+			broken.add("tenants.%s.priority: %d is out of bounds", name, tenant.Priority)
+		}
+		if tenant.Unit != "" && tenant.Unit != UnitTokens && tenant.Unit != UnitRequests {
+			broken.add("tenants.%s.unit: %s is neither tokens nor requests", name, strconv.Quote(clip(tenant.Unit)))
+		}
+		if !validNumber(tenant.PlainTokens) {
+			broken.add("tenants.%s.plain_tokens: %v is out of bounds", name, tenant.PlainTokens)
+		}
+		checkHomes(broken, "tenants."+name, tenant.Homes)
 		if tenant.Home != "" && !ValidName(tenant.Home) {
 			broken.add("tenants.%s.home: %s is no name", name, strconv.Quote(clip(tenant.Home)))
 		}
--- a/internal/core/sheet/state.go
+++ b/internal/core/sheet/state.go
@@ -49,7 +49,9 @@
 	// put or patch, the base that orders name.
 	Epoch      uint64 `json:"epoch"`
 	SheetEpoch uint64 `json:"sheet_epoch"`
-	Sheet      *Sheet `json:"sheet,omitempty"`
+	// Revision is the operators' own number of the sheet, where they number it.
+	Revision uint64 `json:"revision,omitempty"`
+	Sheet    *Sheet `json:"sheet,omitempty"`
 	// Evacuated maps a region or locality to the epoch that emptied it. It is
 	// a layer of its own: no sheet undoes it.
 	Evacuated map[string]uint64 `json:"evacuated,omitempty"`
@@ -140,6 +142,9 @@
 		_, known := s.Applied(order.OrderID)
 		return result, known && order.OrderID != ""
 	case kernel.BaseMoved:
+		if order.Revision > 0 {
+			return result, order.BaseRevision < s.Revision
+		}
 		return result, order.Base < s.SheetEpoch
 	case kernel.UnknownMember:
 		return Result{}, false
--- a/internal/kernel/code.go
+++ b/internal/kernel/code.go
@@ -30,6 +30,7 @@
 	SlowBody         Code = 1012
 	WrongServiceKind Code = 1013
 	BadField         Code = 1014
+	UnknownRoute     Code = 1015
 
 	QuotaExceeded    Code = 2001
 	ShareExceeded    Code = 2002
@@ -40,6 +41,7 @@
 	FrontLeaving     Code = 2007
 	NoPlan           Code = 2008
 	BudgetSpent      Code = 2009
+	NoSheet          Code = 2010
 
 	NotRun         Code = 3001
 	OutcomeUnknown Code = 3002
@@ -113,6 +115,7 @@
 	{SlowBody, "slow_body", http.StatusRequestTimeout, RetryNo, "The body did not arrive within its bound of time."},
 	{WrongServiceKind, "wrong_service_kind", http.StatusBadRequest, RetryNo, "A prompt was sent to a web service, or a one-shot to a model service."},
 	{BadField, "bad_field", http.StatusBadRequest, RetryNo, "A field has a value outside its bounds."},
+	{UnknownRoute, "unknown_route", http.StatusNotFound, RetryNo, "The sheet in force has no route for the host and path."},
 	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, RetryLater, "The tenant's allowance is spent."},
 	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, RetryLater, "The tenant's count is out of reach and this node's share of the allowance is spent."},
 	{PendingFull, "pending_full", http.StatusServiceUnavailable, RetryLater, "The pending requests are at their bound."},
@@ -122,6 +125,7 @@
 	{FrontLeaving, "front_leaving", http.StatusServiceUnavailable, RetryLater, "This node is being taken away; ask another."},
 	{NoPlan, "no_plan", http.StatusServiceUnavailable, RetryLater, "No plan has reached this node yet."},
 	{BudgetSpent, "budget_spent", http.StatusServiceUnavailable, RetryLater, "The budget for retries is spent."},
+	{NoSheet, "no_sheet", http.StatusServiceUnavailable, RetryLater, "No sheet has reached this node yet."},
 	{NotRun, "not_run", http.StatusServiceUnavailable, RetryLater, "The call has not run and will not run."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RetryCheck, "The call may have run; it was not sent again."},
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, RetryLater, "The deadline passed before the first event."},
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -36,6 +36,7 @@
 type sheetAnswer struct {
 	Epoch      uint64            `json:"epoch"`
 	SheetEpoch uint64            `json:"sheet_epoch"`
+	Revision   uint64            `json:"revision,omitempty"`
 	Sheet      *sheet.Sheet      `json:"sheet"`
 	Evacuated  map[string]uint64 `json:"evacuated,omitempty"`
 }
@@ -89,7 +90,7 @@
 	if verb == verbHistory {
 		return answered(historyAnswer{Epoch: state.Epoch, SheetEpoch: state.SheetEpoch, History: state.History}, state.Epoch)
 	}
-	return answered(sheetAnswer{Epoch: state.Epoch, SheetEpoch: state.SheetEpoch, Sheet: state.Sheet, Evacuated: state.Evacuated}, state.Epoch)
+	return answered(sheetAnswer{Epoch: state.Epoch, SheetEpoch: state.SheetEpoch, Revision: state.Revision, Sheet: state.Sheet, Evacuated: state.Evacuated}, state.Epoch)
 }
 
 // unread says that a majority could not be asked; a fault of this core's own
--- /dev/null
+++ b/internal/node/edge.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"net"
+	"net/http"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+// Edge stands between a process and a platform that speaks in its own way. It
+// opens the platform's listeners and translates; what is decided is decided by
+// the process behind it.
+type Edge interface {
+	// Dialect names the headers of requests that come by routes.
+	Dialect() port.Dialect
+	// Servers reads the platform's list of servers.
+	Servers(dial func(ctx kernel.Context, network, address string) (net.Conn, error)) port.ServerSource
+	// Serve answers the platform's own calls until the context ends.
+	Serve(ctx kernel.Context, node port.Node, listen func(address string) (net.Listener, error)) error
+}
+
+// orderPatience is how long an order that came through an edge is pursued, also
+// when its caller has left meanwhile: it is sent again and then known.
+const orderPatience = 8 * kernel.Second
+
+// behindEdge is what an edge may ask of a process.
+type behindEdge struct {
+	process *process
+	orders  *relay
+}
+
+func (b *behindEdge) Ready() *kernel.Fault    { return b.process.gateway.Ready() }
+func (b *behindEdge) Ingress() http.Handler   { return b.process.gateway }
+func (b *behindEdge) Fronts() []*wire.Process { return b.process.follower.View().Fronts }
+func (b *behindEdge) Status() any             { return b.process.status() }
+
+// Order hands an order to a core and pursues it, whether the caller waits or
+// not.
+func (b *behindEdge) Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
+	type outcome struct {
+		resp *wire.OrderResponse
+		err  error
+	}
+	done := make(chan outcome, 1)
+	pursued, cancel := kernel.WithTimeout(kernel.Background(), orderPatience)
+	go func() {
+		defer cancel()
+		resp, err := b.orders.Order(pursued, req)
+		done <- outcome{resp, err}
+	}()
+	select {
+	case got := <-done:
+		return got.resp, got.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/internal/node/follow/view.go
+++ b/internal/node/follow/view.go
@@ -4,6 +4,7 @@
 package follow
 
 import (
+	"slices"
 	"sort"
 
 	"stepwick/internal/core/grant"
@@ -59,6 +60,19 @@
 	return s
 }
 
+// Sharers names the fronts that share what is bounded over the fleet: those
+// that take traffic, and the members that are silent without being known to be
+// gone, who may go on sending from the far side of a cut.
+func (v *View) Sharers() []string {
+	names := slices.Clone(v.Silent)
+	for _, front := range v.Fronts {
+		if front.Front && front.Ready && !front.Leaving && !slices.Contains(v.Silent, front.Name) {
+			names = append(names, front.Name)
+		}
+	}
+	return names
+}
+
 func stateName(status *wire.ServerStatus) string {
 	switch status.State {
 	case wire.ServerState_SERVER_STATE_READY:
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -140,7 +139,7 @@
 		r.tune(r.sheet, r.table)
 	}
 	now := r.clock.Now()
-	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: sharers(view)}, now)
+	r.table.Update(route.View{State: view.State, Plan: view.Plan, Servers: view.Servers, Fronts: view.Sharers()}, now)
 	for name, seats := range r.seated {
 		if r.table.Lost(name) {
 			for s := range seats {
@@ -150,19 +149,6 @@
 	}
 }
 
-// sharers names the fronts that share the servers' caps: those that take
-// traffic, and the members that are silent without being known to be gone, who
-// may go on sending from the far side of a cut.
-func sharers(view *follow.View) []string {
-	names := slices.Clone(view.Silent)
-	for _, front := range view.Fronts {
-		if front.Front && front.Ready && !front.Leaving && !slices.Contains(view.Silent, front.Name) {
-			names = append(names, front.Name)
-		}
-	}
-	return names
-}
-
 func (r *router) choose(s *seat) {
 	if s.gone {
 		return
--- a/internal/node/front/sharers_test.go
+++ b/internal/node/front/sharers_test.go
@@ -14,6 +14,6 @@
 		view := &follow.View{Silent: []string{"far"}, Fronts: []*wire.Process{
 			{Name: "far", Front: true, Ready: true}, {Name: "here", Front: true, Ready: true},
 			{Name: "new", Front: true}, {Name: "old", Front: true, Ready: true, Leaving: true}}}
-		So(sharers(view), ShouldResemble, []string{"far", "here"})
+		So(view.Sharers(), ShouldResemble, []string{"far", "here"})
 	})
 }
--- /dev/null
+++ b/internal/node/gateway/attempt.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/adapter/upstream"
+	"stepwick/internal/core/balance"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+)
+
+// wholeMost is how much of an answer that is no stream is read before any of it
+// is passed on, so that an attempt that fails until then can be repeated.
+const wholeMost = 1 << 20
+
+// run sends the request to servers until one has answered it, or it may not be
+// sent any more. A nil fault means that the client got an answer.
+func (q *request) run() *kernel.Fault {
+	ctx, cancel := kernel.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
+	defer cancel()
+	p := &passage{request: q, last: q.call.LastEventID}
+	var earlier *kernel.Fault
+	for first := true; ; first = false {
+		fault, again := q.attempt(ctx, p, first)
+		if fault == nil {
+			return nil
+		}
+		if !again {
+			return q.final(p, fault, earlier)
+		}
+		earlier = fault
+	}
+}
+
+// final returns the answer to a request that is given up. What is known of an
+// earlier attempt goes before the reason why there is no further one.
+func (q *request) final(p *passage, fault, earlier *kernel.Fault) *kernel.Fault {
+	if q.http.Context().Err() != nil {
+		fault = kernel.Decline(kernel.CallerGone, "the client closed the connection")
+	}
+	if p.begun {
+		panic(http.ErrAbortHandler)
+	}
+	if fault.Code == kernel.CallerGone {
+		return fault
+	}
+	if q.runs > 0 {
+		if earlier != nil && fault.Code != kernel.DeadlinePassed {
+			fault = earlier
+		}
+		return q.unknown(fault)
+	}
+	if fault.Code == kernel.DeadlinePassed {
+		return kernel.Decline(kernel.NotRun, "%s", fault.Detail).After(leastPause)
+	}
+	return fault
+}
+
+// unknown holds a fault to what is known of a request that a server may have
+// run: it makes no promise.
+func (q *request) unknown(fault *kernel.Fault) *kernel.Fault {
+	switch fault.Code {
+	case kernel.DeadlinePassed, kernel.OutcomeUnknown, kernel.BadAnswer:
+		return fault
+	}
+	return kernel.Decline(kernel.OutcomeUnknown, "%s", fault.Detail)
+}
+
+// attempt sends the request to one server. again tells that another may be
+// tried.
+func (q *request) attempt(ctx kernel.Context, p *passage, first bool) (fault *kernel.Fault, again bool) {
+	g := q.gateway
+	given := g.dispatch.assign(ctx, q.order, first)
+	if given.fault != nil {
+		return q.ended(ctx, given.fault), false
+	}
+	outcome := balance.Outcome{}
+	defer func() { g.dispatch.ended(given.attempt, outcome) }()
+	if fault := q.stands(); fault != nil {
+		return fault, false
+	}
+	answer, failure := g.client.Send(ctx, given.server, q.outgoing(given.server, p.last))
+	if failure != nil {
+		g.metrics.attempts.WithLabelValues(q.service, string(failure.Kind)).Inc()
+		return q.failed(ctx, given.server, failure, &outcome)
+	}
+	defer answer.Close()
+	said := g.dialect.Said(answer.Status, answer.Header)
+	if said.NotExecuted || said.Elsewhere {
+		g.metrics.attempts.WithLabelValues(q.service, "rejected").Inc()
+		outcome.Rejected, outcome.Refused = said.NotExecuted, said.Elsewhere
+		_, _ = io.CopyN(io.Discard, answer, rejectionMost)
+		return q.rejected(given.server, said)
+	}
+	q.runs++
+	fault, again = p.pass(answer, given.attempt)
+	outcome.OK, outcome.Failed = fault == nil, fault != nil && ctx.Err() == nil && !p.clientGone
+	if again {
+		q.exclude(given.server)
+		again = q.mayRepeat()
+	}
+	return fault, again
+}
+
+// rejectionMost bounds what is read of an answer that says that the request was
+// not run.
+const rejectionMost = 64 << 10
+
+// outgoing builds the message for a server: as the client sent it, but for the
+// headers that concern one connection and what the dialect adds or takes away.
+func (q *request) outgoing(server upstream.Server, lastEventID string) *upstream.Request {
+	header := q.http.Header.Clone()
+	dropHopHeaders(header)
+	q.gateway.dialect.Dress(header, port.Sending{
+		Server: server.Name, Tenant: q.tenant, Left: q.deadline.Sub(q.gateway.clock.Now()),
+		Priority: q.order.Urgency, LastEventID: lastEventID,
+	})
+	id := q.call.ID
+	return &upstream.Request{
+		Method: q.http.Method, Target: q.target(), Host: q.http.Host, Header: header, Body: q.body,
+		Matches: func(status int, header http.Header) bool {
+			return q.gateway.dialect.Said(status, header).RequestID == id
+		},
+	}
+}
+
+// failed decides on an attempt without an answer.
+func (q *request) failed(ctx kernel.Context, server upstream.Server, failure *upstream.Failure, outcome *balance.Outcome) (fault *kernel.Fault, again bool) {
+	outcome.Refused = failure.Kind == upstream.Refused
+	outcome.Failed = failure.Kind == upstream.Unsent || failure.Kind == upstream.Lost || failure.Kind == upstream.Garbled
+	if failure.Sent {
+		q.runs++
+		q.order.Repeat = true
+	}
+	if ctx.Err() != nil {
+		return q.ended(ctx, nil), false
+	}
+	q.exclude(server)
+	if !failure.Sent {
+		return kernel.Decline(kernel.NotRun, "%s", failure).After(leastPause), true
+	}
+	return kernel.Decline(kernel.OutcomeUnknown, "%s", failure), q.mayRepeat()
+}
+
+// rejected decides on an attempt that the server did not run.
+func (q *request) rejected(server upstream.Server, said port.Said) (fault *kernel.Fault, again bool) {
+	q.exclude(server)
+	q.order.Repeat = true
+	why := "the server is full"
+	if said.Elsewhere {
+		why = "the server is gone; another one has its address"
+	}
+	return kernel.Decline(kernel.NotRun, "%s", why).After(rejectedPause), true
+}
+
+const rejectedPause = 150 * kernel.Millisecond
+
+// ended says why a context has ended, or keeps the fault where it has not.
+func (q *request) ended(ctx kernel.Context, fault *kernel.Fault) *kernel.Fault {
+	switch {
+	case q.http.Context().Err() != nil:
+		return kernel.Decline(kernel.CallerGone, "the client closed the connection")
+	case errors.Is(ctx.Err(), kernel.DeadlineExceeded) || fault == nil:
+		return kernel.Decline(kernel.DeadlinePassed, "the deadline passed before an answer")
+	}
+	return fault
+}
+
+func (q *request) exclude(server upstream.Server) {
+	q.order.Tried = append(q.order.Tried, server.Name)
+}
+
+// mayRepeat tells whether a request that a server may have run may be sent to
+// another one.
+func (q *request) mayRepeat() bool {
+	q.order.Repeat = true
+	return q.route.Repeatable() && q.runs < max(q.route.Attempts, 1)
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+func dropHopHeaders(header http.Header) {
+	for _, named := range header["Connection"] {
+		for _, name := range splitList(named) {
+			if !slices.Contains(keptHeaders, http.CanonicalHeaderKey(name)) {
+				header.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// keptHeaders are passed on even where a Connection header names them.
+var keptHeaders = []string{"Host", "Content-Type"}
--- /dev/null
+++ b/internal/node/gateway/dispatcher.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+
+	"stepwick/internal/adapter/upstream"
+	"stepwick/internal/core/balance"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/stage"
+)
+
+const (
+	askBound  = 1024 // requests that wait to be looked at
+	moveBound = 1024 // attempts whose progress waits to be taken in
+	waitBound = 4096 // requests that wait for room
+)
+
+// dispatcher owns the balancing table and the requests that wait for a server.
+type dispatcher struct {
+	table   *balance.Table
+	views   Views
+	clock   kernel.Clock
+	log     events.Log
+	client  *upstream.Client
+	asks    *stage.Queue[*ticket]
+	moves   *stage.Queue[move]
+	over    chan struct{} // closed when the owner has ended for good
+	seen    *follow.View
+	waiting []*ticket // the most urgent first, then the oldest
+	count   uint64
+}
+
+// ticket is a request that asks for a server. Its grant is written once.
+type ticket struct {
+	request balance.Request
+	order   uint64
+	first   bool // not asked for before, so that it counts as a client's request
+	given   chan assignment
+	attempt *balance.Attempt
+	left    bool
+}
+
+// assignment is a server for one attempt, or the fault that there is none.
+type assignment struct {
+	server  upstream.Server
+	attempt *balance.Attempt
+	fault   *kernel.Fault
+}
+
+// move is the progress of an attempt, or the end of a ticket whose request did
+// not wait for its server.
+type move struct {
+	attempt *balance.Attempt
+	began   bool
+	outcome balance.Outcome
+	leaves  *ticket
+}
+
+func newDispatcher(table *balance.Table, views Views, clock kernel.Clock, log events.Log, client *upstream.Client) *dispatcher {
+	return &dispatcher{table: table, views: views, clock: clock, log: log, client: client,
+		asks: stage.NewQueue[*ticket](askBound), moves: stage.NewQueue[move](moveBound), over: make(chan struct{})}
+}
+
+// assign waits until a request has a server or is refused one.
+func (d *dispatcher) assign(ctx kernel.Context, request balance.Request, first bool) assignment {
+	t := &ticket{request: request, first: first, given: make(chan assignment, 1)}
+	if !d.asks.Offer(t) {
+		return assignment{fault: kernel.Decline(kernel.PendingFull, "%d requests wait to be routed", askBound).After(kernel.Second)}
+	}
+	select {
+	case got := <-t.given:
+		return got
+	case <-ctx.Done():
+	case <-d.over:
+	}
+	d.move(move{leaves: t})
+	return assignment{fault: kernel.Decline(kernel.DeadlinePassed, "the request was given up while it waited for a server")}
+}
+
+// began tells that the answer to an attempt has begun.
+func (d *dispatcher) began(attempt *balance.Attempt) { d.move(move{attempt: attempt, began: true}) }
+
+// ended tells how an attempt ended.
+func (d *dispatcher) ended(attempt *balance.Attempt, outcome balance.Outcome) {
+	d.move(move{attempt: attempt, outcome: outcome})
+}
+
+func (d *dispatcher) move(m move) {
+	select {
+	case d.moves.In() <- m:
+	case <-d.over:
+	}
+}
+
+// Serve owns the table until the context ends.
+func (d *dispatcher) Serve(ctx kernel.Context) error {
+	defer func() {
+		if ctx.Err() != nil {
+			close(d.over)
+		}
+	}()
+	for {
+		changed := d.views.Changed()
+		d.look()
+		wake, stop := d.rest()
+		select {
+		case <-ctx.Done():
+			stop()
+			return ctx.Err()
+		case t := <-d.asks.Items():
+			d.takeMoves()
+			d.look()
+			d.take(t)
+		case m := <-d.moves.Items():
+			d.apply(m)
+			d.takeMoves()
+			d.serveWaiting()
+		case <-changed:
+			d.look()
+			d.serveWaiting()
+		case <-wake:
+			d.serveWaiting()
+		}
+		stop()
+	}
+}
+
+func (d *dispatcher) String() string { return "dispatcher" }
+
+// rest returns what wakes the owner for the requests that wait; nothing where
+// there are none.
+func (d *dispatcher) rest() (<-chan kernel.Time, func() bool) {
+	if len(d.waiting) == 0 {
+		return nil, func() bool { return true }
+	}
+	return kernel.Timer(d.table.Waits(d.clock.Now()))
+}
+
+// look takes the newest view in, so that no choice goes by an older one.
+func (d *dispatcher) look() {
+	view := d.views.View()
+	if view == d.seen {
+		return
+	}
+	serversMoved := d.seen == nil || len(d.seen.Servers) != len(view.Servers)
+	d.seen = view
+	d.table.Update(balance.View{State: view.State, Servers: view.Servers, Fronts: view.Sharers(), FleetNow: d.views.FleetNow()}, d.clock.Now())
+	if serversMoved {
+		d.client.Forget(func(server string) bool { return view.Servers[server] != nil })
+	}
+}
+
+func (d *dispatcher) take(t *ticket) {
+	now := d.clock.Now()
+	if t.first {
+		d.table.Count(t.request.Service, now)
+	}
+	if d.try(t, now) {
+		return
+	}
+	if len(d.waiting) >= waitBound {
+		t.given <- assignment{fault: kernel.Decline(kernel.PendingFull, "%d requests wait for room", waitBound).After(kernel.Second)}
+		return
+	}
+	d.count++
+	t.order = d.count
+	at, _ := slices.BinarySearchFunc(d.waiting, t, func(a, b *ticket) int {
+		return cmp.Or(cmp.Compare(a.request.Urgency, b.request.Urgency), cmp.Compare(a.order, b.order))
+	})
+	d.waiting = slices.Insert(d.waiting, at, t)
+}
+
+// try gives a ticket its server or its fault; false when it has to wait.
+func (d *dispatcher) try(t *ticket, now kernel.Time) bool {
+	choice := d.table.Choose(&t.request, now)
+	if choice.Wait {
+		return false
+	}
+	if choice.Fault != nil {
+		t.given <- assignment{fault: choice.Fault}
+		return true
+	}
+	t.attempt = d.table.Started(choice.Server, &t.request, now)
+	t.given <- assignment{server: upstream.Server{Name: choice.Server, Address: choice.Address}, attempt: t.attempt}
+	return true
+}
+
+func (d *dispatcher) serveWaiting() {
+	now := d.clock.Now()
+	kept := d.waiting[:0]
+	for _, t := range d.waiting {
+		if !d.try(t, now) {
+			kept = append(kept, t)
+		}
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+// takeMoves takes in what has happened before a choice is made.
+func (d *dispatcher) takeMoves() {
+	for pending := d.moves.Len(); pending > 0; pending-- {
+		d.apply(<-d.moves.Items())
+	}
+}
+
+func (d *dispatcher) apply(m move) {
+	now := d.clock.Now()
+	switch {
+	case m.leaves != nil:
+		d.leave(m.leaves, now)
+	case m.began:
+		d.table.Began(m.attempt, now)
+	default:
+		d.table.Finished(m.attempt, m.outcome, now)
+	}
+}
+
+func (d *dispatcher) leave(t *ticket, now kernel.Time) {
+	if at := slices.Index(d.waiting, t); at >= 0 {
+		d.waiting = slices.Delete(d.waiting, at, at+1)
+		return
+	}
+	d.table.Finished(t.attempt, balance.Outcome{}, now)
+}
--- /dev/null
+++ b/internal/node/gateway/gateway.go
@@ -0,0 +1,211 @@
+// Package gateway carries the requests that come by the sheet's routes: plain
+// HTTP, passed on to one of a service's servers, and the answer passed back. A
+// request's way is: read, admitted by the sheet in force and the tenant's
+// allowance, given a server by the dispatcher, sent, and answered.
+package gateway
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/thejerf/suture/v4"
+
+	"stepwick/internal/adapter/upstream"
+	"stepwick/internal/core/balance"
+	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/node/follow"
+	"stepwick/internal/port"
+	"stepwick/internal/stage"
+)
+
+// Config holds a gateway's place and bounds. Zero values take the defaults
+// named.
+type Config struct {
+	Balance       balance.Config
+	Upstream      upstream.Config
+	BodyMax       int64           // bytes of a request's body, where the sheet says nothing; 4 MiB
+	BodiesMax     int64           // bytes of all bodies held at once; 64 MiB
+	HeaderMax     int             // bytes of a request's header; 16 KiB
+	HeaderTimeout kernel.Duration // for a header to arrive; 5 s
+	BodyTimeout   kernel.Duration // for a body to arrive; 5 s
+	IdleTimeout   kernel.Duration // of a client's connection; 60 s
+	PlainTokens   float64         // of a request that names no tokens; 50
+	DeadlineMost  kernel.Duration // of a request that names none; 120 s
+	Linger        Linger
+	Connections   int // from clients at once; 4096
+}
+
+// Linger is how a gateway that is taken away goes on for a while, since
+// clients come until they have learned of other nodes.
+type Linger struct {
+	Least kernel.Duration // new requests are served at least so long; 3 s
+	Most  kernel.Duration // and at most so long; 5 s
+	Quiet kernel.Duration // between the two it ends when none came for so long; 1 s
+}
+
+func (c Config) withDefaults() Config {
+	or(&c.BodyMax, 4<<20)
+	or(&c.BodiesMax, 64<<20)
+	or(&c.HeaderMax, 16<<10)
+	or(&c.HeaderTimeout, 5*kernel.Second)
+	or(&c.BodyTimeout, 5*kernel.Second)
+	or(&c.IdleTimeout, kernel.Minute)
+	or(&c.PlainTokens, 50)
+	or(&c.DeadlineMost, 120*kernel.Second)
+	or(&c.Linger.Least, 3*kernel.Second)
+	or(&c.Linger.Most, 5*kernel.Second)
+	or(&c.Linger.Quiet, kernel.Second)
+	or(&c.Connections, 4096)
+	return c
+}
+
+func or[T int | int64 | float64 | kernel.Duration](value *T, fallback T) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
+
+// Views is where a gateway reads the control state that it decides by.
+type Views interface {
+	View() *follow.View
+	Changed() <-chan struct{}
+	Ruling() bool
+	FleetNow() kernel.Time
+}
+
+// Admitter decides by the shared tally whether a tenant may spend tokens.
+type Admitter interface {
+	Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision
+}
+
+// Gateway serves requests by routes. It is an http.Handler.
+type Gateway struct {
+	config   Config
+	dialect  port.Dialect
+	views    Views
+	admitter Admitter
+	clock    kernel.Clock
+	log      events.Log
+	client   *upstream.Client
+	dispatch *dispatcher
+	metrics  *metrics
+	bodies   *stage.Budget
+
+	leaving  atomic.Bool  // not ready any more
+	closed   atomic.Bool  // takes no new request any more
+	inFlight atomic.Int64 // requests that are being served
+	newest   atomic.Int64 // when the newest request came, nanoseconds since started
+	started  kernel.Time
+}
+
+// New returns a gateway. It takes no traffic before Serve runs.
+func New(config Config, dialect port.Dialect, views Views, admitter Admitter, clock kernel.Clock, log events.Log, registry prometheus.Registerer) (*Gateway, error) {
+	config = config.withDefaults()
+	config.Upstream.Clock = clock
+	metrics, err := newMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{config: config, dialect: dialect, views: views, admitter: admitter, clock: clock, log: log,
+		client: upstream.New(config.Upstream), metrics: metrics, bodies: stage.NewBudget(config.BodiesMax), started: clock.Now()}
+	g.dispatch = newDispatcher(balance.New(config.Balance), views, clock, log, g.client)
+	return g, nil
+}
+
+// Serve runs the gateway's owners until the context ends.
+func (g *Gateway) Serve(ctx kernel.Context) error {
+	supervisor := suture.New("gateway", suture.Spec{EventHook: func(event suture.Event) {
+		if failed, ok := event.(suture.EventServicePanic); ok {
+			g.log.Emit(events.OwnerBroke, "owner", failed.ServiceName, "panic", failed.PanicMsg)
+		}
+	}})
+	supervisor.Add(g.dispatch)
+	defer g.client.Close()
+	return supervisor.Serve(ctx)
+}
+
+func (g *Gateway) String() string { return "gateway" }
+
+// Listen answers clients on a listener until the context ends.
+func (g *Gateway) Listen(ctx kernel.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: g.config.HeaderTimeout,
+		IdleTimeout:       g.config.IdleTimeout,
+		MaxHeaderBytes:    g.config.HeaderMax,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	stop := kernel.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// Ready tells whether the node takes traffic by routes: nil, or why not.
+func (g *Gateway) Ready() *kernel.Fault {
+	if g.leaving.Load() {
+		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(kernel.Second)
+	}
+	return g.rules()
+}
+
+// rules tells whether this node may decide on a request now.
+func (g *Gateway) rules() *kernel.Fault {
+	if !g.views.Ruling() {
+		return kernel.Decline(kernel.NotRuling, "ask another node").After(notRulingPause)
+	}
+	if g.views.View().State.Sheet == nil {
+		return kernel.Decline(kernel.NoSheet, "").After(notRulingPause)
+	}
+	return nil
+}
+
+const notRulingPause = 200 * kernel.Millisecond
+
+// Drain makes the node not ready, serves the clients that still come for a
+// while, and waits until the running requests have ended. When the context
+// ends first it gives the context's error.
+func (g *Gateway) Drain(ctx kernel.Context) error {
+	g.leaving.Store(true)
+	began := g.clock.Now()
+	for !g.lingered(began) {
+		if !g.pause(ctx) {
+			return ctx.Err()
+		}
+	}
+	g.closed.Store(true)
+	for g.inFlight.Load() > 0 {
+		if !g.pause(ctx) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) lingered(began kernel.Time) bool {
+	now := g.clock.Now()
+	served := now.Sub(began)
+	quiet := now.Sub(g.started.Add(kernel.Duration(g.newest.Load())))
+	return served >= g.config.Linger.Most || served >= g.config.Linger.Least && quiet >= g.config.Linger.Quiet
+}
+
+const drainLook = 50 * kernel.Millisecond
+
+// pause waits for the next look of a drain; false when the context has ended.
+func (g *Gateway) pause(ctx kernel.Context) bool {
+	select {
+	case <-g.clock.After(drainLook):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/node/gateway/metrics.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"stepwick/internal/kernel"
+)
+
+type metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	inFlight prometheus.Gauge
+}
+
+func newMetrics(registry prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "stepwick_routed_requests_total",
+			Help: "Requests by route, by service and result code."}, []string{"service", "code"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "stepwick_routed_attempts_total",
+			Help: "Attempts at servers, by service and how they ended."}, []string{"service", "end"}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{Name: "stepwick_routed_in_flight",
+			Help: "Requests by route that are being served."}),
+	}
+	for _, collector := range []prometheus.Collector{m.requests, m.attempts, m.inFlight} {
+		if err := registry.Register(collector); err != nil {
+			return nil, errors.Wrap(err, "register the gateway's metrics")
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) ended(service string, fault *kernel.Fault) {
+	code := kernel.OK
+	if fault != nil {
+		code = fault.Code
+	}
+	m.requests.WithLabelValues(service, strconv.FormatUint(uint64(code), 10)).Inc()
+}
--- /dev/null
+++ b/internal/node/gateway/request.go
@@ -0,0 +1,376 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"stepwick/internal/core/balance"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/core/tally"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+)
+
+// Urgencies that servers are told: tenants come before routes.
+const (
+	leastUrgent     = 9
+	routeUrgencies  = 3
+	waitPart        = 4 // a request waits for room at most this part of its objective
+	waitMost        = kernel.Second
+	writeMargin     = kernel.Second // for the last bytes to a client after the deadline
+	noSheetServices = "(none)"      // the metric's service of a request that no route took
+)
+
+// request is one client's request on its way.
+type request struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	http    *http.Request
+	call    port.Call
+	arrived kernel.Time
+
+	index    *sheet.Index // the one that admitted it
+	route    *sheet.NamedRoute
+	tenant   string
+	terms    sheet.Tenant
+	service  string
+	body     []byte
+	held     int64
+	deadline kernel.Time
+	order    balance.Request
+	runs     int // servers that may have run it
+}
+
+// ServeHTTP answers one request that came by a route.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{gateway: g, writer: w, http: r, arrived: g.clock.Now(), service: noSheetServices}
+	g.newest.Store(int64(q.arrived.Sub(g.started)))
+	g.inFlight.Add(1)
+	g.metrics.inFlight.Inc()
+	defer func() {
+		g.bodies.Give(q.held)
+		g.metrics.inFlight.Dec()
+		g.inFlight.Add(-1)
+	}()
+	defer q.recover()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	fault := q.admit()
+	if fault == nil {
+		fault = q.run()
+	}
+	g.metrics.ended(q.service, fault)
+	if fault != nil {
+		q.refuse(fault)
+	}
+}
+
+func (q *request) recover() {
+	panicked := recover()
+	if panicked == nil {
+		return
+	}
+	if panicked != http.ErrAbortHandler { //nolint:errorlint // a panic's value, as net/http compares it
+		q.gateway.log.Emit(events.RequestBroke, "request", q.call.ID, "panic", panicked)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (q *request) refuse(fault *kernel.Fault) {
+	if fault.Code == kernel.CallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	q.gateway.log.Emit(events.RequestDeclined, "request", q.call.ID, "service", q.service, "tenant", q.tenant,
+		"code", uint32(fault.Code), "detail", fault.Detail)
+	q.gateway.dialect.Refuse(q.writer, q.call.ID, fault)
+}
+
+// admit decides by the sheet in force whether the request may be served, reads
+// its body, and spends from its tenant's allowance.
+func (q *request) admit() *kernel.Fault {
+	g := q.gateway
+	if g.closed.Load() {
+		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(notRulingPause)
+	}
+	if fault := g.rules(); fault != nil {
+		return fault
+	}
+	var fault *kernel.Fault
+	if q.call, fault = g.dialect.Read(q.http); fault != nil {
+		return fault
+	}
+	if fault = q.match(g.views.View().Index); fault != nil {
+		return fault
+	}
+	q.bound()
+	if fault = q.readBody(); fault != nil {
+		return fault
+	}
+	if fault = q.place(); fault != nil {
+		return fault
+	}
+	return q.spend()
+}
+
+// match finds the route and the tenant of the request in a sheet.
+func (q *request) match(index *sheet.Index) *kernel.Fault {
+	path, _, _ := strings.Cut(q.target(), "?")
+	route, found := index.Route(q.http.Host, path)
+	if !found {
+		return kernel.Decline(kernel.UnknownRoute, "no route for %s%s", q.http.Host, path)
+	}
+	q.index, q.route = index, route
+	if len(index.Sheet().Tenants) == 0 {
+		return nil
+	}
+	name, tenant, known := "", sheet.Tenant{}, false
+	if q.call.Key != "" {
+		name, tenant, known = index.Tenant(q.call.Key)
+	}
+	switch {
+	case known:
+		q.tenant, q.terms = name, tenant
+	case route.Public:
+	case q.call.Key == "":
+		return kernel.Decline(kernel.MissingKey, "")
+	default:
+		return kernel.Decline(kernel.UnknownKey, "the sheet in force has no such key")
+	}
+	return nil
+}
+
+// stands tells whether the sheet in force still lets the request run as it was
+// admitted.
+func (q *request) stands() *kernel.Fault {
+	if fault := q.gateway.rules(); fault != nil {
+		return fault
+	}
+	index := q.gateway.views.View().Index
+	if index == q.index {
+		return nil
+	}
+	tenant, service := q.tenant, q.service
+	if fault := q.match(index); fault != nil {
+		return fault
+	}
+	if q.tenant != tenant || !slices.ContainsFunc(q.route.Splits, func(s sheet.Split) bool { return s.Service == service && s.Weight > 0 }) {
+		return kernel.Decline(kernel.NotRun, "the route has changed").After(notRulingPause)
+	}
+	return nil
+}
+
+// target returns the path and query as they were received.
+func (q *request) target() string {
+	if strings.HasPrefix(q.http.RequestURI, "/") {
+		return q.http.RequestURI
+	}
+	return q.http.URL.RequestURI()
+}
+
+func (q *request) bound() {
+	timeout := kernel.Duration(q.route.TimeoutMS) * kernel.Millisecond
+	if q.call.Deadline > 0 {
+		timeout = min(timeout, q.call.Deadline)
+	}
+	q.deadline = q.arrived.Add(min(timeout, q.gateway.config.DeadlineMost))
+	control := http.NewResponseController(q.writer)
+	_ = control.SetWriteDeadline(q.deadline.Add(writeMargin))
+}
+
+func (q *request) readBody() *kernel.Fault {
+	r := q.http
+	if r.ContentLength == 0 {
+		return nil
+	}
+	most := q.gateway.config.BodyMax
+	if limits := q.index.Sheet().Limits; limits != nil && limits.BodyBytes > 0 {
+		most = int64(limits.BodyBytes)
+	}
+	if r.ContentLength > most {
+		return kernel.Decline(kernel.BodyTooLarge, "%d bytes of at most %d", r.ContentLength, most)
+	}
+	control := http.NewResponseController(q.writer)
+	_ = control.SetReadDeadline(q.gateway.clock.Now().Add(q.gateway.config.BodyTimeout))
+	body, fault := q.readAll(most)
+	if fault != nil {
+		return fault
+	}
+	_ = control.SetReadDeadline(kernel.Time{})
+	q.body = body
+	return nil
+}
+
+// readAll reads a body of at most so many bytes, and counts them against the
+// bodies that the node holds.
+func (q *request) readAll(most int64) ([]byte, *kernel.Fault) {
+	claimed := max(q.http.ContentLength, 0)
+	if !q.hold(claimed) {
+		return nil, q.bodiesFull()
+	}
+	body := make([]byte, claimed)
+	if claimed > 0 {
+		if _, err := io.ReadFull(q.http.Body, body); err != nil {
+			return nil, q.unread(err)
+		}
+		return body, nil
+	}
+	var chunk [8 << 10]byte
+	for {
+		n, err := q.http.Body.Read(chunk[:])
+		body = append(body, chunk[:n]...)
+		switch {
+		case int64(len(body)) > most:
+			return nil, kernel.Decline(kernel.BodyTooLarge, "more than %d bytes", most)
+		case !q.hold(int64(n)):
+			return nil, q.bodiesFull()
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, q.unread(err)
+		}
+	}
+}
+
+func (q *request) hold(bytes int64) bool {
+	if !q.gateway.bodies.Take(bytes) {
+		return false
+	}
+	q.held += bytes
+	return true
+}
+
+func (q *request) bodiesFull() *kernel.Fault {
+	return kernel.Decline(kernel.PendingFull, "the bodies that the node holds are at their bound").After(kernel.Second)
+}
+
+func (q *request) unread(err error) *kernel.Fault {
+	if q.http.Context().Err() != nil {
+		return kernel.Decline(kernel.CallerGone, "%v", err)
+	}
+	var slow interface{ Timeout() bool }
+	if errors.As(err, &slow) && slow.Timeout() {
+		return kernel.Decline(kernel.SlowBody, "the body did not arrive in time")
+	}
+	return kernel.Decline(kernel.BadField, "the body is malformed")
+}
+
+// place works out what the choice of a server depends on.
+func (q *request) place() *kernel.Fault {
+	regions, possible := homes(q.route.Homes, q.terms)
+	if !possible {
+		return kernel.Decline(kernel.NoServer, "the homes of the route and of the tenant have no region in common").After(kernel.Second)
+	}
+	objective := kernel.Duration(q.route.ObjectiveMS) * kernel.Millisecond
+	q.order = balance.Request{
+		ID: q.call.ID, Regions: regions, Urgency: urgency(q.terms.Priority, q.route.Priority),
+		Own: q.call.TokensIn, Until: q.arrived.Add(min(objective/waitPart, waitMost)),
+	}
+	if q.route.Affinity {
+		q.order.Affinity, q.order.Shared = shared(q.call.Parts)
+		q.order.Own = max(q.call.TokensIn-q.order.Shared, 0)
+	}
+	q.service = q.split()
+	q.order.Service = q.service
+	return nil
+}
+
+// homes returns the regions that may serve a request, empty for all; not
+// possible where the route's and the tenant's have none in common.
+func homes(route []string, tenant sheet.Tenant) (regions []string, possible bool) {
+	own := tenant.Homes
+	if tenant.Home != "" {
+		own = append(slices.Clip(own), tenant.Home)
+	}
+	switch {
+	case len(route) == 0:
+		return own, true
+	case len(own) == 0:
+		return route, true
+	}
+	for _, region := range route {
+		if slices.Contains(own, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions, len(regions) > 0
+}
+
+// urgency folds the priorities of a tenant and of a route into one of the ten
+// that servers are told.
+func urgency(tenant, route int) int {
+	return min(tenant*routeUrgencies+min(route, routeUrgencies-1), leastUrgent)
+}
+
+// shared returns the digest and the size in tokens of what a prompt shares
+// with others: all parts but the last, which is the request's or its session's
+// own; a prompt of one part shares that.
+func shared(parts []port.Part) (digest uint64, tokens float64) {
+	if len(parts) > 1 {
+		parts = parts[:len(parts)-1]
+	}
+	for _, part := range parts {
+		tokens += part.Tokens
+		digest = part.ID
+	}
+	return digest, tokens
+}
+
+// split picks the service of a route by its weights, the same for requests that
+// share a prompt.
+func (q *request) split() string {
+	splits := q.route.Splits
+	if len(splits) == 1 {
+		return splits[0].Service
+	}
+	key := xxhash.Sum64String(q.call.ID)
+	total := 0.0
+	for _, s := range splits {
+		total += s.Weight
+	}
+	at := float64(key>>11) / (1 << 53) * total
+	for _, s := range splits {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return splits[len(splits)-1].Service
+}
+
+// spend asks the shared tally for the request's tokens.
+func (q *request) spend() *kernel.Fault {
+	if q.terms.Rate <= 0 {
+		return nil
+	}
+	units := 1.0
+	if q.terms.Unit != sheet.UnitRequests {
+		units = q.tokens()
+	}
+	ctx, cancel := kernel.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
+	defer cancel()
+	decision := q.gateway.admitter.Admit(ctx, q.tenant, units, tally.Terms{Rate: q.terms.Rate, Burst: q.terms.Burst})
+	if decision.Pass {
+		return nil
+	}
+	fault := kernel.Decline(decision.Code, "%s has %.0f in a window", q.tenant, decision.Limit)
+	return fault.After(max(decision.RetryAfter, leastPause))
+}
+
+const leastPause = 50 * kernel.Millisecond
+
+func (q *request) tokens() float64 {
+	switch {
+	case q.call.Sized:
+		return q.call.Tokens()
+	case q.terms.PlainTokens > 0:
+		return q.terms.PlainTokens
+	}
+	return q.gateway.config.PlainTokens
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,8 @@
 	"stepwick/internal/adapter/disklog"
 	"stepwick/internal/adapter/internalrpc"
 	"stepwick/internal/adapter/platform"
+	"stepwick/internal/adapter/upstream"
+	"stepwick/internal/core/balance"
 	"stepwick/internal/core/plan"
 	"stepwick/internal/core/route"
 	"stepwick/internal/core/sheet"
@@ -31,9 +33,11 @@
 	"stepwick/internal/node/core"
 	"stepwick/internal/node/follow"
 	"stepwick/internal/node/front"
+	"stepwick/internal/node/gateway"
 	"stepwick/internal/node/replica"
 	"stepwick/internal/node/spend"
 	"stepwick/internal/node/watch"
+	"stepwick/internal/port"
 	"stepwick/internal/settings"
 	"stepwick/internal/wire"
 )
@@ -51,11 +55,18 @@
 	Clock  kernel.Clock
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx kernel.Context, network, address string) (net.Conn, error)
+	Edge   Edge // nil for the process's own listeners
 }
 
 // Run runs a process of a role on this machine until the context ends; then it
 // hands over within its grace and returns nil.
 func Run(ctx kernel.Context, role string, values *settings.Values, log events.Log) error {
+	return RunAt(ctx, nil, role, values, log)
+}
+
+// RunAt is Run on a platform that an edge speaks to; without one the process
+// has its own listeners.
+func RunAt(ctx kernel.Context, edge Edge, role string, values *settings.Values, log events.Log) error {
 	dialer := &net.Dialer{Timeout: 2 * kernel.Second}
 	if bind := values.String("bind"); bind != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(bind)}
@@ -69,6 +80,7 @@
 		Clock:  clock,
 		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		Dial:   dialer.DialContext,
+		Edge:   edge,
 	}, role, values, log)
 }
 
@@ -94,6 +106,10 @@
 	follower  *follow.Follower
 	spend     *spend.Spend
 	front     *front.Front
+	gateway   *gateway.Gateway
+	edge      Edge
+	listen    func(address string) (net.Listener, error)
+	orders    *relay
 	watcher   *watch.Watcher
 	replica   *replica.Replica
 	core      *core.Core
@@ -111,7 +127,7 @@
 
 func build(world World, role string, values *settings.Values, log events.Log) (*process, error) {
 	clock := kernel.Steady(world.Clock)
-	p := &process{role: role, values: values, clock: clock, log: log}
+	p := &process{role: role, values: values, clock: clock, log: log, edge: world.Edge, listen: world.Listen}
 	p.base = &wire.Process{
 		Name: values.String("name"), Region: values.String("region"), Zone: values.String("zone"),
 		Address:       or(values.String("advertise.internal"), values.String("listen.internal")),
@@ -146,10 +162,14 @@
 	if err := p.buildFront(world, registry); err != nil {
 		return nil, err
 	}
+	if err := p.buildGateway(world, registry); err != nil {
+		return nil, err
+	}
 	p.watcher = watch.New(watch.Config{
 		Self: p.base.Name, Region: p.base.Region, Zone: p.base.Zone, Incarnation: p.base.Incarnation,
 		ListEvery: values.Duration("platform.interval"), StatusEvery: values.Duration("watch.interval"),
-	}, platform.New(platform.Config{URL: values.String("platform.url"), Dial: world.Dial}), p.directory, clock, func() watch.View {
+		ListFronts: values.Int("platform.readers"), ListOnly: world.Edge != nil,
+	}, p.servers(world), p.directory, clock, func() watch.View {
 		view := p.follower.View()
 		return watch.View{Servers: view.Servers, Fronts: view.Fronts}
 	}, p.follower.Report, p.follower.FleetNow, log)
@@ -158,12 +178,44 @@
 	if p.internal, err = world.Listen(values.String("listen.internal")); err != nil {
 		return nil, errors.Wrap(err, "listen.internal")
 	}
+	if !p.carries() && world.Edge != nil {
+		return p, nil
+	}
 	if p.caller, err = world.Listen(values.String("listen.caller")); err != nil {
 		return nil, errors.Wrap(err, "listen.caller")
 	}
 	return p, nil
 }
 
+// carries tells whether the process carries traffic.
+func (p *process) carries() bool { return p.base.Front }
+
+func (p *process) servers(world World) port.ServerSource {
+	if world.Edge != nil {
+		return world.Edge.Servers(world.Dial)
+	}
+	return platform.New(platform.Config{URL: p.values.String("platform.url"), Dial: world.Dial})
+}
+
+func (p *process) buildGateway(world World, registry *prometheus.Registry) error {
+	if world.Edge == nil {
+		return nil
+	}
+	var err error
+	p.gateway, err = gateway.New(gateway.Config{
+		Balance: balance.Config{
+			Self: p.base.Name, Region: p.base.Region, Zone: p.base.Zone,
+			RetryRatio: p.values.Float("retry.budget"), RetryWindow: p.values.Duration("retry.window"), RetrySlack: p.values.Float("retry.slack"),
+			ColdOverage: p.values.Float("cold.overage"), ColdSlack: p.values.Float("cold.slack"),
+		},
+		Upstream: upstream.Config{Dial: world.Dial, ConnectTimeout: p.values.Duration("connect.timeout")},
+		BodyMax:  int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
+		HeaderTimeout: p.values.Duration("body.timeout"), BodyTimeout: p.values.Duration("body.timeout"),
+		PlainTokens: p.values.Float("plain_tokens"), DeadlineMost: p.values.Duration("deadline.max"),
+	}, world.Edge.Dialect(), p.follower, p.spend, p.clock, p.log, registry)
+	return err
+}
+
 func (p *process) buildCore() error {
 	var first []byte
 	if file := p.values.String("first_sheet"); file != "" {
@@ -197,6 +249,7 @@
 
 func (p *process) buildFront(world World, registry *prometheus.Registry) error {
 	orders := &relay{name: p.base.Name, peers: p.directory}
+	p.orders = orders
 	inspect := &inspector{name: p.base.Name, peers: p.directory, own: map[string]func(string) (any, bool){
 		"status":  func(string) (any, bool) { return p.status(), true },
 		"plan":    func(string) (any, bool) { plan := p.follower.View().Plan; return plan, plan != nil },
@@ -257,13 +310,21 @@
 		own.Standing, own.Formation, own.Voters = p.replica.Standing(), p.replica.Formation(), p.replica.Voters()
 	}
 	if p.front != nil {
-		fault := p.front.Ready()
+		fault := p.ready()
 		own.Ready = fault == nil
 		own.Leaving = fault != nil && fault.Code == kernel.FrontLeaving
 	}
 	return own
 }
 
+// ready tells whether the process takes traffic, by whichever way it comes.
+func (p *process) ready() *kernel.Fault {
+	if p.gateway != nil {
+		return p.gateway.Ready()
+	}
+	return p.front.Ready()
+}
+
 func (p *process) sighted() []follow.Sight {
 	sights := p.directory.Sights()
 	out := make([]follow.Sight, len(sights))
@@ -301,7 +362,7 @@
 func (p *process) status() processStatus {
 	s := processStatus{Role: p.role, Status: p.follower.View().Status(p.base.Name,
 		sheet.Locality(p.base.Region, p.base.Zone), p.follower.Ruling(), p.follower.FleetNow())}
-	if fault := p.front.Ready(); fault != nil {
+	if fault := p.ready(); fault != nil {
 		s.Cause = fault.Error()
 	} else {
 		s.Ready = true
@@ -345,18 +406,21 @@
 		defer undo()
 		return ended(internal.Serve(p.internal))
 	}})
-	supervisor.Add(service{"caller listener", func(ctx kernel.Context) error { return ended(p.front.Listen(ctx, p.caller)) }})
+	p.addTraffic(supervisor)
 	supervisor.Add(service{"directory", p.directory.Serve})
 	supervisor.Add(service{"follower", p.follower.Serve})
 	supervisor.Add(service{"spend", p.spend.Serve})
-	supervisor.Add(service{"front", p.front.Serve})
-	supervisor.Add(service{"watcher", p.watcher.Serve})
+	if p.carries() {
+		supervisor.Add(service{"watcher", p.watcher.Serve})
+	}
 	if p.core != nil {
 		supervisor.Add(service{"replica", p.replica.Serve})
 		supervisor.Add(service{"core", p.core.Serve})
 	}
 	done := supervisor.ServeBackground(serving)
-	p.log.Emit(events.ListenerOpened, "listener", "caller", "address", p.caller.Addr().String())
+	if p.caller != nil {
+		p.log.Emit(events.ListenerOpened, "listener", "caller", "address", p.caller.Addr().String())
+	}
 	p.log.Emit(events.ListenerOpened, "listener", "internal", "address", p.internal.Addr().String())
 	p.log.Emit(events.ProcessStarted, "name", p.base.Name, "role", p.role, "locality", sheet.Locality(p.base.Region, p.base.Zone),
 		"caller", p.base.CallerAddress, "internal", p.base.Address, "incarnation", p.base.Incarnation)
@@ -373,11 +437,38 @@
 	return nil
 }
 
+// addTraffic adds the parts that carry traffic: the process's own API, or what
+// comes through an edge.
+func (p *process) addTraffic(supervisor *suture.Supervisor) {
+	if p.edge == nil {
+		supervisor.Add(service{"caller listener", func(ctx kernel.Context) error { return ended(p.front.Listen(ctx, p.caller)) }})
+		supervisor.Add(service{"front", p.front.Serve})
+		return
+	}
+	behind := &behindEdge{process: p, orders: p.orders}
+	supervisor.Add(service{"edge", func(ctx kernel.Context) error { return p.edge.Serve(ctx, behind, p.listen) }})
+	supervisor.Add(service{"gateway", p.gateway.Serve})
+	if p.caller != nil {
+		supervisor.Add(service{"caller listener", func(ctx kernel.Context) error { return ended(p.gateway.Listen(ctx, p.caller)) }})
+	}
+}
+
+// drain lets running requests finish until the context ends.
+func (p *process) drain(ctx kernel.Context) error {
+	switch {
+	case p.gateway == nil:
+		return p.front.Drain(ctx)
+	case p.carries():
+		return p.gateway.Drain(ctx)
+	}
+	return nil
+}
+
 func (p *process) handOver() {
 	grace := p.values.Duration("drain.grace")
 	p.log.Emit(events.ProcessStopping, "name", p.base.Name, "grace", grace)
 	ctx, cancel := kernel.WithTimeout(kernel.Background(), grace)
-	if err := p.front.Drain(ctx); err != nil {
+	if err := p.drain(ctx); err != nil {
 		p.log.Emit(events.GraceOver, "error", err)
 	} else {
 		p.log.Emit(events.DrainFinished)
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -16,7 +16,6 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
-	"stepwick/internal/adapter/platform"
 	"stepwick/internal/core/merge"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -39,6 +38,9 @@
 	ServerFronts int
 	SilentAfter  int
 	Workers      int
+	// ListOnly leaves the servers' own status alone, for sources that have none
+	// or charge for it: then servers are judged by the list and by their answers.
+	ListOnly bool
 }
 
 func (c Config) orDefaults() Config {
@@ -64,16 +66,10 @@
 	Fronts  []*wire.Process
 }
 
-// Source reads the platform's list and the servers' status; platform.Client is one.
-type Source interface {
-	List(ctx kernel.Context) (platform.Listing, error)
-	Status(ctx kernel.Context, name, address string) (*wire.ServerStatus, platform.Reach, error)
-}
-
 // Watcher is a supervised service; its state belongs to the goroutine of Serve.
 type Watcher struct {
 	cfg      Config
-	source   Source
+	source   port.ServerSource
 	peers    port.Peers
 	clock    kernel.Clock
 	view     func() View
@@ -110,7 +106,7 @@
 type poll struct {
 	running bool
 	silent  int
-	reach   platform.Reach
+	reach   port.Reach
 }
 
 type outbox struct {
@@ -129,7 +125,7 @@
 
 // New returns a watcher. view gives the newest view, report takes a sight into
 // the front's own view, fleetNow is fleet time.
-func New(cfg Config, source Source, peers port.Peers, clock kernel.Clock, view func() View, report func(*wire.Report), fleetNow func() kernel.Time, log events.Log) *Watcher {
+func New(cfg Config, source port.ServerSource, peers port.Peers, clock kernel.Clock, view func() View, report func(*wire.Report), fleetNow func() kernel.Time, log events.Log) *Watcher {
 	cfg = cfg.orDefaults()
 	return &Watcher{cfg: cfg, source: source, peers: peers, clock: clock, view: view, report: report, fleetNow: fleetNow,
 		log: log, results: make(chan func(), cfg.Workers+8), missing: map[string]int{},
@@ -172,7 +168,7 @@
 		w.listAt = now.Add(w.cfg.ListEvery)
 		w.pollList(ctx)
 	}
-	if !now.Before(w.pollAt) {
+	if !w.cfg.ListOnly && !now.Before(w.pollAt) {
 		w.duePolls(v)
 		w.pollAt = now.Add(max(w.cfg.StatusEvery, kernel.Duration(len(w.polls))*pollCost))
 	}
@@ -212,7 +208,7 @@
 	})
 }
 
-func (w *Watcher) takeList(listing platform.Listing, err error, at kernel.Time) {
+func (w *Watcher) takeList(listing port.Listing, err error, at kernel.Time) {
 	known := w.view().Servers
 	if err == nil && len(listing.Servers) == 0 && len(known) > 0 {
 		w.failed("the list is empty although servers are known")
@@ -233,6 +229,9 @@
 	for _, status := range listing.Servers {
 		listed[status.Name] = true
 		delete(w.missing, status.Name)
+		if left := listing.Cold[status.Name]; left > 0 {
+			status.ColdUntilMs = at.Add(left).UnixMilli()
+		}
 		w.see(merge.Listed, status, at)
 	}
 	for name, status := range known {
@@ -314,12 +313,12 @@
 	})
 }
 
-func (w *Watcher) takeStatus(p *poll, name string, status *wire.ServerStatus, reach platform.Reach, err error, at kernel.Time) {
+func (w *Watcher) takeStatus(p *poll, name string, status *wire.ServerStatus, reach port.Reach, err error, at kernel.Time) {
 	switch reach {
-	case platform.Answers:
+	case port.Answers:
 		p.silent = 0
 		w.see(merge.Own, status, at)
-	case platform.Refuses:
+	case port.Refuses:
 		p.silent = 0
 		w.see(merge.Own, &wire.ServerStatus{Name: name, State: wire.ServerState_SERVER_STATE_GONE}, at)
 	default:
@@ -335,7 +334,7 @@
 	p.reach = reach
 }
 
-var reaches = map[platform.Reach]events.Event{platform.Silent: events.ServerSilent, platform.Garbled: events.ServerBadStatus}
+var reaches = map[port.Reach]events.Event{port.Silent: events.ServerSilent, port.Garbled: events.ServerBadStatus}
 
 var states = map[wire.ServerState]events.Event{
 	wire.ServerState_SERVER_STATE_READY:    events.ServerReady,
@@ -398,7 +397,16 @@
 func urgent(a, b *wire.ServerStatus) bool {
 	return a == nil || a.State != b.State || a.Reachable != b.Reachable || a.Incarnation != b.Incarnation || a.Slots != b.Slots ||
 		a.LeaveAtMs != b.LeaveAtMs || a.Address != b.Address || a.Region != b.Region || a.Zone != b.Zone || a.Kind != b.Kind ||
-		!slices.Equal(a.Services, b.Services) || a.Answered != b.Answered && a.Answered < rampSeen
+		!slices.Equal(a.Services, b.Services) || coldMoved(a, b) || a.Answered != b.Answered && a.Answered < rampSeen
+}
+
+// coldMargin is by how much the end of a server's cold time, which each list
+// tells anew, may move before that is news; in milliseconds.
+const coldMargin = 400
+
+func coldMoved(a, b *wire.ServerStatus) bool {
+	moved := a.ColdUntilMs - b.ColdUntilMs
+	return (a.ColdUntilMs == 0) != (b.ColdUntilMs == 0) || moved > coldMargin || moved < -coldMargin
 }
 
 func (w *Watcher) box(core string) *outbox {
