--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	helloAlone    = 50 * kernel.Millisecond  // while nobody else is known
 	helloBusy     = 250 * kernel.Millisecond // while the table still grows
 	helloInterval = 15 * kernel.Second
 	helloSettle   = 2 * kernel.Second // without news after which the table counts as settled
@@ -50,6 +51,15 @@
 	table   atomic.Pointer[map[string]Sight]
 	vouched atomic.Pointer[attested]
 	wake    chan struct{}
+	reseed  chan []string
+}
+
+// SetSeeds names other seeds from now on.
+func (d *Directory) SetSeeds(ctx kernel.Context, seeds []string) {
+	select {
+	case d.reseed <- seeds:
+	case <-ctx.Done():
+	}
 }
 
 // attested is what the cores' feed says of who lives.
@@ -65,7 +75,7 @@
 	d := &Directory{
 		clock: clock, pool: pool, log: log, seeds: seeds, self: self,
 		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
-		hellos: make(chan []*wire.Process, 64), wake: make(chan struct{}, 1),
+		hellos: make(chan []*wire.Process, 64), wake: make(chan struct{}, 1), reseed: make(chan []string),
 	}
 	d.table.Store(&map[string]Sight{})
 	d.vouched.Store(&attested{})
@@ -138,7 +148,10 @@
 	d.merge([]*wire.Process{d.ownRecord()}, true)
 	for {
 		wait := helloInterval
-		if len(*d.table.Load()) < 2 || d.clock.Now().Sub(d.news) < helloSettle {
+		switch {
+		case len(*d.table.Load()) < 2:
+			wait = helloAlone
+		case d.clock.Now().Sub(d.news) < helloSettle:
 			wait = helloBusy
 		}
 		d.greet(ctx)
@@ -151,6 +164,8 @@
 				return ctx.Err()
 			case records := <-d.hellos:
 				d.merge(records, true)
+			case seeds := <-d.reseed:
+				d.seeds = seeds
 			case <-d.wake:
 				d.merge(d.vouched.Load().live, false)
 			case <-wake:
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -36,6 +36,11 @@
 func (b *behindEdge) Fronts() []*wire.Process { return b.process.follower.View().Fronts }
 func (b *behindEdge) Status() any             { return b.process.status() }
 
+// SetSeeds names other seeds than the process was started with.
+func (b *behindEdge) SetSeeds(ctx kernel.Context, seeds []string) {
+	b.process.directory.SetSeeds(ctx, seeds)
+}
+
 // Order hands an order to a core and pursues it, whether the caller waits or
 // not.
 func (b *behindEdge) Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -234,6 +234,8 @@
 func (f *Follower) Serve(ctx kernel.Context) error {
 	f.ctx, f.begun = ctx, f.clock.Now()
 	f.serving.Store(&ctx)
+	hasten := f.clock.Ticker(hastenEvery)
+	defer hasten.Stop()
 	renew, ping, fold := f.clock.Ticker(f.config.RenewEvery), f.clock.Ticker(f.config.PingEvery), f.clock.Ticker(f.config.RenewEvery)
 	defer renew.Stop()
 	defer ping.Stop()
@@ -247,6 +249,8 @@
 			step()
 		case <-renew.C():
 			f.renewAll()
+		case <-hasten.C():
+			f.hasten()
 		case <-ping.C():
 			f.pingAll()
 		case <-fold.C():
@@ -286,6 +290,21 @@
 	f.judge()
 }
 
+// hastenEvery is the pace of renewals of a process that is not confirmed yet:
+// after a start each moment counts in which it may not rule.
+const hastenEvery = 50 * kernel.Millisecond
+
+// hasten renews at once at the cores that have not answered since the start.
+func (f *Follower) hasten() {
+	if !f.holder.Unconfirmed() || f.clock.Now().Sub(f.begun) >= hastenFor {
+		return
+	}
+	f.renewAll()
+}
+
+// hastenFor is how long after a start renewals are hastened.
+const hastenFor = 5 * kernel.Second
+
 // renew keeps one call per core in flight; a wish to renew meanwhile is kept
 // and met when the call returns.
 func (f *Follower) renew(core *wire.Process) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,7 +147,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	var err error
 	p.spend, err = spend.New(spend.Config{
-		Self: p.base.Name, Incarnation: p.base.Incarnation, Metrics: registry,
+		Self: p.base.Name, Incarnation: p.base.Incarnation, Metrics: registry, HoldFor: values.Duration("tally.hold"),
 		Silent: func() []string { return p.follower.View().Silent },
 		Tally:  tally.Config{Window: values.Duration("quota_window"), Slices: values.Int("quota_slices"), Interval: values.Duration("tally.interval")},
 	}, p.directory, clock, p.follower.FleetNow, func() []string { return p.follower.View().Live }, log)
--- a/internal/port/ingress.go
+++ b/internal/port/ingress.go
@@ -70,6 +70,8 @@
 	Fronts() []*wire.Process
 	// Order hands an operator's call to a core; see wire.OrderRequest.
 	Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error)
+	// SetSeeds names other seeds than the process was started with.
+	SetSeeds(ctx kernel.Context, seeds []string)
 	// Status describes the process and what it knows, as JSON.
 	Status() any
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -126,6 +126,8 @@
 	{Name: "tally.interval", Type: Duration, Default: "200ms", Rule: "10ms to 2s", Check: within(10*kernel.Millisecond, 2*kernel.Second),
 		Help: "How often a front sends its spend to the holders of the counts."},
 
+	{Name: "tally.hold", Type: Duration, Default: "2500ms", Rule: "0s to 10s", Check: within(0, 10*kernel.Second),
+		Help: "How long a request may wait for the holder of its tenant's count, where the tenant is well below its allowance."},
 	{Name: "route.strategy", Type: String, Default: "affinity", Rule: "affinity, round_robin or least_loaded", Runtime: true,
 		Check: oneOf("affinity", "round_robin", "least_loaded"),
 		Help:  "How a front picks a server within the plan's region; the last two are baselines for comparison."},
