--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -253,7 +253,7 @@
 			continue
 		}
 		have, ok := next[r.Name]
-		if gossip && (!ok || r.Incarnation > have.Process.Incarnation || changed(r, have.Process)) {
+		if gossip && (!ok || r.Incarnation > have.Process.Incarnation && newer(r, have.Process) || changed(r, have.Process)) {
 			d.news = now
 		}
 		if !ok || newer(r, have.Process) {
@@ -285,7 +285,12 @@
 		a.Ready != b.Ready || a.Leaving != b.Leaving)
 }
 
+// newer tells whether a record replaces another of the same name. A process that
+// holds the name by an earlier disk life than is known was replaced.
 func newer(a, b *wire.Process) bool {
+	if a.DiskLife != b.DiskLife && a.DiskLife > 0 && b.DiskLife > 0 {
+		return a.DiskLife > b.DiskLife
+	}
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
--- a/internal/core/ballot/acceptor.go
+++ b/internal/core/ballot/acceptor.go
@@ -98,7 +98,7 @@
 
 // Read tells how far the core has learned and accepted.
 func (s State) Read(req *wire.ReadRequest) *wire.ReadResponse {
-	resp := &wire.ReadResponse{Core: s.Self, Learned: s.Learned(), Highest: s.Highest()}
+	resp := &wire.ReadResponse{Core: s.Self, Learned: s.Learned(), Highest: s.Highest(), Life: s.Lives[req.Core]}
 	if code := s.votesIn(req.Formation); code != kernel.OK {
 		resp.Decline = uint32(code)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -88,6 +88,9 @@
 	DutyLost          = add(3026, "duty_lost", Warn, "This process no longer holds the duty.", "")
 	DutyVacant        = add(3027, "duty_vacant", Warn, "A duty's holder is gone; a ballot for it begins.", "")
 	StandingChanged   = add(3028, "standing_changed", Info, "This core's standing changed (blank, amnesiac, voting, disk full).", "")
+	CoreReplaced      = add(3030, "core_replaced", Warn, "Another process has taken this core's place; its data folder is emptied and it stands by.", "Expected when a machine comes back that was replaced meanwhile.")
+	PlaceSought       = add(3031, "place_sought", Info, "A core with a blank disk waits until a core of the formation is gone, to take its place.", "")
+	PlaceTaken        = add(3032, "place_taken", Warn, "A core takes the place of one that is gone, under its name.", "")
 	FirstSheetOffered = add(3029, "first_sheet_offered", Info, "The first sheet was offered to the new formation.", "")
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,29 @@
 
 // RunIn is Run in a given world.
 func RunIn(ctx kernel.Context, world World, role string, values *settings.Values, log events.Log) error {
-	p, err := build(world, role, values, log)
+	for {
+		err := runOnce(ctx, world, role, values, log)
+		if !errors.Is(err, errReplaced) || !values.Bool("core.join") {
+			return err
+		}
+		if err := emptyFolder(values.String("data")); err != nil {
+			return err
+		}
+	}
+}
+
+func runOnce(ctx kernel.Context, world World, role string, values *settings.Values, log events.Log) error {
+	name := values.String("name")
+	if role == RoleCore {
+		var err error
+		if name, err = takePlace(ctx, world, values, log); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+	}
+	p, err := build(world, role, name, values, log)
 	if err != nil {
 		return err
 	}
@@ -110,6 +132,7 @@
 	edge      Edge
 	listen    func(address string) (net.Listener, error)
 	orders    *relay
+	replaced  chan struct{}
 	watcher   *watch.Watcher
 	replica   *replica.Replica
 	core      *core.Core
@@ -125,11 +148,11 @@
 	return fallback
 }
 
-func build(world World, role string, values *settings.Values, log events.Log) (*process, error) {
+func build(world World, role, name string, values *settings.Values, log events.Log) (*process, error) {
 	clock := kernel.Steady(world.Clock)
-	p := &process{role: role, values: values, clock: clock, log: log, edge: world.Edge, listen: world.Listen}
+	p := &process{role: role, values: values, clock: clock, log: log, edge: world.Edge, listen: world.Listen, replaced: make(chan struct{}, 1)}
 	p.base = &wire.Process{
-		Name: values.String("name"), Region: values.String("region"), Zone: values.String("zone"),
+		Name: name, Region: values.String("region"), Zone: values.String("zone"),
 		Address:       or(values.String("advertise.internal"), values.String("listen.internal")),
 		CallerAddress: or(values.String("advertise.caller"), values.String("listen.caller")),
 		Core:          role == RoleCore, Front: role == RoleFront || values.Bool("core.front"),
@@ -233,7 +256,7 @@
 	}
 	p.replica = replica.New(replica.Config{
 		Self: p.base.Name, Voters: p.values.Int("core.voters"), FirstSheet: first,
-		SnapshotRecords: p.values.Int("snapshot.records"),
+		SnapshotRecords: p.values.Int("snapshot.records"), Replaced: p.wasReplaced,
 	}, replica.OnDisk(disk), p.directory, p.clock, p.log)
 	p.core = core.New(core.Config{
 		Self: p.base.Name, Incarnation: p.base.Incarnation, GrantTTL: p.values.Duration("grant.ttl"),
@@ -308,6 +331,7 @@
 	}
 	if p.replica != nil {
 		own.Standing, own.Formation, own.Voters = p.replica.Standing(), p.replica.Formation(), p.replica.Voters()
+		own.DiskLife = p.replica.Life()
 	}
 	if p.front != nil {
 		fault := p.ready()
@@ -428,6 +452,11 @@
 	case <-ctx.Done():
 	case err := <-done:
 		return errors.Wrap(err, "supervisor ended")
+	case <-p.replaced:
+		stop()
+		<-done
+		p.pool.CloseIdle()
+		return errReplaced
 	}
 	p.handOver()
 	stop()
@@ -437,6 +466,14 @@
 	return nil
 }
 
+// wasReplaced notes that another process holds this core's place.
+func (p *process) wasReplaced() {
+	select {
+	case p.replaced <- struct{}{}:
+	default:
+	}
+}
+
 // addTraffic adds the parts that carry traffic: the process's own API, or what
 // comes through an edge.
 func (p *process) addTraffic(supervisor *suture.Supervisor) {
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 
 	"stepwick/internal/core/ballot"
 	"stepwick/internal/core/sheet"
@@ -50,7 +51,11 @@
 			wait = soon
 			r.enter(ctx, state)
 		default:
-			target, top, count := r.readAll(ctx, state)
+			target, top, count, life := r.readAll(ctx, state)
+			if life > state.Life() {
+				r.replaced(fmt.Sprintf("another process has the name in disk life %d, later than %d here", life, state.Life()))
+				return
+			}
 			r.reached.Store(count >= state.Majority())
 			if now := count >= state.Majority(); now != heard && (now || r.clock.Now().Sub(begun) >= startGrace) && ctx.Err() == nil {
 				heard = now
@@ -105,10 +110,19 @@
 	}
 }
 
-// readAll asks every voter how far it is. It waits for all of them or the
-// calls' timeout, but no longer than a moment once a majority has answered.
-func (r *Replica) readAll(ctx kernel.Context, state ballot.State) (target uint64, top tip, heard int) {
-	req := &wire.ReadRequest{Formation: state.Formation}
+// replaced tells that this core has no place in the formation any more.
+func (r *Replica) replaced(why string) {
+	r.events.Emit(events.CoreReplaced, "core", r.cfg.Self, "why", why)
+	if r.cfg.Replaced != nil {
+		r.cfg.Replaced()
+	}
+}
+
+// readAll asks every voter how far it is, and which disk life of this core it
+// knows. It waits for all of them or the calls' timeout, but no longer than a
+// moment once a majority has answered.
+func (r *Replica) readAll(ctx kernel.Context, state ballot.State) (target uint64, top tip, heard int, life uint64) {
+	req := &wire.ReadRequest{Formation: state.Formation, Core: r.cfg.Self}
 	answers := gather(ctx, r, state.Voters, r.cfg.CallTimeout, state.Majority(), func(ctx kernel.Context, core string) (*wire.ReadResponse, error) {
 		return call(ctx, r, core, req, r.Read, wireconnect.PeerClient.Read)
 	})
@@ -117,12 +131,13 @@
 			continue
 		}
 		heard++
+		life = max(life, resp.Life)
 		target = max(target, resp.Learned, resp.Highest)
 		if resp.Learned > top.learned {
 			top = tip{core: core, learned: resp.Learned}
 		}
 	}
-	return target, top, heard
+	return target, top, heard, life
 }
 
 // gather calls several cores at once. Enough answers end the wait early, after
@@ -224,6 +239,10 @@
 			r.join(ctx, record, fmt.Sprintf("joins the formation %s", resp.Formation))
 			return
 		}
+		if resp.Ok && len(resp.Voters) > 0 && !slices.Contains(resp.Voters, r.cfg.Self) && state.Formation == "" {
+			r.replaced("the formation " + resp.Formation + " has other cores")
+			return
+		}
 	}
 	if _, ok := state.Establish("", r.cfg.Voters, present, 0, nil); !ok {
 		r.waits(ctx, events.FormationWaits, fmt.Sprintf("a first formation of %d blank cores; %d others are known", r.cfg.Voters, len(cores)))
--- a/internal/node/replica/owner.go
+++ b/internal/node/replica/owner.go
@@ -270,7 +270,7 @@
 }
 
 func (o *owner) view() view {
-	return view{state: o.sheet, recent: slices.Clip(o.recent), formation: o.state.Formation, voters: o.state.Voters, standing: o.state.Standing()}
+	return view{state: o.sheet, recent: slices.Clip(o.recent), formation: o.state.Formation, voters: o.state.Voters, life: o.state.Life(), standing: o.state.Standing()}
 }
 
 // standing puts the present state of the disk into a view.
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -33,6 +33,10 @@
 	EntryTimeout    kernel.Duration // of one call in a recovery, which waits for slow disks; 10s
 	Interval        kernel.Duration // between two looks at the other cores; 500ms
 	Seed            uint64          // of the random waits; 0 is drawn from the name
+	// Replaced is told, perhaps more than once, that another process holds this
+	// core's name in a later disk life, or that the formation has no place for
+	// it; may be nil.
+	Replaced func()
 }
 
 func (c Config) withDefaults() Config {
@@ -112,6 +116,7 @@
 	standing  wire.Standing
 	formation string
 	voters    []string
+	life      uint64
 	waiting   string
 	changed   chan struct{}
 }
@@ -220,6 +225,9 @@
 // Voters are the sorted names of the formation's cores.
 func (r *Replica) Voters() []string { return r.view.Load().voters }
 
+// Life is the core's disk life while it votes, zero otherwise.
+func (r *Replica) Life() uint64 { return r.view.Load().life }
+
 // Ready returns nil when the core votes, and else why it does not, as a fault
 // with CoreBlank, CoreAmnesiac, DiskFull or Internal.
 func (r *Replica) Ready() *kernel.Fault {
@@ -387,7 +395,7 @@
 	if err != nil {
 		return sheet.State{}, err
 	}
-	target, tip, heard := r.readAll(ctx, state)
+	target, tip, heard, _ := r.readAll(ctx, state)
 	if heard < state.Majority() {
 		return sheet.State{}, kernel.Decline(kernel.NoMajority, "%d of %d cores answered", heard, len(state.Voters))
 	}
