--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -38,6 +39,7 @@
 	headerMax  int64
 	asks       chan *exchange
 	gone       chan struct{} // closed when the reader has ended
+	silent     func() // told when the far machine stopped to acknowledge at rest
 	once       sync.Once
 	restsUntil kernel.Time
 }
@@ -59,9 +61,9 @@
 	return &exchange{method: request.Method, matches: request.Matches, result: make(chan result, 1), next: make(chan bool, 1)}
 }
 
-func newConn(raw net.Conn, headerMax int64) *conn {
+func newConn(raw net.Conn, headerMax int64, silent func()) *conn {
 	bounded := &io.LimitedReader{R: raw, N: headerMax}
-	c := &conn{raw: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readerSize), headerMax: headerMax,
+	c := &conn{raw: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readerSize), headerMax: headerMax, silent: silent,
 		asks: make(chan *exchange, 1), gone: make(chan struct{})}
 	go c.read()
 	return c
@@ -92,6 +94,9 @@
 				return
 			}
 		default:
+			if errors.Is(err, syscall.ETIMEDOUT) {
+				c.silent()
+			}
 			return
 		}
 	}
@@ -101,7 +106,11 @@
 // body was read. It tells whether the connection may go on.
 func (c *conn) answer(ex *exchange, err error) bool {
 	if err != nil {
-		ex.result <- result{failure: &Failure{Kind: Lost, Sent: true, Cause: errNoAnswer}}
+		kind := Lost
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			kind = Silent
+		}
+		ex.result <- result{failure: &Failure{Kind: kind, Sent: true, Cause: errNoAnswer}}
 		return false
 	}
 	response, failure := c.header(ex)
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -28,6 +28,9 @@
 	// server did not say; default 400ms.
 	IdleFor kernel.Duration
 	Clock   kernel.Clock // default the machine's
+	// Silent is told the name of a server whose machine stopped to acknowledge
+	// while a connection to it rested; may be nil.
+	Silent func(server string)
 }
 
 func (c Config) withDefaults() Config {
@@ -64,6 +67,7 @@
 	Lost      Kind = "lost"      // the connection ended without an answer
 	Garbled   Kind = "garbled"   // what came is no answer, or another request's
 	Cut       Kind = "cut"       // the answer's body ended early
+	Silent    Kind = "silent"    // the server's machine acknowledges nothing
 )
 
 // Failure is what became of an attempt without a whole answer. Sent tells
@@ -219,13 +223,30 @@
 	raw, err := c.config.Dial(bound, "tcp", server.Address)
 	switch {
 	case err == nil:
-		return newConn(raw, c.config.HeaderMax), nil
+		return newConn(raw, c.config.HeaderMax, func() { c.silent(server.Name) }), nil
 	case ctx.Err() != nil:
 		return nil, &Failure{Kind: Withdrawn, Cause: ctx.Err()}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, &Failure{Kind: Refused, Cause: err}
 	}
-	return nil, &Failure{Kind: Unsent, Cause: err}
+	return nil, &Failure{Kind: Silent, Cause: err}
+}
+
+func (c *Client) silent(server string) {
+	if c.config.Silent != nil {
+		c.config.Silent(server)
+	}
+}
+
+// Warm opens a connection to a server and keeps it for a request to come.
+func (c *Client) Warm(ctx kernel.Context, server Server) *Failure {
+	fresh, failure := c.connect(ctx, server)
+	if failure != nil {
+		return failure
+	}
+	fresh.restsUntil = c.config.Clock.Now().Add(c.config.IdleFor)
+	c.endpoint(server).rest(fresh)
+	return nil
 }
 
 // attempt sends a request over a connection. Unsent means that the connection
@@ -259,8 +280,11 @@
 
 // sent returns the failure of an attempt of which something was written.
 func sent(ctx kernel.Context, kind Kind, err error) *Failure {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return &Failure{Kind: Withdrawn, Sent: true, Cause: ctx.Err()}
+	case errors.Is(err, syscall.ETIMEDOUT):
+		kind = Silent
 	}
 	return &Failure{Kind: kind, Sent: true, Cause: err}
 }
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -16,6 +16,8 @@
 	perRequestCost = 4
 	// hungCost keeps requests from a server that is silent while there is any other.
 	hungCost = 5000
+	// doubtCost is added for each failure of late.
+	doubtCost = 200
 	// readAgainWeight is how much more it costs to read a shared part of a prompt
 	// once more than the time of reading it: the part pushes others out.
 	readAgainWeight = 3
@@ -36,9 +38,12 @@
 	case s.status.Zone != t.config.Zone:
 		cost += crossZoneCost
 	}
-	if s.hung(now) {
+	if t.hung(s, now) {
 		cost += hungCost
 	}
+	if now.Before(s.doubted) {
+		cost += doubtCost * s.doubts
+	}
 	return cost + tieSpread*t.tie(s, request)
 }
 
@@ -82,9 +87,33 @@
 // through the times to the first event over the tokens read. Old samples fade.
 type speed struct {
 	weight, tokens, time, square, product float64
+	typical                               float64 // milliseconds to the first byte
+}
+
+// note takes in how long an answer took to begin.
+func (s *speed) note(took kernel.Duration) {
+	ms := float64(took) / float64(kernel.Millisecond)
+	if s.typical == 0 {
+		s.typical = ms
+		return
+	}
+	s.typical += (ms - s.typical) * typicalShare
+}
+
+// expected returns how long an answer takes to begin at a server that has so
+// many tokens to read.
+func (s *speed) expected(tokens float64) kernel.Duration {
+	typical := s.typical
+	if typical == 0 {
+		typical = typicalDefault
+	}
+	return kernel.Duration((typical + tokens*s.perToken()) * float64(kernel.Millisecond))
 }
 
 const (
+	typicalShare   = 0.05
+	typicalDefault = 200
+
 	speedFade    = 0.98
 	speedLeast   = 20    // samples until the line is believed
 	speedDefault = 0.01  // ms a token until then
--- a/internal/core/balance/server.go
+++ b/internal/core/balance/server.go
@@ -13,10 +13,16 @@
 const (
 	// failuresToEject in a row rest a server; a refused connection does at once.
 	failuresToEject = 2
-	// hungAfter is how long the oldest request at a server may wait for the
-	// beginning of its answer, with no other sign of life from the server, until
-	// new requests prefer others.
-	hungAfter = 1500 * kernel.Millisecond
+	// A server that has given no sign of life since its oldest request was sent
+	// is hung when that has waited hungFactor times as long as it is expected to,
+	// and hungLeast more.
+	hungFactor = 2
+	hungLeast  = 250 * kernel.Millisecond
+	// A server that failed a request costs more for doubtFor, and as much longer
+	// for each further one; an answer takes doubtHeals of one failure back.
+	doubtFor   = 2 * kernel.Second
+	doubtMost  = 5
+	doubtHeals = 0.25
 )
 
 // server is what one node knows of one server.
@@ -32,6 +38,8 @@
 	backlog  float64    // prompt tokens of those
 	heard    kernel.Time
 
+	doubts    float64 // failures of late
+	doubted   kernel.Time
 	failures  int
 	ejections int
 	until     kernel.Time // rests until then
@@ -49,6 +57,9 @@
 	ended   bool
 }
 
+// Server returns the name of the attempt's server.
+func (a *Attempt) Server() string { return a.server.name }
+
 func newServer(name string) *server { return &server{name: name, hash: xxhash.Sum64String(name)} }
 
 func (t *Table) learn(s *server, status *wire.ServerStatus, now kernel.Time) {
@@ -119,13 +130,20 @@
 	s.leaveWaiting(a)
 	s.probing = false
 	switch {
+	case outcome.Erred:
+		s.heard = now
+		s.doubt(now)
+		s.failures, s.ejections = 0, 0
+		s.until = kernel.Time{}
 	case outcome.OK, outcome.Rejected:
 		s.heard = now
+		s.doubts = max(0, s.doubts-doubtHeals)
 		s.failures, s.ejections = 0, 0
 		s.until = kernel.Time{}
-	case outcome.Refused:
+	case outcome.Refused, outcome.Silent:
 		s.eject(now, config)
 	case outcome.Failed:
+		s.doubt(now)
 		s.failures++
 		if s.failures >= failuresToEject || s.ejections > 0 {
 			s.eject(now, config)
@@ -142,11 +160,21 @@
 	s.failures = 0
 }
 
+// doubt notes that a server failed a request.
+func (s *server) doubt(now kernel.Time) {
+	s.doubts = min(s.doubts+1, doubtMost)
+	s.doubted = now.Add(kernel.Duration(s.doubts * float64(doubtFor)))
+}
+
 // hung tells whether a server has long been silent on what it was sent.
-func (s *server) hung(now kernel.Time) bool {
+func (t *Table) hung(s *server, now kernel.Time) bool {
 	if len(s.waiting) == 0 {
 		return false
 	}
-	oldest := s.waiting[0].began
-	return now.Sub(oldest) >= hungAfter && now.Sub(s.heard) >= hungAfter
+	oldest := s.waiting[0]
+	if s.heard.After(oldest.began) {
+		return false
+	}
+	expected := t.speed(oldest.service).expected(s.backlog)
+	return now.Sub(oldest.began) >= hungFactor*expected+hungLeast
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -86,10 +86,12 @@
 
 // Outcome is how an attempt ended.
 type Outcome struct {
-	OK       bool // the server answered, whatever its status
+	OK       bool // the server answered as it should
+	Erred    bool // the server answered that it failed
 	Rejected bool // the server said that it did not run the request
-	Refused  bool // the connection was refused
+	Refused  bool // the connection was refused, or another server has the address
 	Failed   bool // no answer, or none that is whole
+	Silent   bool // the server's machine acknowledged nothing, and no connection came up
 }
 
 // Table is the balancing state of one node. It has one owner.
@@ -240,11 +242,46 @@
 	}
 	a.begun = true
 	a.server.begun(a, now)
+	t.speed(a.service).note(now.Sub(a.began))
 	if a.alone {
 		t.speed(a.service).learn(a.reads, now.Sub(a.began))
 	}
 }
 
+// Silent rests a server whose machine no longer acknowledges what is sent.
+func (t *Table) Silent(name string, now kernel.Time) {
+	if s := t.servers[name]; s != nil {
+		s.eject(now, t.config)
+	}
+}
+
+// Resting tells whether a server rests after it failed.
+func (t *Table) Resting(name string, now kernel.Time) bool {
+	s := t.servers[name]
+	return s != nil && now.Before(s.until)
+}
+
+// Hung returns the servers that are silent on what they were sent, with their
+// addresses.
+func (t *Table) Hung(now kernel.Time) map[string]string {
+	var hung map[string]string
+	for name, s := range t.servers {
+		if s.excluded == "" && t.hung(s, now) {
+			if hung == nil {
+				hung = map[string]string{}
+			}
+			hung[name] = s.status.Address
+		}
+	}
+	return hung
+}
+
+// HeardSince tells whether a server has answered this node after an instant.
+func (t *Table) HeardSince(name string, since kernel.Time) bool {
+	s := t.servers[name]
+	return s != nil && s.heard.After(since)
+}
+
 // Finished ends an attempt.
 func (t *Table) Finished(a *Attempt, outcome Outcome, now kernel.Time) {
 	if a == nil || a.ended {
--- a/internal/core/merge/fold.go
+++ b/internal/core/merge/fold.go
@@ -84,7 +84,7 @@
 
 func fold(name string, sightings map[string]sighting, fresh int64) *wire.ServerStatus {
 	listed := counting(sightings, Listed, fresh)
-	own := counting(sightings, Own, fresh)
+	own := outlived(counting(sightings, Own, fresh), listed, fresh)
 	place := identity(listed, own)
 	if place == nil {
 		return nil
@@ -154,6 +154,18 @@
 	return all
 }
 
+// outlived drops the word that a server is silent once the list has been seen
+// so much later that whoever said so would have said it again.
+func outlived(own, listed []sighting, fresh int64) []sighting {
+	if len(listed) == 0 {
+		return own
+	}
+	return slices.DeleteFunc(own, func(s sighting) bool {
+		silent := !s.report.Status.Reachable && s.report.Status.State == wire.ServerState_SERVER_STATE_UNSPECIFIED
+		return silent && s.at < listed[0].at-fresh
+	})
+}
+
 func identity(listed, own []sighting) *wire.ServerStatus {
 	for _, sights := range [][]sighting{listed, own} {
 		for _, s := range sights {
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -99,6 +99,7 @@
 	q.runs++
 	fault, again = p.pass(answer, given.attempt)
 	outcome.OK, outcome.Failed = fault == nil, fault != nil && ctx.Err() == nil && !p.clientGone
+	outcome.Erred = outcome.OK && answer.Status >= http.StatusInternalServerError
 	if again {
 		q.exclude(given.server)
 		again = q.mayRepeat()
@@ -131,6 +132,7 @@
 // failed decides on an attempt without an answer.
 func (q *request) failed(ctx kernel.Context, server upstream.Server, failure *upstream.Failure, outcome *balance.Outcome) (fault *kernel.Fault, again bool) {
 	outcome.Refused = failure.Kind == upstream.Refused
+	outcome.Silent = failure.Kind == upstream.Silent
 	outcome.Failed = failure.Kind == upstream.Unsent || failure.Kind == upstream.Lost || failure.Kind == upstream.Garbled
 	if failure.Sent {
 		q.runs++
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -31,6 +31,9 @@
 	seen    *follow.View
 	waiting []*ticket // the most urgent first, then the oldest
 	count   uint64
+
+	suspects  *suspects
+	suspected map[string]bool // servers that were told to be silent
 }
 
 // ticket is a request that asks for a server. Its grant is written once.
@@ -57,10 +60,11 @@
 	began   bool
 	outcome balance.Outcome
 	leaves  *ticket
+	silent  string // a server whose machine stopped to acknowledge
 }
 
-func newDispatcher(table *balance.Table, views Views, clock kernel.Clock, log events.Log, client *upstream.Client) *dispatcher {
-	return &dispatcher{table: table, views: views, clock: clock, log: log, client: client,
+func newDispatcher(table *balance.Table, views Views, clock kernel.Clock, log events.Log, client *upstream.Client, suspects *suspects) *dispatcher {
+	return &dispatcher{suspects: suspects, suspected: map[string]bool{}, table: table, views: views, clock: clock, log: log, client: client,
 		asks: stage.NewQueue[*ticket](askBound), moves: stage.NewQueue[move](moveBound), over: make(chan struct{})}
 }
 
@@ -88,6 +92,9 @@
 	d.move(move{attempt: attempt, outcome: outcome})
 }
 
+// silent tells that a server's machine stopped to acknowledge.
+func (d *dispatcher) silent(server string) { d.move(move{silent: server}) }
+
 func (d *dispatcher) move(m move) {
 	select {
 	case d.moves.In() <- m:
@@ -102,6 +109,8 @@
 			close(d.over)
 		}
 	}()
+	suspicion := d.clock.Ticker(suspectEvery)
+	defer suspicion.Stop()
 	for {
 		changed := d.views.Changed()
 		d.look()
@@ -123,6 +132,8 @@
 			d.serveWaiting()
 		case <-wake:
 			d.serveWaiting()
+		case <-suspicion.C():
+			d.suspect()
 		}
 		stop()
 	}
@@ -153,6 +164,41 @@
 	}
 }
 
+const (
+	suspectEvery = 100 * kernel.Millisecond
+	// heardOfLate is how recent an answer must be to stand against another node's
+	// word that its server is silent.
+	heardOfLate = 400 * kernel.Millisecond
+)
+
+// suspect tells of servers that have become silent on what this node sent them,
+// of those that answer it again, and of those that others call silent and that
+// have just answered this node.
+func (d *dispatcher) suspect() {
+	now := d.clock.Now()
+	hung := d.table.Hung(now)
+	for name, address := range hung {
+		if !d.suspected[name] {
+			d.suspected[name] = true
+			d.suspects.note(upstream.Server{Name: name, Address: address}, false)
+		}
+	}
+	for name := range d.suspected {
+		if _, still := hung[name]; still {
+			continue
+		}
+		delete(d.suspected, name)
+		if d.table.HeardSince(name, now.Add(-heardOfLate)) {
+			d.suspects.note(upstream.Server{Name: name}, true)
+		}
+	}
+	for name, status := range d.seen.Servers {
+		if !status.Reachable && hung[name] == "" && d.table.HeardSince(name, now.Add(-heardOfLate)) {
+			d.suspects.note(upstream.Server{Name: name}, true)
+		}
+	}
+}
+
 func (d *dispatcher) take(t *ticket) {
 	now := d.clock.Now()
 	if t.first {
@@ -212,13 +258,36 @@
 	switch {
 	case m.leaves != nil:
 		d.leave(m.leaves, now)
+	case m.silent != "":
+		d.silenced(m.silent, now)
 	case m.began:
 		d.table.Began(m.attempt, now)
 	default:
 		d.table.Finished(m.attempt, m.outcome, now)
+		switch {
+		case m.outcome.Silent:
+			d.silenced(m.attempt.Server(), now)
+		case m.outcome.Refused:
+			d.drop(m.attempt.Server())
+		}
 	}
 }
 
+// silenced rests a server whose machine stopped to acknowledge, and tells so.
+func (d *dispatcher) silenced(server string, now kernel.Time) {
+	d.table.Silent(server, now)
+	d.drop(server)
+	if status := d.seen.Servers[server]; status != nil && !d.suspected[server] {
+		d.suspects.note(upstream.Server{Name: server, Address: status.Address}, false)
+	}
+}
+
+// drop closes the connections to a server that rest: they may be dead, and the
+// next request finds out whether it is back on a fresh one, before it is sent.
+func (d *dispatcher) drop(server string) {
+	d.client.Forget(func(name string) bool { return name != server })
+}
+
 func (d *dispatcher) leave(t *ticket, now kernel.Time) {
 	if at := slices.Index(d.waiting, t); at >= 0 {
 		d.waiting = slices.Delete(d.waiting, at, at+1)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -38,7 +38,10 @@
 	PlainTokens   float64         // of a request that names no tokens; 50
 	DeadlineMost  kernel.Duration // of a request that names none; 120 s
 	Linger        Linger
-	Connections   int // from clients at once; 4096
+	// Observe takes what requests show of a server: that it answers, or that it
+	// is silent; may be nil.
+	Observe     func(ctx kernel.Context, server string, reachable bool)
+	Connections int // from clients at once; 4096
 }
 
 // Linger is how a gateway that is taken away goes on for a while, since
@@ -94,6 +97,7 @@
 	log      events.Log
 	client   *upstream.Client
 	dispatch *dispatcher
+	suspects *suspects
 	metrics  *metrics
 	bodies   *stage.Budget
 
@@ -108,13 +112,17 @@
 func New(config Config, dialect port.Dialect, views Views, admitter Admitter, clock kernel.Clock, log events.Log, registry prometheus.Registerer) (*Gateway, error) {
 	config = config.withDefaults()
 	config.Upstream.Clock = clock
+	var g *Gateway
+	config.Upstream.Silent = func(server string) { g.dispatch.silent(server) }
 	metrics, err := newMetrics(registry)
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{config: config, dialect: dialect, views: views, admitter: admitter, clock: clock, log: log,
-		client: upstream.New(config.Upstream), metrics: metrics, bodies: stage.NewBudget(config.BodiesMax), started: clock.Now()}
-	g.dispatch = newDispatcher(balance.New(config.Balance), views, clock, log, g.client)
+	g = &Gateway{config: config, dialect: dialect, views: views, admitter: admitter, clock: clock, log: log,
+		metrics: metrics, bodies: stage.NewBudget(config.BodiesMax), started: clock.Now()}
+	g.client = upstream.New(config.Upstream)
+	g.suspects = newSuspects(config.Observe, clock, g.client)
+	g.dispatch = newDispatcher(balance.New(config.Balance), views, clock, log, g.client, g.suspects)
 	return g, nil
 }
 
@@ -126,6 +134,7 @@
 		}
 	}})
 	supervisor.Add(g.dispatch)
+	supervisor.Add(g.suspects)
 	defer g.client.Close()
 	return supervisor.Serve(ctx)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -15,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/sys/unix"
 
 	"stepwick/internal/adapter/backend"
 	"stepwick/internal/adapter/clientapi"
@@ -56,6 +58,9 @@
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx kernel.Context, network, address string) (net.Conn, error)
 	Edge   Edge // nil for the process's own listeners
+
+	// DialServer opens connections to the servers of routes; Dial when nil.
+	DialServer func(ctx kernel.Context, network, address string) (net.Conn, error)
 }
 
 // Run runs a process of a role on this machine until the context ends; then it
@@ -64,6 +69,13 @@
 	return RunAt(ctx, nil, role, values, log)
 }
 
+func (w World) serverDial() func(ctx kernel.Context, network, address string) (net.Conn, error) {
+	if w.DialServer != nil {
+		return w.DialServer
+	}
+	return w.Dial
+}
+
 // RunAt is Run on a platform that an edge speaks to; without one the process
 // has its own listeners.
 func RunAt(ctx kernel.Context, edge Edge, role string, values *settings.Values, log events.Log) error {
@@ -81,9 +93,36 @@
 		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		Dial:   dialer.DialContext,
 		Edge:   edge,
+
+		DialServer: serverDialer(dialer).DialContext,
 	}, role, values, log)
 }
 
+const (
+	// serverSilence is how long the machine of a server may leave bytes or a probe
+	// of a resting connection without acknowledgement.
+	serverSilence = 1200 * kernel.Millisecond
+	serverProbes  = kernel.Second // between two probes of a connection that rests
+)
+
+// serverDialer dials like another dialer, but finds out soon when the machine
+// at the far end is gone without a word.
+func serverDialer(base *net.Dialer) *net.Dialer {
+	dialer := *base
+	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: serverProbes, Interval: serverProbes, Count: 1}
+	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(serverSilence.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+	return &dialer
+}
+
 // RunIn is Run in a given world.
 func RunIn(ctx kernel.Context, world World, role string, values *settings.Values, log events.Log) error {
 	for {
@@ -231,10 +270,11 @@
 			RetryRatio: p.values.Float("retry.budget"), RetryWindow: p.values.Duration("retry.window"), RetrySlack: p.values.Float("retry.slack"),
 			ColdOverage: p.values.Float("cold.overage"), ColdSlack: p.values.Float("cold.slack"),
 		},
-		Upstream: upstream.Config{Dial: world.Dial, ConnectTimeout: p.values.Duration("connect.timeout")},
+		Upstream: upstream.Config{Dial: world.serverDial(), ConnectTimeout: p.values.Duration("connect.timeout")},
 		BodyMax:  int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
 		HeaderTimeout: p.values.Duration("body.timeout"), BodyTimeout: p.values.Duration("body.timeout"),
 		PlainTokens: p.values.Float("plain_tokens"), DeadlineMost: p.values.Duration("deadline.max"),
+		Observe: func(ctx kernel.Context, server string, reachable bool) { p.watcher.Observe(ctx, server, reachable) },
 	}, world.Edge.Dialect(), p.follower, p.spend, p.clock, p.log, registry)
 	return err
 }
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -79,17 +79,19 @@
 
 	counter uint64
 	results chan func()
-	busy    int
-	listing bool
-	failing bool
-	missing map[string]int
-	sights  map[sightKey]*sight
-	polls   map[string]*poll
-	waiting []string
-	outbox  map[string]*outbox
-	listAt  kernel.Time
-	pollAt  kernel.Time
-	size    int
+	// observed are steps that other parts of the node hand in.
+	observed chan func()
+	busy     int
+	listing  bool
+	failing  bool
+	missing  map[string]int
+	sights   map[sightKey]*sight
+	polls    map[string]*poll
+	waiting  []string
+	outbox   map[string]*outbox
+	listAt   kernel.Time
+	pollAt   kernel.Time
+	size     int
 }
 
 type sightKey struct {
@@ -128,7 +130,7 @@
 func New(cfg Config, source port.ServerSource, peers port.Peers, clock kernel.Clock, view func() View, report func(*wire.Report), fleetNow func() kernel.Time, log events.Log) *Watcher {
 	cfg = cfg.orDefaults()
 	return &Watcher{cfg: cfg, source: source, peers: peers, clock: clock, view: view, report: report, fleetNow: fleetNow,
-		log: log, results: make(chan func(), cfg.Workers+8), missing: map[string]int{},
+		log: log, results: make(chan func(), cfg.Workers+8), observed: make(chan func(), 64), missing: map[string]int{},
 		sights: map[sightKey]*sight{}, polls: map[string]*poll{}, outbox: map[string]*outbox{}}
 }
 
@@ -154,10 +156,24 @@
 		case <-ticker.C():
 		case done := <-w.results:
 			done()
+		case step := <-w.observed:
+			step()
 		}
 	}
 }
 
+// Observe reports what this node's own requests show of a server: that it
+// answers, or that it is silent. It waits for the owner, but not longer than
+// the context.
+func (w *Watcher) Observe(ctx kernel.Context, server string, reachable bool) {
+	at := w.fleetNow()
+	step := func() { w.see(merge.Own, &wire.ServerStatus{Name: server, Reachable: reachable}, at) }
+	select {
+	case w.observed <- step:
+	case <-ctx.Done():
+	}
+}
+
 // String names the service for its supervisor.
 func (w *Watcher) String() string { return "watch" }
 
