--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -36,6 +36,17 @@
 func (b *behindEdge) Fronts() []*wire.Process { return b.process.follower.View().Fronts }
 func (b *behindEdge) Status() any             { return b.process.status() }
 
+// Lost returns the fronts that are silent without being known to be gone.
+func (b *behindEdge) Lost() []*wire.Process {
+	var lost []*wire.Process
+	for _, name := range b.process.follower.View().Silent {
+		if process, known := b.process.directory.Process(name); known {
+			lost = append(lost, process)
+		}
+	}
+	return lost
+}
+
 // SetSeeds names other seeds than the process was started with.
 func (b *behindEdge) SetSeeds(ctx kernel.Context, seeds []string) {
 	b.process.directory.SetSeeds(ctx, seeds)
--- a/internal/port/ingress.go
+++ b/internal/port/ingress.go
@@ -68,6 +68,9 @@
 	// Fronts returns the processes that carry traffic, as this one knows them:
 	// neither leaving nor known to be gone.
 	Fronts() []*wire.Process
+	// Lost returns the processes that carried traffic when this one last heard
+	// of them, and are silent now without being known to be gone.
+	Lost() []*wire.Process
 	// Order hands an operator's call to a core; see wire.OrderRequest.
 	Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error)
 	// SetSeeds names other seeds than the process was started with.
