--- a/internal/adapter/upstream/answer.go
+++ b/internal/adapter/upstream/answer.go
@@ -34,6 +34,12 @@
 // before its end.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
+// Framed tells whether the answer itself says where its body ends, by a length
+// or by chunks; else it ends with its connection.
+func (a *Answer) Framed() bool {
+	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+}
+
 // Read reads the body. io.EOF means that the body is whole; any other error is
 // a *Failure.
 func (a *Answer) Read(into []byte) (int, error) {
--- /dev/null
+++ b/internal/core/balance/table_test.go
@@ -0,0 +1,259 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) kernel.Time { return start.Add(kernel.Duration(ms) * kernel.Millisecond) }
+
+// fleet is a view of n servers of the service pool, by turns in two regions.
+func fleet(n int, service sheet.Service, fronts ...string) View {
+	service.Kind = sheet.KindHTTP
+	view := View{State: sheet.State{Epoch: 1, Sheet: &sheet.Sheet{Services: map[string]sheet.Service{"pool": service}}},
+		Servers: map[string]*wire.ServerStatus{}, Fronts: fronts, FleetNow: start}
+	for i := range n {
+		name := fmt.Sprintf("s%d", i)
+		view.Servers[name] = &wire.ServerStatus{Name: name, Address: "10.0.0.1:80", Services: []string{"pool"}, Reachable: true,
+			State: wire.ServerState_SERVER_STATE_READY, Region: []string{"north", "south"}[i%2], Zone: "z"}
+	}
+	return view
+}
+
+func table(view View, config Config) *Table {
+	if config.Self == "" {
+		config.Self = "f0"
+	}
+	config.Region, config.Zone = "north", "z"
+	t := New(config)
+	t.Update(view, start)
+	return t
+}
+
+// ask is a request of 500 tokens of its own, beside 5000 of a shared prompt
+// where it has one.
+func ask(id string, shared uint64) *Request {
+	request := &Request{ID: id, Service: "pool", Affinity: shared, Own: 500, Until: at(1000)}
+	if shared != 0 {
+		request.Shared = 5000
+	}
+	return request
+}
+
+func TestChoice(t *testing.T) {
+	Convey("All nodes send requests that share a prompt to the same server", t, func() {
+		for shared := uint64(1); shared < 50; shared++ {
+			one := table(fleet(10, sheet.Service{}), Config{Self: "f0"}).Choose(ask("a", shared), start)
+			other := table(fleet(10, sheet.Service{}), Config{Self: "f1"}).Choose(ask("b", shared), start)
+			So(one.Server, ShouldEqual, other.Server)
+		}
+	})
+	Convey("A server that leaves moves its own prompts only", t, func() {
+		full, less := fleet(10, sheet.Service{}), fleet(10, sheet.Service{})
+		delete(less.Servers, "s3")
+		for shared := uint64(1); shared < 100; shared++ {
+			before := table(full, Config{}).Choose(ask("a", shared), start).Server
+			after := table(less, Config{}).Choose(ask("a", shared), start).Server
+			if before != "s3" {
+				So(after, ShouldEqual, before)
+			}
+			So(after, ShouldNotEqual, "s3")
+		}
+	})
+	Convey("A holder with much to read is passed over for a server that has little", t, func() {
+		tab := table(fleet(10, sheet.Service{}), Config{})
+		holder := tab.Choose(ask("a", 7), start).Server
+		big := ask("big", 99)
+		big.Own = 60_000
+		tab.Started(holder, big, start)
+		So(tab.Choose(ask("b", 7), start).Server, ShouldNotEqual, holder)
+	})
+	Convey("Requests without a shared prompt stay in the region and spread over its servers", t, func() {
+		tab, used := table(fleet(10, sheet.Service{}), Config{}), map[string]int{}
+		for i := range 10 {
+			request := ask(fmt.Sprint(i), 0)
+			choice := tab.Choose(request, start)
+			tab.Started(choice.Server, request, start)
+			used[choice.Server]++
+		}
+		So(used, ShouldHaveLength, 5)
+		for _, count := range used {
+			So(count, ShouldEqual, 2)
+		}
+	})
+	Convey("Homes bind whatever the cost", t, func() {
+		tab := table(fleet(4, sheet.Service{}), Config{})
+		for i := range 20 {
+			request := ask(fmt.Sprint(i), uint64(i))
+			request.Regions = []string{"south"}
+			So(tab.Choose(request, start).Server, ShouldBeIn, "s1", "s3")
+		}
+		request := ask("x", 0)
+		request.Regions = []string{"west"}
+		So(tab.Choose(request, start).Fault.Code, ShouldEqual, kernel.NoServer)
+	})
+	Convey("Draining, evacuated and unreachable servers get nothing", t, func() {
+		view := fleet(4, sheet.Service{})
+		view.Servers["s0"].State = wire.ServerState_SERVER_STATE_DRAINING
+		view.Servers["s1"].Reachable = false
+		view.Servers["s2"].Zone = "empty"
+		view.State.Evacuated = map[string]uint64{"north/empty": 1}
+		tab := table(view, Config{})
+		for i := range 10 {
+			So(tab.Choose(ask(fmt.Sprint(i), uint64(i)), start).Server, ShouldEqual, "s3")
+		}
+	})
+}
+
+func TestFailures(t *testing.T) {
+	send := func(tab *Table, id string, now kernel.Time) *Attempt {
+		request := ask(id, 0)
+		choice := tab.Choose(request, now)
+		So(choice.Fault, ShouldBeNil)
+		return tab.Started(choice.Server, request, now)
+	}
+	Convey("A refused server rests, twice as long each time, until one request has found it back", t, func() {
+		tab := table(fleet(1, sheet.Service{}), Config{})
+		tab.Finished(send(tab, "a", start), Outcome{Refused: true}, start)
+		So(tab.Choose(ask("b", 0), at(999)).Wait, ShouldBeTrue)
+		tab.Finished(send(tab, "c", at(1000)), Outcome{Refused: true}, at(1000))
+		So(tab.Choose(ask("d", 0), at(2900)).Server, ShouldBeEmpty)
+		probe := send(tab, "e", at(3000))
+		So(tab.Choose(ask("f", 0), at(3000)).Server, ShouldBeEmpty)
+		tab.Finished(probe, Outcome{OK: true}, at(3010))
+		So(tab.Choose(ask("g", 0), at(3010)).Server, ShouldEqual, "s0")
+	})
+	Convey("A server that is silent on what it was sent is told as hung, and passed over", t, func() {
+		tab := table(fleet(2, sheet.Service{}), Config{})
+		first := send(tab, "a", start)
+		So(tab.Hung(at(100)), ShouldBeEmpty)
+		So(tab.Hung(at(2000)), ShouldContainKey, first.Server())
+		for i := range 5 {
+			So(tab.Choose(ask(fmt.Sprint(i), 0), at(2000)).Server, ShouldNotEqual, first.Server())
+		}
+		tab.Began(first, at(2001))
+		So(tab.Hung(at(4000)), ShouldBeEmpty)
+	})
+	Convey("A server that answers with errors costs more for a while", t, func() {
+		tab := table(fleet(4, sheet.Service{}), Config{})
+		a := send(tab, "a", start)
+		tab.Finished(a, Outcome{Erred: true}, start)
+		for i := range 10 {
+			So(tab.Choose(ask(fmt.Sprint(i), 0), at(500)).Server, ShouldNotEqual, a.Server())
+		}
+	})
+	Convey("A server tried before is out of the question", t, func() {
+		tab := table(fleet(2, sheet.Service{}), Config{RetrySlack: 100})
+		request := ask("a", 0)
+		request.Tried, request.Repeat = []string{"s0"}, true
+		So(tab.Choose(request, start).Server, ShouldEqual, "s1")
+	})
+}
+
+func TestBoundsOverTheFleet(t *testing.T) {
+	Convey("Connections to a server are parted among the nodes", t, func() {
+		tab := table(fleet(1, sheet.Service{MaxConnections: 12}, "f0", "f1", "f2", "f3"), Config{})
+		for i := range 3 {
+			request := ask(fmt.Sprint(i), 0)
+			So(tab.Choose(request, start).Server, ShouldEqual, "s0")
+			tab.Started("s0", request, start)
+		}
+		So(tab.Choose(ask("more", 0), start).Wait, ShouldBeTrue)
+		late := ask("late", 0)
+		late.Until = start
+		So(tab.Choose(late, start).Fault.Code, ShouldEqual, kernel.PendingFull)
+	})
+	Convey("All nodes together stay within what a cold server bears in any second", t, func() {
+		for _, nodes := range []int{1, 3, 9, 40} {
+			var names []string
+			for i := range nodes {
+				names = append(names, fmt.Sprintf("f%d", i))
+			}
+			var arrivals []int
+			for _, name := range names {
+				view := fleet(1, sheet.Service{ColdPerSecond: 17}, names...)
+				view.Servers["s0"].ColdUntilMs = at(5000).UnixMilli()
+				tab := table(view, Config{Self: name, ColdOverage: 1.5, ColdSlack: 5})
+				for ms := range 5000 {
+					request := ask(fmt.Sprint(ms), 0)
+					if tab.Choose(request, at(ms)).Server == "" {
+						continue
+					}
+					tab.Finished(tab.Started("s0", request, at(ms)), Outcome{OK: true}, at(ms))
+					arrivals = append(arrivals, ms)
+				}
+			}
+			perMS := make([]int, 6000)
+			for _, ms := range arrivals {
+				perMS[ms]++
+			}
+			most := 0
+			for from := range 4000 {
+				sum := 0
+				for _, n := range perMS[from : from+1000] {
+					sum += n
+				}
+				most = max(most, sum)
+			}
+			So(most, ShouldBeLessThanOrEqualTo, 17*1.5+5)
+			So(most, ShouldBeGreaterThan, 10)
+		}
+	})
+	Convey("A server that is no longer cold has no such bound", t, func() {
+		view := fleet(1, sheet.Service{ColdPerSecond: 1})
+		view.Servers["s0"].ColdUntilMs = at(100).UnixMilli()
+		tab := table(view, Config{})
+		for i := range 20 {
+			request := ask(fmt.Sprint(i), 0)
+			So(tab.Choose(request, at(100)).Server, ShouldEqual, "s0")
+			tab.Started("s0", request, at(100))
+		}
+	})
+	Convey("Repeats stay within their share of any window's requests and the node's part of the slack", t, func() {
+		tab := table(fleet(3, sheet.Service{}, "f0", "f1"), Config{RetryRatio: 0.2, RetrySlack: 10, RetryWindow: 10 * kernel.Second})
+		repeats := 0
+		for i := range 100 {
+			now := at(i * 50)
+			tab.Count("pool", now)
+			request := ask(fmt.Sprint(i), 0)
+			request.Tried, request.Repeat = []string{"s0"}, true
+			choice := tab.Choose(request, now)
+			if choice.Fault != nil {
+				So(choice.Fault.Code, ShouldEqual, kernel.BudgetSpent)
+				So(choice.Fault.RetryAfter, ShouldBeGreaterThan, 0)
+				continue
+			}
+			repeats++
+			tab.Finished(tab.Started(choice.Server, request, now), Outcome{OK: true}, now)
+		}
+		So(repeats, ShouldEqual, 25)
+	})
+}
+
+func TestSpeed(t *testing.T) {
+	Convey("The time to read a token is learned as the slope over many sizes", t, func() {
+		var s speed
+		for i := range 200 {
+			tokens := float64(500 + 37*i)
+			s.learn(tokens, kernel.Duration((50+0.02*tokens)*float64(kernel.Millisecond)))
+		}
+		So(s.perToken(), ShouldAlmostEqual, 0.02, 0.0005)
+	})
+	Convey("What is remembered of shared prompts is bounded", t, func() {
+		h := newHolders()
+		for key := range uint64(3 * holdersMost) {
+			h.note(key+1, "s0", at(int(key)))
+		}
+		So(len(h.places), ShouldBeLessThanOrEqualTo, holdersMost)
+		So(h.holds(3*holdersMost, "s0", at(3*holdersMost)), ShouldBeTrue)
+	})
+}
--- a/internal/core/sheet/sheet.go
+++ b/internal/core/sheet/sheet.go
@@ -79,7 +79,7 @@
 // are those that may change at run time. A sheet in a State is never changed.
 type Sheet struct {
 	Services map[string]Service            `json:"services"`
-	Weights  map[string]map[string]float64 `json:"weights"`
+	Weights  map[string]map[string]float64 `json:"weights,omitempty"`
 	Tenants  map[string]Tenant             `json:"tenants,omitempty"`
 	Settings map[string]string             `json:"settings,omitempty"`
 	Routes   map[string]Route              `json:"routes,omitempty"`
--- a/internal/node/gateway/answer.go
+++ b/internal/node/gateway/answer.go
@@ -18,6 +18,7 @@
 // servers may carry one after the other.
 type passage struct {
 	request    *request
+	ctx        kernel.Context // ends when the client leaves or the time is over
 	begun      bool   // something was written to the client
 	last       string // id of the last event that was passed on
 	clientGone bool
@@ -116,9 +117,8 @@
 			}
 		}
 		switch {
-		case err == io.EOF && events.rest() == 0:
-			p.open(answer)
-			return nil, false
+		case err == io.EOF && (answer.Framed() || len(events.rest()) == 0):
+			return p.finish(answer, events.rest()), false
 		case err == io.EOF:
 			return kernel.Decline(kernel.StreamCut, "the stream ended inside an event"), true
 		case err != nil:
@@ -127,6 +127,16 @@
 	}
 }
 
+// finish ends a stream that came whole, with what its server sent after the
+// last event.
+func (p *passage) finish(answer *upstream.Answer, rest []byte) *kernel.Fault {
+	p.open(answer)
+	if _, err := p.writer().Write(rest); err != nil {
+		return p.gone(err)
+	}
+	return nil
+}
+
 func (p *passage) events(answer *upstream.Answer, events *splitter, data []byte, control *http.ResponseController) *kernel.Fault {
 	whole := events.add(data)
 	if len(whole) == 0 {
@@ -185,7 +195,7 @@
 	if errors.As(err, &fault) {
 		return fault
 	}
-	return p.request.ended(p.request.http.Context(), kernel.Decline(kernel.BadAnswer, "%s", err))
+	return p.request.ended(p.ctx, kernel.Decline(kernel.BadAnswer, "%s", err))
 }
 
 func splitList(value string) []string {
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -22,7 +22,7 @@
 func (q *request) run() *kernel.Fault {
 	ctx, cancel := kernel.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
 	defer cancel()
-	p := &passage{request: q, last: q.call.LastEventID}
+	p := &passage{request: q, ctx: ctx, last: q.call.LastEventID}
 	var earlier *kernel.Fault
 	for first := true; ; first = false {
 		fault, again := q.attempt(ctx, p, first)
--- a/internal/node/gateway/splitter.go
+++ b/internal/node/gateway/splitter.go
@@ -26,8 +26,8 @@
 	return whole
 }
 
-// rest returns the number of bytes of an event that has not ended.
-func (s *splitter) rest() int { return len(s.held) }
+// rest returns the bytes of an event that has not ended.
+func (s *splitter) rest() []byte { return s.held }
 
 // lastBoundary returns the length of the whole events at the beginning of data.
 func lastBoundary(data []byte) int {
