--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -39,7 +39,7 @@
 	headerMax  int64
 	asks       chan *exchange
 	gone       chan struct{} // closed when the reader has ended
-	silent     func() // told when the far machine stopped to acknowledge at rest
+	silent     func()        // told when the far machine stopped to acknowledge at rest
 	once       sync.Once
 	restsUntil kernel.Time
 }
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"runtime/debug"
+
 	"github.com/go-kit/log"
 	"github.com/spf13/cobra"
 
@@ -45,6 +47,7 @@
 // Serve runs a process of a role, with a log on the app's standard error.
 func (a *App) Serve(ctx kernel.Context, role string, values *settings.Values,
 	node func(kernel.Context, string, *settings.Values, events.Log) error) error {
+	debug.SetGCPercent(values.Int("memory.gc"))
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(a.Err)), "node", values.String("name"))
 	stream := events.New(logger, a.Clock)
 	stream.SetLevel(events.Level(values.String("log.level")))
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -236,6 +236,7 @@
 	f.serving.Store(&ctx)
 	hasten := f.clock.Ticker(hastenEvery)
 	defer hasten.Stop()
+	hastening := hasten.C()
 	renew, ping, fold := f.clock.Ticker(f.config.RenewEvery), f.clock.Ticker(f.config.PingEvery), f.clock.Ticker(f.config.RenewEvery)
 	defer renew.Stop()
 	defer ping.Stop()
@@ -249,8 +250,11 @@
 			step()
 		case <-renew.C():
 			f.renewAll()
-		case <-hasten.C():
-			f.hasten()
+		case <-hastening:
+			if !f.hasten() {
+				hasten.Stop()
+				hastening = nil
+			}
 		case <-ping.C():
 			f.pingAll()
 		case <-fold.C():
@@ -294,12 +298,14 @@
 // after a start each moment counts in which it may not rule.
 const hastenEvery = 50 * kernel.Millisecond
 
-// hasten renews at once at the cores that have not answered since the start.
-func (f *Follower) hasten() {
+// hasten renews at once at the cores that have not answered since the start; it
+// tells whether there is still haste.
+func (f *Follower) hasten() bool {
 	if !f.holder.Unconfirmed() || f.clock.Now().Sub(f.begun) >= hastenFor {
-		return
+		return false
 	}
 	f.renewAll()
+	return true
 }
 
 // hastenFor is how long after a start renewals are hastened.
--- a/internal/node/gateway/answer.go
+++ b/internal/node/gateway/answer.go
@@ -19,8 +19,8 @@
 type passage struct {
 	request    *request
 	ctx        kernel.Context // ends when the client leaves or the time is over
-	begun      bool   // something was written to the client
-	last       string // id of the last event that was passed on
+	begun      bool           // something was written to the client
+	last       string         // id of the last event that was passed on
 	clientGone bool
 }
 
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -50,7 +50,9 @@
 	return port.Said{RequestID: header.Get("Id"), NotExecuted: header.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest}
 }
 
-func (plain) Refuse(w http.ResponseWriter, id string, fault *kernel.Fault) { kernel.ReplyFault(w, fault, id) }
+func (plain) Refuse(w http.ResponseWriter, id string, fault *kernel.Fault) {
+	kernel.ReplyFault(w, fault, id)
+}
 
 type fixedViews struct {
 	view    atomic.Pointer[follow.View]
--- a/internal/node/spend/spend.go
+++ b/internal/node/spend/spend.go
@@ -4,9 +4,9 @@
 package spend
 
 import (
-	"sync"
-
+	"runtime"
 	"slices"
+	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -26,7 +26,7 @@
 	Self        string
 	Incarnation uint64
 	Tally       tally.Config
-	Shards      int             // owners of the Book, 4
+	Shards      int             // owners of the Book; one for each processor, 4 at most
 	Timeout     kernel.Duration // of one exchange, 1 s
 	HoldFor     kernel.Duration // longest hold of a request for an exchange, 2.5 s
 	HoldMost    int             // requests held by one owner, 256
@@ -34,6 +34,8 @@
 	Metrics     prometheus.Registerer
 }
 
+const mostShards = 4
+
 // Spend decides requests by the shared tally.
 type Spend struct {
 	config   Config
@@ -52,7 +54,7 @@
 // fleetNow tells the time that the fleet agrees on, roster the fronts' names.
 func New(config Config, peers port.Peers, clock kernel.Clock, fleetNow func() kernel.Time, roster func() []string, log events.Log) (*Spend, error) {
 	if config.Shards <= 0 {
-		config.Shards = 4
+		config.Shards = min(mostShards, runtime.GOMAXPROCS(0))
 	}
 	if config.Timeout <= 0 {
 		config.Timeout = kernel.Second
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -167,6 +167,8 @@
 	{Name: "drain.grace", Type: Duration, Default: "10s", Rule: "0s to 5m", Check: within(0, 5*kernel.Minute),
 		Help: "How long a stopping process lets its requests finish."},
 
+	{Name: "memory.gc", Type: Int, Default: "100", Rule: "5 to 1000", Check: counted(5, 1000),
+		Help: "By how much of what is in use the heap may grow until it is collected, in percent: less takes less memory and more processor time."},
 	{Name: "log.level", Type: String, Default: "info", Rule: "debug, info, warn or error", Check: oneOf("debug", "info", "warn", "error"),
 		Help: "The lowest level of event that is logged."},
 	{Name: "clock.step", Type: Duration, Default: "0s", Rule: "-24h to 24h", Check: within(-24*kernel.Hour, 24*kernel.Hour),
