--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -142,7 +142,15 @@
 	return old.State != status.State || old.Reachable != status.Reachable || old.Incarnation != status.Incarnation ||
 		old.Address != status.Address || old.Slots != status.Slots || old.LeaveAtMs != status.LeaveAtMs ||
 		old.Region != status.Region || old.Zone != status.Zone || old.Kind != status.Kind ||
-		len(old.Services) != len(status.Services) || (old.Answered == 0) != (status.Answered == 0)
+		len(old.Services) != len(status.Services) || coldMoved(old.ColdUntilMs, status.ColdUntilMs) || (old.Answered == 0) != (status.Answered == 0)
+}
+
+// coldMargin is by how much the end of a server's cold time may move before it
+// is news; in milliseconds.
+const coldMargin = 500
+
+func coldMoved(old, now int64) bool {
+	return (old == 0) != (now == 0) || old-now > coldMargin || now-old > coldMargin
 }
 
 // outbox keeps what another core has not taken yet: the newest report of each
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -355,7 +355,8 @@
 	}
 	ctx, cancel := kernel.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
 	defer cancel()
-	decision := q.gateway.admitter.Admit(ctx, q.tenant, units, tally.Terms{Rate: q.terms.Rate, Burst: q.terms.Burst})
+	part := q.gateway.config.QuotaPart
+	decision := q.gateway.admitter.Admit(ctx, q.tenant, units, tally.Terms{Rate: q.terms.Rate * part, Burst: q.terms.Burst * part})
 	if decision.Pass {
 		return nil
 	}
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -130,6 +130,8 @@
 	{Name: "tally.interval", Type: Duration, Default: "200ms", Rule: "10ms to 2s", Check: within(10*kernel.Millisecond, 2*kernel.Second),
 		Help: "How often a front sends its spend to the holders of the counts."},
 
+	{Name: "tally.part", Type: Float, Default: "1", Rule: "0.5 to 1", Check: between(0.5, 1),
+		Help: "The part of a tenant's allowance that routed requests are held to, where the whole of it must not be passed in any cut or jump."},
 	{Name: "tally.hold", Type: Duration, Default: "2500ms", Rule: "0s to 10s", Check: within(0, 10*kernel.Second),
 		Help: "How long a request may wait for the holder of its tenant's count, where the tenant is well below its allowance."},
 	{Name: "route.strategy", Type: String, Default: "affinity", Rule: "affinity, round_robin or least_loaded", Runtime: true,
