--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -103,6 +103,7 @@
 	metrics  *metrics
 	bodies   *stage.Budget
 
+	ruled    atomic.Bool  // has been seen to rule since its start
 	leaving  atomic.Bool  // not ready any more
 	closed   atomic.Bool  // takes no new request any more
 	inFlight atomic.Int64 // requests that are being served
@@ -180,6 +181,39 @@
 	return nil
 }
 
+// startHold is how long a request may wait for a node that has just started to
+// learn that it may rule, which takes it some tenths of a second.
+const startHold = 400 * kernel.Millisecond
+
+// awaitRules holds a request at a node that has not ruled since its start, and
+// then tells whether it may decide. A node that ruled before says so at once.
+func (g *Gateway) awaitRules(ctx kernel.Context) *kernel.Fault {
+	fault := g.rules()
+	if fault == nil {
+		g.ruled.Store(true)
+		return nil
+	}
+	if g.ruled.Load() {
+		return fault
+	}
+	over := g.clock.After(startHold)
+	for fault != nil {
+		look := g.clock.After(startLook)
+		select {
+		case <-look:
+			fault = g.rules()
+		case <-over:
+			return fault
+		case <-ctx.Done():
+			return fault
+		}
+	}
+	g.ruled.Store(true)
+	return nil
+}
+
+const startLook = 10 * kernel.Millisecond
+
 const notRulingPause = 200 * kernel.Millisecond
 
 // Drain makes the node not ready, serves the clients that still come for a
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -299,6 +300,22 @@
 	})
 }
 
+func TestStart(t *testing.T) {
+	Convey("A request that comes before a node has ruled for the first time waits for it", t, func() {
+		s := open(t)
+		s.add("s0", whole("ok"))
+		s.views.ruling.Store(false)
+		s.run()
+		answers := make(chan result, 1)
+		go func() { answers <- s.ask("/safe/", "") }()
+		for s.gateway.inFlight.Load() == 0 {
+			runtime.Gosched()
+		}
+		s.views.ruling.Store(true)
+		So((<-answers).status, ShouldEqual, http.StatusOK)
+	})
+}
+
 func TestAttempts(t *testing.T) {
 	two := func(first, later script) *stand {
 		s, both := open(t), either(first, later)
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -99,13 +99,13 @@
 	if g.closed.Load() {
 		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(notRulingPause)
 	}
-	if fault := g.rules(); fault != nil {
-		return fault
-	}
 	var fault *kernel.Fault
 	if q.call, fault = g.dialect.Read(q.http); fault != nil {
 		return fault
 	}
+	if fault = g.awaitRules(q.http.Context()); fault != nil {
+		return fault
+	}
 	if fault = q.match(g.views.View().Index); fault != nil {
 		return fault
 	}
