--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -37,7 +37,7 @@
 	IdleTimeout   kernel.Duration // of a client's connection; 60 s
 	PlainTokens   float64         // of a request that names no tokens; 50
 	DeadlineMost  kernel.Duration // of a request that names none; 120 s
-	QuotaPart     float64         // of a tenant's allowance that is given out; 1
+	Quota         Quota
 	Linger        Linger
 	// Observe takes what requests show of a server: that it answers, or that it
 	// is silent; may be nil.
@@ -62,7 +62,7 @@
 	or(&c.IdleTimeout, kernel.Minute)
 	or(&c.PlainTokens, 50)
 	or(&c.DeadlineMost, 120*kernel.Second)
-	or(&c.QuotaPart, 1)
+	or(&c.Quota.Part, 1)
 	or(&c.Linger.Least, 3*kernel.Second)
 	or(&c.Linger.Most, 5*kernel.Second)
 	or(&c.Linger.Quiet, kernel.Second)
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -443,6 +443,16 @@
 	})
 }
 
+func TestQuota(t *testing.T) {
+	Convey("Less urgent requests have less of an allowance, but for small ones", t, func() {
+		quota, tenant := Quota{Part: 0.9, Reserve: 0.05}, sheet.Tenant{Rate: 100_000}
+		So(quota.part(5000, tenant, 0), ShouldEqual, 0.9)
+		So(quota.part(5000, tenant, 2), ShouldAlmostEqual, 0.8)
+		So(quota.part(5000, tenant, 99), ShouldAlmostEqual, 0.75)
+		So(quota.part(200, tenant, 2), ShouldEqual, 0.9)
+	})
+}
+
 func TestDrain(t *testing.T) {
 	Convey("A node that is taken away is not ready at once, serves who still comes, and ends when all is done", t, func() {
 		s := open(t)
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -355,7 +355,7 @@
 	}
 	ctx, cancel := kernel.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
 	defer cancel()
-	part := q.gateway.config.QuotaPart
+	part := q.gateway.config.Quota.part(units, q.terms, q.route.Priority)
 	decision := q.gateway.admitter.Admit(ctx, q.tenant, units, tally.Terms{Rate: q.terms.Rate * part, Burst: q.terms.Burst * part})
 	if decision.Pass {
 		return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,8 +274,8 @@
 		BodyMax:  int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
 		HeaderTimeout: p.values.Duration("body.timeout"), BodyTimeout: p.values.Duration("body.timeout"),
 		PlainTokens: p.values.Float("plain_tokens"), DeadlineMost: p.values.Duration("deadline.max"),
-		QuotaPart: p.values.Float("tally.part"),
-		Observe:   func(ctx kernel.Context, server string, reachable bool) { p.watcher.Observe(ctx, server, reachable) },
+		Quota:   gateway.Quota{Part: p.values.Float("tally.part"), Reserve: p.values.Float("tally.reserve")},
+		Observe: func(ctx kernel.Context, server string, reachable bool) { p.watcher.Observe(ctx, server, reachable) },
 	}, world.Edge.Dialect(), p.follower, p.spend, p.clock, p.log, registry)
 	return err
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -132,6 +132,8 @@
 
 	{Name: "tally.part", Type: Float, Default: "1", Rule: "0.5 to 1", Check: between(0.5, 1),
 		Help: "The part of a tenant's allowance that routed requests are held to, where the whole of it must not be passed in any cut or jump."},
+	{Name: "tally.reserve", Type: Float, Default: "0", Rule: "0 to 0.1", Check: between(0, 0.1),
+		Help: "The part of a tenant's allowance that is kept from a routed request for each step of its route's priority below the most urgent."},
 	{Name: "tally.hold", Type: Duration, Default: "2500ms", Rule: "0s to 10s", Check: within(0, 10*kernel.Second),
 		Help: "How long a request may wait for the holder of its tenant's count, where the tenant is well below its allowance."},
 	{Name: "route.strategy", Type: String, Default: "affinity", Rule: "affinity, round_robin or least_loaded", Runtime: true,
