--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,9 +125,9 @@
 
 // RunIn is Run in a given world.
 func RunIn(ctx kernel.Context, world World, role string, values *settings.Values, log events.Log) error {
-	for {
-		err := runOnce(ctx, world, role, values, log)
-		if !errors.Is(err, errReplaced) || !values.Bool("core.join") {
+	for first := values.Bool("core.first"); ; first = false {
+		err := runOnce(ctx, world, role, first, values, log)
+		if !errors.Is(err, errReplaced) {
 			return err
 		}
 		if err := emptyFolder(values.String("data")); err != nil {
@@ -136,9 +136,11 @@
 	}
 }
 
-func runOnce(ctx kernel.Context, world World, role string, values *settings.Values, log events.Log) error {
+// runOnce runs a process until it ends. At the fleet's first start a core with a
+// blank disk founds it, and looks for no place.
+func runOnce(ctx kernel.Context, world World, role string, first bool, values *settings.Values, log events.Log) error {
 	name := values.String("name")
-	if role == RoleCore {
+	if role == RoleCore && values.Bool("core.join") && !first {
 		var err error
 		if name, err = takePlace(ctx, world, values, log); err != nil {
 			if ctx.Err() != nil {
@@ -291,13 +293,17 @@
 			return errors.Wrap(fault, "first_sheet")
 		}
 	}
+	var replaced func()
+	if p.values.Bool("core.join") {
+		replaced = p.wasReplaced
+	}
 	disk := disklog.Config{
 		Folder: p.values.String("data"), SegmentBytes: int64(p.values.Int("disk.segment")),
 		Quota: int64(p.values.Int("disk.quota")), SyncDelay: p.values.Duration("disk.sync_delay"), Clock: p.clock,
 	}
 	p.replica = replica.New(replica.Config{
 		Self: p.base.Name, Voters: p.values.Int("core.voters"), FirstSheet: first,
-		SnapshotRecords: p.values.Int("snapshot.records"), Replaced: p.wasReplaced,
+		SnapshotRecords: p.values.Int("snapshot.records"), Replaced: replaced,
 	}, replica.OnDisk(disk), p.directory, p.clock, p.log)
 	p.core = core.New(core.Config{
 		Self: p.base.Name, Incarnation: p.base.Incarnation, GrantTTL: p.values.Duration("grant.ttl"),
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -49,7 +49,7 @@
 // or that of a core that is gone, for which it waits.
 func takePlace(ctx kernel.Context, world World, values *settings.Values, log events.Log) (string, error) {
 	own, folder := values.String("name"), values.String("data")
-	if !values.Bool("core.join") || folder == "" {
+	if folder == "" {
 		return own, nil
 	}
 	if kept, err := os.ReadFile(filepath.Join(folder, placeFile)); err == nil && len(kept) > 0 {
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -52,7 +52,7 @@
 			r.enter(ctx, state)
 		default:
 			target, top, count, life := r.readAll(ctx, state)
-			if life > state.Life() {
+			if life > state.Life() && r.cfg.Replaced != nil {
 				r.replaced(fmt.Sprintf("another process has the name in disk life %d, later than %d here", life, state.Life()))
 				return
 			}
@@ -113,9 +113,7 @@
 // replaced tells that this core has no place in the formation any more.
 func (r *Replica) replaced(why string) {
 	r.events.Emit(events.CoreReplaced, "core", r.cfg.Self, "why", why)
-	if r.cfg.Replaced != nil {
-		r.cfg.Replaced()
-	}
+	r.cfg.Replaced()
 }
 
 // readAll asks every voter how far it is, and which disk life of this core it
@@ -239,7 +237,7 @@
 			r.join(ctx, record, fmt.Sprintf("joins the formation %s", resp.Formation))
 			return
 		}
-		if resp.Ok && len(resp.Voters) > 0 && !slices.Contains(resp.Voters, r.cfg.Self) && state.Formation == "" {
+		if r.cfg.Replaced != nil && resp.Ok && len(resp.Voters) > 0 && !slices.Contains(resp.Voters, r.cfg.Self) && state.Formation == "" {
 			r.replaced("the formation " + resp.Formation + " has other cores")
 			return
 		}
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -86,6 +86,8 @@
 		Help: "Whether a core also serves traffic as a front."},
 	{Name: "core.join", Type: Bool, Default: "false",
 		Help: "Whether a core with a blank disk that is none of the formation's takes the place of one that is gone."},
+	{Name: "core.first", Type: Bool, Default: "false",
+		Help: "Whether this is the fleet's first start, at which a core that joins founds the fleet and looks for no place."},
 	{Name: "core.gone_after", Type: Duration, Default: "1500ms", Rule: "500ms to 1h", Check: within(500*kernel.Millisecond, kernel.Hour),
 		Help: "How long a core of the formation must not answer until a core that joins takes its place."},
 	{Name: "data", Type: String,
