--- a/internal/adapter/backend/backend.go
+++ b/internal/adapter/backend/backend.go
@@ -184,7 +184,7 @@
 func (l *ledger) asked() (fault *kernel.Fault) {
 	defer func() {
 		if panicked := recover(); panicked != nil {
-			fault = kernel.Decline(kernel.Internal, "a panic before the request was sent: %v", panicked)
+			fault = kernel.Refuse(kernel.Internal, "a panic before the request was sent: %v", panicked)
 		}
 	}()
 	return l.allow()
@@ -212,7 +212,7 @@
 func (a *Attempt) ledger() *ledger {
 	return &ledger{allow: func() *kernel.Fault {
 		if !a.Now().Before(a.Deadline) {
-			return kernel.Decline(kernel.DeadlinePassed, "the deadline passed before the request was sent")
+			return kernel.Refuse(kernel.DeadlinePassed, "the deadline passed before the request was sent")
 		}
 		if a.Allow != nil {
 			return a.Allow()
--- a/internal/adapter/backend/backend_test.go
+++ b/internal/adapter/backend/backend_test.go
@@ -127,7 +127,7 @@
 			Convey("that was barred meanwhile leaves the server without a byte", func() {
 				server := newStandIn(t, reset)
 				attempt := attemptAt(server.address)
-				attempt.Allow = func() *kernel.Fault { return kernel.Decline(kernel.KeyRevoked, "revoked") }
+				attempt.Allow = func() *kernel.Fault { return kernel.Refuse(kernel.KeyRevoked, "revoked") }
 				_, failure := client.Call(context.Background(), attempt, shot)
 				So(failure.Kind, ShouldEqual, Barred)
 				So(failure.Cause.Code, ShouldEqual, kernel.KeyRevoked)
--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -125,7 +125,7 @@
 
 func (x *exchange) answer() *kernel.Fault {
 	if size := headerSize(x.r); size > x.limits.HeaderMax {
-		return kernel.Decline(kernel.HeaderTooLarge, "the header has %d bytes of at most %d", size, x.limits.HeaderMax)
+		return kernel.Refuse(kernel.HeaderTooLarge, "the header has %d bytes of at most %d", size, x.limits.HeaderMax)
 	}
 	route, fault := find(x.r.Method, x.r.URL.Path)
 	if fault != nil {
@@ -139,7 +139,7 @@
 	case x.api.slots <- struct{}{}:
 		defer func() { <-x.api.slots }()
 	default:
-		return kernel.Decline(kernel.PendingFull, "the node serves %d requests", x.limits.Requests).After(kernel.Second)
+		return kernel.Refuse(kernel.PendingFull, "the node serves %d requests", x.limits.Requests).After(kernel.Second)
 	}
 	span, given, fault := x.limits.headerDeadline(x.r.Header)
 	if fault != nil {
@@ -147,7 +147,7 @@
 	}
 	x.head.Deadline, x.head.bounded = x.head.Arrived.Add(span), given
 	if !x.api.clock.Now().Before(x.head.Deadline) {
-		return kernel.Decline(kernel.DeadlinePassed, "the deadline passed while the node stood still").After(100 * kernel.Millisecond)
+		return kernel.Refuse(kernel.DeadlinePassed, "the deadline passed while the node stood still").After(100 * kernel.Millisecond)
 	}
 	if x.head.Key, fault = bearerKey(x.r.Header); fault != nil {
 		return fault
@@ -170,9 +170,9 @@
 		}
 	}
 	if known {
-		return Route{}, kernel.Decline(kernel.BadMethod, "%s", method)
+		return Route{}, kernel.Refuse(kernel.BadMethod, "%s", method)
 	}
-	return Route{}, kernel.Decline(kernel.UnknownPath, "see docs/API.md for the calls")
+	return Route{}, kernel.Refuse(kernel.UnknownPath, "see docs/API.md for the calls")
 }
 
 var routes = Routes()
@@ -213,7 +213,7 @@
 }
 
 func (x *exchange) bodiesFull() *kernel.Fault {
-	return kernel.Decline(kernel.PendingFull, "the bodies that the node holds are at their bound of %d bytes", x.limits.BodiesMax).After(kernel.Second)
+	return kernel.Refuse(kernel.PendingFull, "the bodies that the node holds are at their bound of %d bytes", x.limits.BodiesMax).After(kernel.Second)
 }
 
 func (x *exchange) context(deadline kernel.Time) (kernel.Context, kernel.Cancel) {
@@ -229,18 +229,18 @@
 		panic(panicked)
 	}
 	x.api.calls.Broke(x.head.ID, panicked)
-	x.decline(kernel.Decline(kernel.Internal, "see the log event of request %s", x.head.ID))
+	x.decline(kernel.Refuse(kernel.Internal, "see the log event of request %s", x.head.ID))
 }
 
 func serveConnect(x *exchange) *kernel.Fault {
 	query, err := url.ParseQuery(x.r.URL.RawQuery)
 	if err != nil {
-		return kernel.Decline(kernel.BadField, "the query is malformed")
+		return kernel.Refuse(kernel.BadField, "the query is malformed")
 	}
 	ask := &Connect{Head: x.head}
 	for name, values := range query {
 		if len(values) != 1 || len(values[0]) > nameMax {
-			return kernel.Decline(kernel.BadField, "%s is given more than once or over %d bytes", name, nameMax)
+			return kernel.Refuse(kernel.BadField, "%s is given more than once or over %d bytes", name, nameMax)
 		}
 		switch name {
 		case "service":
@@ -250,7 +250,7 @@
 		case "zone":
 			ask.Zone = values[0]
 		default:
-			return kernel.Decline(kernel.UnknownField, "%s", name)
+			return kernel.Refuse(kernel.UnknownField, "%s", name)
 		}
 	}
 	ctx, cancel := x.context(x.head.Deadline)
@@ -266,7 +266,7 @@
 
 func servePrompt(x *exchange) *kernel.Fault {
 	if !x.r.ProtoAtLeast(1, 1) {
-		return kernel.Decline(kernel.BadField, "a stream needs HTTP/1.1, in which a cut can be told from an end")
+		return kernel.Refuse(kernel.BadField, "a stream needs HTTP/1.1, in which a cut can be told from an end")
 	}
 	data, fault := x.body()
 	if fault != nil {
@@ -282,20 +282,20 @@
 	x.taken = true
 	fault = x.api.calls.Prompt(ctx, prompt, x.stream)
 	if fault == nil && !x.stream.begun {
-		return kernel.Decline(kernel.Internal, "the stream ended without an event")
+		return kernel.Refuse(kernel.Internal, "the stream ended without an event")
 	}
 	return fault
 }
 
 func serveOneShot(x *exchange) *kernel.Fault {
 	if x.r.Method == http.MethodConnect || x.r.Method == http.MethodTrace {
-		return kernel.Decline(kernel.BadMethod, "%s", x.r.Method)
+		return kernel.Refuse(kernel.BadMethod, "%s", x.r.Method)
 	}
 	below := strings.TrimPrefix(x.r.URL.EscapedPath(), "/v1/call/")
 	service, path, _ := strings.Cut(below, "/")
 	service, err := url.PathUnescape(service)
 	if err != nil || service == "" || len(service) > nameMax {
-		return kernel.Decline(kernel.MissingField, "the path names no service")
+		return kernel.Refuse(kernel.MissingField, "the path names no service")
 	}
 	body, fault := x.body()
 	if fault != nil {
--- a/internal/adapter/clientapi/clientapi_test.go
+++ b/internal/adapter/clientapi/clientapi_test.go
@@ -80,7 +80,7 @@
 			if f.ended != nil {
 				f.ended <- err
 			}
-			return kernel.Decline(kernel.CallerGone, "")
+			return kernel.Refuse(kernel.CallerGone, "")
 		}
 	}
 	if f.panics != nil {
@@ -145,8 +145,8 @@
 	event, end := `{"id":"r1","seq":0,"text":"t"}`, `{"id":"r1","final":true,"count":1}`
 	web := &Answer{Server: "w1", Status: 200, Body: []byte("map"), Header: http.Header{"Content-Type": {"text/plain"}, "Etag": {"e"},
 		"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Content-Length": {"3"}, "Stepwick-Request-Id": {"r1"}, "Transfer-Encoding": {"chunked"}}}
-	cut := kernel.Decline(kernel.StreamCut, "the server went away").After(100 * time.Millisecond)
-	later := kernel.Decline(kernel.NotRuling, "ask another node").After(1200 * time.Millisecond)
+	cut := kernel.Refuse(kernel.StreamCut, "the server went away").After(100 * time.Millisecond)
+	later := kernel.Refuse(kernel.NotRuling, "ask another node").After(1200 * time.Millisecond)
 	rows := []struct {
 		name    string
 		calls   *fakeCalls
@@ -159,7 +159,7 @@
 		{"prompt declined", &fakeCalls{fault: later}, request("POST", "/v1/prompt", keyed, whole)},
 		{"one-shot", &fakeCalls{answer: web}, request("GET", "/v1/call/outages/map/a%2Fb?x=1&y=%20", keyed, "")},
 		{"one-shot by HEAD", &fakeCalls{answer: web}, request("HEAD", "/v1/call/outages/map", keyed, "")},
-		{"one-shot of unknown outcome", &fakeCalls{fault: kernel.Decline(kernel.OutcomeUnknown, "reset")}, request("POST", "/v1/call/orders", keyed, "{}")},
+		{"one-shot of unknown outcome", &fakeCalls{fault: kernel.Refuse(kernel.OutcomeUnknown, "reset")}, request("POST", "/v1/call/orders", keyed, "{}")},
 		{"one-shot that breaks", &fakeCalls{panics: "oh"}, request("POST", "/v1/call/orders", keyed, "{}")},
 		{"connect", &fakeCalls{}, request("GET", "/v1/connect?service=chat&region=lagos", keyed, "")},
 		{"ready", &fakeCalls{}, request("GET", "/readyz", "", "")},
--- a/internal/adapter/clientapi/parse.go
+++ b/internal/adapter/clientapi/parse.go
@@ -35,7 +35,7 @@
 	case len(given) == 0:
 		return newID(), nil
 	case len(given) > 1 || !wellFormedID(given[0]):
-		return newID(), kernel.Decline(kernel.BadField, "%s is not one id of 1 to %d letters, digits or ._:-", HeaderRequestID, idMax)
+		return newID(), kernel.Refuse(kernel.BadField, "%s is not one id of 1 to %d letters, digits or ._:-", HeaderRequestID, idMax)
 	}
 	return given[0], nil
 }
@@ -68,18 +68,18 @@
 func bearerKey(header http.Header) (string, *kernel.Fault) {
 	given := header.Values("Authorization")
 	if len(given) != 1 || !strings.HasPrefix(given[0], bearerMark) {
-		return "", kernel.Decline(kernel.MissingKey, "send one Authorization: Bearer KEY")
+		return "", kernel.Refuse(kernel.MissingKey, "send one Authorization: Bearer KEY")
 	}
 	key := strings.TrimSpace(given[0][len(bearerMark):])
 	if key == "" {
-		return "", kernel.Decline(kernel.MissingKey, "the key is empty")
+		return "", kernel.Refuse(kernel.MissingKey, "the key is empty")
 	}
 	return key, nil
 }
 
 func (l Limits) deadlineOf(milliseconds float64) (kernel.Duration, *kernel.Fault) {
 	if math.IsNaN(milliseconds) || milliseconds < 1 || milliseconds > float64(l.DeadlineMax.Milliseconds()) || milliseconds != math.Trunc(milliseconds) {
-		return 0, kernel.Decline(kernel.BadDeadline, "a deadline is a whole number of milliseconds from 1 to %d", l.DeadlineMax.Milliseconds())
+		return 0, kernel.Refuse(kernel.BadDeadline, "a deadline is a whole number of milliseconds from 1 to %d", l.DeadlineMax.Milliseconds())
 	}
 	return kernel.Duration(milliseconds) * kernel.Millisecond, nil
 }
@@ -117,7 +117,7 @@
 		return nil, nil
 	}
 	if r.ContentLength > l.BodyMax {
-		return nil, kernel.Decline(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
+		return nil, kernel.Refuse(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
 	}
 	if r.ContentLength > by.api.bodies.Left() {
 		return nil, by.bodiesFull()
@@ -133,11 +133,11 @@
 	case errors.As(err, &full):
 		return nil, full
 	case errors.As(err, &tooLarge):
-		return nil, kernel.Decline(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
+		return nil, kernel.Refuse(kernel.BodyTooLarge, "a body has at most %d bytes", l.BodyMax)
 	case errors.As(err, &network) && network.Timeout():
-		return nil, kernel.Decline(kernel.SlowBody, "the body did not arrive within %s", l.BodyTimeout)
+		return nil, kernel.Refuse(kernel.SlowBody, "the body did not arrive within %s", l.BodyTimeout)
 	}
-	return nil, kernel.Decline(kernel.BadJSON, "the body is not whole")
+	return nil, kernel.Refuse(kernel.BadJSON, "the body is not whole")
 }
 
 type promptBody struct {
@@ -159,20 +159,20 @@
 	}
 	switch {
 	case body.Service == nil || *body.Service == "":
-		return nil, kernel.Decline(kernel.MissingField, "service")
+		return nil, kernel.Refuse(kernel.MissingField, "service")
 	case body.MaxTokens == nil:
-		return nil, kernel.Decline(kernel.MissingField, "max_tokens")
+		return nil, kernel.Refuse(kernel.MissingField, "max_tokens")
 	case *body.MaxTokens < 1:
-		return nil, kernel.Decline(kernel.BadField, "max_tokens is below 1")
+		return nil, kernel.Refuse(kernel.BadField, "max_tokens is below 1")
 	case body.PrefixTokens < 0 || body.SessionTokens < 0:
-		return nil, kernel.Decline(kernel.BadField, "tokens are below 0")
+		return nil, kernel.Refuse(kernel.BadField, "tokens are below 0")
 	case len(*body.Service) > nameMax || len(body.Region) > nameMax || len(body.Home) > nameMax:
-		return nil, kernel.Decline(kernel.BadField, "a name has over %d bytes", nameMax)
+		return nil, kernel.Refuse(kernel.BadField, "a name has over %d bytes", nameMax)
 	}
 	prompt := &Prompt{Head: head, Service: *body.Service, Prefix: body.Prefix, Session: body.Session, PrefixTokens: body.PrefixTokens,
 		SessionTokens: body.SessionTokens, MaxTokens: *body.MaxTokens, Region: body.Region, Home: body.Home}
 	if prompt.Tokens() > l.TokensMax {
-		return nil, kernel.Decline(kernel.BadField, "a prompt has at most %.0f tokens", l.TokensMax)
+		return nil, kernel.Refuse(kernel.BadField, "a prompt has at most %.0f tokens", l.TokensMax)
 	}
 	if body.DeadlineMS != nil {
 		span, fault := l.deadlineOf(*body.DeadlineMS)
@@ -192,18 +192,18 @@
 	if err := decoder.Decode(into); err != nil {
 		var mistyped *json.UnmarshalTypeError
 		if errors.As(err, &mistyped) && mistyped.Field == "deadline_ms" {
-			return kernel.Decline(kernel.BadDeadline, "deadline_ms is no number of milliseconds")
+			return kernel.Refuse(kernel.BadDeadline, "deadline_ms is no number of milliseconds")
 		}
 		if errors.As(err, &mistyped) && mistyped.Field != "" {
-			return kernel.Decline(kernel.BadField, "%s is no %s", mistyped.Field, mistyped.Type)
+			return kernel.Refuse(kernel.BadField, "%s is no %s", mistyped.Field, mistyped.Type)
 		}
 		if name, unknown := strings.CutPrefix(err.Error(), "json: unknown field "); unknown {
-			return kernel.Decline(kernel.UnknownField, "%s", name)
+			return kernel.Refuse(kernel.UnknownField, "%s", name)
 		}
-		return kernel.Decline(kernel.BadJSON, "the body is not one JSON object")
+		return kernel.Refuse(kernel.BadJSON, "the body is not one JSON object")
 	}
 	if _, err := decoder.Token(); err != io.EOF {
-		return kernel.Decline(kernel.BadJSON, "something follows the JSON object")
+		return kernel.Refuse(kernel.BadJSON, "something follows the JSON object")
 	}
 	return nil
 }
--- a/internal/adapter/controlapi/api.go
+++ b/internal/adapter/controlapi/api.go
@@ -162,7 +162,7 @@
 	case slots <- struct{}{}:
 		defer func() { <-slots }()
 	default:
-		return answer{}, kernel.Decline(kernel.PendingFull, "%d calls are under way", cap(slots)).After(kernel.Second)
+		return answer{}, kernel.Refuse(kernel.PendingFull, "%d calls are under way", cap(slots)).After(kernel.Second)
 	}
 	if fault := x.readBody(); fault != nil {
 		return answer{}, fault
@@ -179,7 +179,7 @@
 		key, bearer = strings.CutPrefix(given[0], "Bearer ")
 	}
 	if key = strings.TrimSpace(key); !bearer || key == "" {
-		return kernel.Decline(kernel.MissingKey, "send one Authorization: Bearer OPERATOR-KEY")
+		return kernel.Refuse(kernel.MissingKey, "send one Authorization: Bearer OPERATOR-KEY")
 	}
 	hash := sha256.Sum256([]byte(key))
 	for _, o := range x.api.operators {
@@ -189,7 +189,7 @@
 	}
 	if x.operator == "" {
 		x.api.log.Emit(events.OperatorDeclined, "from", x.r.RemoteAddr, "path", x.call.Path)
-		return kernel.Decline(kernel.OperatorUnknown, "")
+		return kernel.Refuse(kernel.OperatorUnknown, "")
 	}
 	return nil
 }
@@ -197,7 +197,7 @@
 func (x *exchange) query() *kernel.Fault {
 	for name, values := range x.r.URL.Query() {
 		if name != x.call.Query || len(values) != 1 {
-			return kernel.Decline(kernel.BadField, "the query's %.40q is unknown or given twice", name)
+			return kernel.Refuse(kernel.BadField, "the query's %.40q is unknown or given twice", name)
 		}
 		x.argument = values[0]
 	}
@@ -208,7 +208,7 @@
 func (x *exchange) readBody() *kernel.Fault {
 	if x.call.Body == NoBody {
 		if x.r.ContentLength != 0 {
-			return kernel.Decline(kernel.BadField, "the call takes no body")
+			return kernel.Refuse(kernel.BadField, "the call takes no body")
 		}
 		return nil
 	}
@@ -217,18 +217,18 @@
 		bound, tooLarge = x.api.config.SheetMax, kernel.SheetTooLarge
 	}
 	if x.r.ContentLength > bound {
-		return kernel.Decline(tooLarge, "%d bytes; the bound is %d", x.r.ContentLength, bound)
+		return kernel.Refuse(tooLarge, "%d bytes; the bound is %d", x.r.ContentLength, bound)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, bound))
 	var over *http.MaxBytesError
 	var network net.Error
 	switch {
 	case errors.As(err, &over):
-		return kernel.Decline(tooLarge, "the bound is %d bytes", bound)
+		return kernel.Refuse(tooLarge, "the bound is %d bytes", bound)
 	case errors.As(err, &network) && network.Timeout():
-		return kernel.Decline(kernel.SlowBody, "the body did not arrive within %s", x.api.config.BodyTimeout)
+		return kernel.Refuse(kernel.SlowBody, "the body did not arrive within %s", x.api.config.BodyTimeout)
 	case err != nil:
-		return kernel.Decline(kernel.BadJSON, "the body is not whole")
+		return kernel.Refuse(kernel.BadJSON, "the body is not whole")
 	}
 	x.body = body
 	_ = x.control.SetReadDeadline(kernel.Time{})
@@ -274,7 +274,7 @@
 		return answer{code: code, retryAfter: kernel.Duration(told.RetryAfterMS) * kernel.Millisecond, body: resp.Body}
 	}
 	if len(resp.Body) < 2 || resp.Body[0] != '{' {
-		return declined(kernel.Decline(kernel.Internal, "the core's answer has no body"), id)
+		return declined(kernel.Refuse(kernel.Internal, "the core's answer has no body"), id)
 	}
 	body := append([]byte(`{"code":0`), resp.Body[1:]...)
 	if resp.Body[1] != '}' {
@@ -287,7 +287,7 @@
 func withID(body []byte, id string) ([]byte, *kernel.Fault) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, kernel.Decline(kernel.BadJSON, "%v", err)
+		return nil, kernel.Refuse(kernel.BadJSON, "%v", err)
 	}
 	var given string
 	if json.Unmarshal(fields["order_id"], &given) == nil && given == id {
--- a/internal/adapter/controlapi/api_test.go
+++ b/internal/adapter/controlapi/api_test.go
@@ -40,7 +40,7 @@
 	case "get":
 		return told(kernel.OK, map[string]any{"epoch": c.state.Epoch, "sheet_epoch": c.state.SheetEpoch, "sheet": c.state.Sheet}), nil
 	case "history":
-		return nil, kernel.Decline(kernel.NoMajority, "1 of 3 cores answered").After(1500 * kernel.Millisecond)
+		return nil, kernel.Refuse(kernel.NoMajority, "1 of 3 cores answered").After(1500 * kernel.Millisecond)
 	case "status":
 		return told(kernel.OK, map[string]any{"epoch": c.state.Epoch, "in_force": true}), nil
 	}
@@ -60,7 +60,7 @@
 	}
 	if c.pending {
 		c.pending = false
-		return nil, kernel.Decline(kernel.OutcomePending, "waiting for front-4").After(kernel.Second)
+		return nil, kernel.Refuse(kernel.OutcomePending, "waiting for front-4").After(kernel.Second)
 	}
 	return told(kernel.OK, map[string]any{"epoch": result.Epoch, "sheet_epoch": result.SheetEpoch, "in_force": true, "order_id": order.OrderID}), nil
 }
--- a/internal/adapter/controlapi/calls.go
+++ b/internal/adapter/controlapi/calls.go
@@ -93,9 +93,9 @@
 		others = append(others, call.Method)
 	}
 	if len(others) > 0 {
-		return nil, strings.Join(others, ", "), kernel.Decline(kernel.BadMethod, "it takes %s", strings.Join(others, ", "))
+		return nil, strings.Join(others, ", "), kernel.Refuse(kernel.BadMethod, "it takes %s", strings.Join(others, ", "))
 	}
-	return nil, "", kernel.Decline(kernel.UnknownPath, "")
+	return nil, "", kernel.Refuse(kernel.UnknownPath, "")
 }
 
 // order checks an order and hands it on under its id; one without an id gets
@@ -126,7 +126,7 @@
 func (x *exchange) status() answer {
 	code, own := x.api.inspector.Inspect(x.r.Context(), "status", "")
 	if code != kernel.OK {
-		return declined(kernel.Decline(code, "status"), "")
+		return declined(kernel.Refuse(code, "status"), "")
 	}
 	fleet := x.relay(nil, "", min(viewWait, x.api.config.OrderWait))
 	body := struct {
@@ -149,7 +149,7 @@
 func (x *exchange) inspect() answer {
 	code, body := x.api.inspector.Inspect(x.r.Context(), x.call.Verb, x.argument)
 	if code != kernel.OK {
-		return declined(kernel.Decline(code, "%s %s", x.call.Verb, x.argument), "")
+		return declined(kernel.Refuse(code, "%s %s", x.call.Verb, x.argument), "")
 	}
 	return answer{code: code, body: body}
 }
@@ -163,9 +163,9 @@
 	if err != nil {
 		fault := kernel.AsFault(err)
 		if ctx.Err() != nil && fault.Code == kernel.Internal {
-			fault = kernel.Decline(kernel.NoMajority, "no core answered in time").After(kernel.Second)
+			fault = kernel.Refuse(kernel.NoMajority, "no core answered in time").After(kernel.Second)
 			if x.call.Body != NoBody {
-				fault = kernel.Decline(kernel.OutcomePending, "no core answered in time; send the order again with its id").After(kernel.Second)
+				fault = kernel.Refuse(kernel.OutcomePending, "no core answered in time; send the order again with its id").After(kernel.Second)
 			}
 		}
 		return declined(fault, id)
--- a/internal/adapter/disklog/log.go
+++ b/internal/adapter/disklog/log.go
@@ -123,19 +123,19 @@
 	}
 	waiting := l.waiting.Load()
 	if waiting > 0 && waiting+size > maxWaiting {
-		return 0, kernel.Decline(kernel.CoreUnreachable, "the disk is too slow: %d bytes wait for it", waiting)
+		return 0, kernel.Refuse(kernel.CoreUnreachable, "the disk is too slow: %d bytes wait for it", waiting)
 	}
 	bound := l.cfg.Quota - l.cfg.ReserveBytes
 	if urgent {
 		bound = l.cfg.Quota
 	}
 	if l.full.Load() && !urgent || l.cfg.Quota > 0 && l.used.Load()+size > bound {
-		return 0, kernel.Decline(kernel.DiskFull, "%d bytes used", l.used.Load())
+		return 0, kernel.Refuse(kernel.DiskFull, "%d bytes used", l.used.Load())
 	}
 	select {
 	case l.in <- entry{records: records, first: l.place + 1, urgent: urgent}:
 	default:
-		return 0, kernel.Decline(kernel.CoreUnreachable, "the disk is too slow: %d appends wait for it", maxEntries)
+		return 0, kernel.Refuse(kernel.CoreUnreachable, "the disk is too slow: %d appends wait for it", maxEntries)
 	}
 	l.place += uint64(len(records))
 	l.waiting.Add(size)
@@ -155,7 +155,7 @@
 	select {
 	case l.in <- entry{snapshot: data, first: l.place, done: outcome}:
 	default:
-		outcome <- kernel.Decline(kernel.CoreUnreachable, "the disk is too slow: %d appends wait for it", maxEntries)
+		outcome <- kernel.Refuse(kernel.CoreUnreachable, "the disk is too slow: %d appends wait for it", maxEntries)
 	}
 	return outcome
 }
@@ -426,7 +426,7 @@
 				continue
 			}
 			if snapping {
-				marker.done <- kernel.Decline(kernel.CoreUnreachable, "another snapshot is being written")
+				marker.done <- kernel.Refuse(kernel.CoreUnreachable, "another snapshot is being written")
 				continue
 			}
 			if err := w.begin(*marker); err != nil {
@@ -551,7 +551,7 @@
 	}
 	size := snapshotHead + int64(len(marker.snapshot))
 	if w.cfg.Quota > 0 && w.used.Load()+size > w.cfg.Quota {
-		marker.done <- kernel.Decline(kernel.DiskFull, "a snapshot of %d bytes beside %d bytes used", size, w.used.Load())
+		marker.done <- kernel.Refuse(kernel.DiskFull, "a snapshot of %d bytes beside %d bytes used", size, w.used.Load())
 		w.snapping <- covered{segments: w.closed, snapshots: w.kept}
 		w.closed = nil
 		return nil
--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -115,7 +115,7 @@
 // Hello takes in the caller's record and its sample and answers with the same.
 func (d *Directory) Hello(ctx kernel.Context, req *wire.HelloRequest) (*wire.HelloResponse, error) {
 	if len(req.Known) > helloRecords {
-		return nil, kernel.Decline(kernel.BadField, "hello with %d records, at most %d", len(req.Known), helloRecords)
+		return nil, kernel.Refuse(kernel.BadField, "hello with %d records, at most %d", len(req.Known), helloRecords)
 	}
 	records := req.Known
 	if req.Self != nil {
--- a/internal/adapter/internalrpc/pool.go
+++ b/internal/adapter/internalrpc/pool.go
@@ -119,7 +119,7 @@
 	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
 		if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
-			kernel.ReplyFault(w, kernel.Decline(kernel.BadSecret, "the fleet's secret does not match"), "")
+			kernel.ReplyFault(w, kernel.Refuse(kernel.BadSecret, "the fleet's secret does not match"), "")
 			return
 		}
 		inner.ServeHTTP(w, r)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -156,7 +156,7 @@
 		So(s.transcript.String(), ShouldContainSubstring, "event_name=proof_setting setting=disk.sync_delay value=5ms")
 
 		s.app.Node = func(kernel.Context, string, *settings.Values, events.Log) error {
-			return kernel.Decline(kernel.BadRecord, "data/log-3 at 4096")
+			return kernel.Refuse(kernel.BadRecord, "data/log-3 at 4096")
 		}
 		So(s.app.Main(ctx, []string{"front", "--config", "front.yaml"}), ShouldEqual, ExitNo)
 		So(s.transcript.String(), ShouldEndWith, "stepwick: bad_record (5007): data/log-3 at 4096\n")
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -182,7 +182,7 @@
 		if got.fault == nil {
 			if into != nil {
 				if err := json.Unmarshal(got.body, into); err != nil {
-					return nil, kernel.Decline(kernel.BadAnswer, "%s: %v", got.node, err)
+					return nil, kernel.Refuse(kernel.BadAnswer, "%s: %v", got.node, err)
 				}
 			}
 			return got.body, nil
@@ -217,7 +217,7 @@
 	for attempt := 0; ; attempt++ {
 		got, err := l.ask(ctx, attempt, method, path, data)
 		if ctx.Err() != nil {
-			return nil, kernel.Decline(kernel.OutcomePending, "interrupted\nsend it again with --order-id %s", orderID)
+			return nil, kernel.Refuse(kernel.OutcomePending, "interrupted\nsend it again with --order-id %s", orderID)
 		}
 		failed, missed := err.(*unreachable)
 		if err != nil && !missed {
@@ -235,7 +235,7 @@
 		case got.fault == nil:
 			var done outcome
 			if err := json.Unmarshal(got.body, &done); err != nil {
-				return nil, kernel.Decline(kernel.BadAnswer, "%s: %v", got.node, err)
+				return nil, kernel.Refuse(kernel.BadAnswer, "%s: %v", got.node, err)
 			}
 			return &done, nil
 		default:
@@ -250,13 +250,13 @@
 			if !reached {
 				return nil, fault
 			}
-			return nil, kernel.Decline(kernel.OutcomePending, "%s\nsend it again with --order-id %s", told(fault), orderID)
+			return nil, kernel.Refuse(kernel.OutcomePending, "%s\nsend it again with --order-id %s", told(fault), orderID)
 		}
 		fmt.Fprintf(l.app.Err, "pending: %s; sending order %s again\n", strings.ReplaceAll(told(fault), "\n", "; "), orderID)
 		select {
 		case <-l.app.Clock.After(pause):
 		case <-ctx.Done():
-			return nil, kernel.Decline(kernel.OutcomePending, "interrupted\nsend it again with --order-id %s", orderID)
+			return nil, kernel.Refuse(kernel.OutcomePending, "interrupted\nsend it again with --order-id %s", orderID)
 		}
 	}
 }
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -84,7 +84,7 @@
 			}
 			var e explanation
 			if err := json.Unmarshal(body, &e); err != nil {
-				return kernel.Decline(kernel.BadAnswer, "%v", err)
+				return kernel.Refuse(kernel.BadAnswer, "%v", err)
 			}
 			return a.printExplanation(&e)
 		},
--- a/internal/cli/locality.go
+++ b/internal/cli/locality.go
@@ -69,6 +69,6 @@
 		}
 	}
 	slices.Sort(localities)
-	return kernel.Decline(kernel.UnknownLocality, "no node stands in %s; there are nodes in %s\n--force sends the order all the same",
+	return kernel.Refuse(kernel.UnknownLocality, "no node stands in %s; there are nodes in %s\n--force sends the order all the same",
 		locality, strings.Join(slices.Compact(localities), ", "))
 }
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -32,7 +32,7 @@
 			}
 			var plan wire.Plan
 			if err := json.Unmarshal(body, &plan); err != nil {
-				return kernel.Decline(kernel.BadAnswer, "%v", err)
+				return kernel.Refuse(kernel.BadAnswer, "%v", err)
 			}
 			return a.printPlan(&plan)
 		},
--- a/internal/cli/sheet.go
+++ b/internal/cli/sheet.go
@@ -266,7 +266,7 @@
 				changes = append(changes, sheet.Change{Path: path, Delete: true})
 			}
 			if len(problems) > 0 {
-				return kernel.Decline(kernel.InvalidChange, "%s", strings.Join(problems, "\n"))
+				return kernel.Refuse(kernel.InvalidChange, "%s", strings.Join(problems, "\n"))
 			}
 			if len(changes) == 0 {
 				return errors.New("no change given: --set CELL=VALUE or --delete CELL")
@@ -287,10 +287,10 @@
 	}
 	var value string
 	if err := json.Unmarshal(change.Value, &value); err != nil {
-		return kernel.Decline(kernel.InvalidChange, "%s: %v", change.Path, err)
+		return kernel.Refuse(kernel.InvalidChange, "%s: %v", change.Path, err)
 	}
 	if err := settings.CheckRuntime(name, value); err != nil {
-		return kernel.Decline(kernel.InvalidChange, "%s: %v", change.Path, err)
+		return kernel.Refuse(kernel.InvalidChange, "%s: %v", change.Path, err)
 	}
 	return nil
 }
--- a/internal/cli/standin_test.go
+++ b/internal/cli/standin_test.go
@@ -40,7 +40,7 @@
 
 func (s *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Authorization") != "Bearer "+operatorKey {
-		kernel.ReplyFault(w, kernel.Decline(kernel.OperatorUnknown, ""), "")
+		kernel.ReplyFault(w, kernel.Refuse(kernel.OperatorUnknown, ""), "")
 		return
 	}
 	path := strings.TrimPrefix(r.URL.Path, controlPath)
@@ -56,7 +56,7 @@
 	case path == "history":
 		kernel.Reply(w, http.StatusOK, map[string]any{"history": s.state.History})
 	case verb == "":
-		kernel.ReplyFault(w, kernel.Decline(kernel.NotFound, "%s", path), "")
+		kernel.ReplyFault(w, kernel.Refuse(kernel.NotFound, "%s", path), "")
 	default:
 		s.order(w, r, verb)
 	}
@@ -84,7 +84,7 @@
 		panic(http.ErrAbortHandler)
 	case s.pending > 0:
 		s.pending--
-		kernel.ReplyFault(w, kernel.Decline(kernel.OutcomePending, "waiting for front-4").After(300*kernel.Millisecond), "")
+		kernel.ReplyFault(w, kernel.Refuse(kernel.OutcomePending, "waiting for front-4").After(300*kernel.Millisecond), "")
 	default:
 		kernel.Reply(w, http.StatusOK, outcome{result.Epoch, result.SheetEpoch, true, 9, 9, order.OrderID})
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -138,7 +138,7 @@
 					err = a.printStatus(&s)
 				}
 				if err == nil && wait > 0 && lacks != "" {
-					return kernel.Decline(kernel.NotRuling, "after %s: %s", wait, lacks)
+					return kernel.Refuse(kernel.NotRuling, "after %s: %s", wait, lacks)
 				}
 				return err
 			}
@@ -214,7 +214,7 @@
 func (a *App) printStatusJSON(body, tenants []byte) error {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
-		return kernel.Decline(kernel.BadAnswer, "%v", err)
+		return kernel.Refuse(kernel.BadAnswer, "%v", err)
 	}
 	if len(tenants) > 0 {
 		fields["tenants"] = tenants
--- a/internal/cli/tally.go
+++ b/internal/cli/tally.go
@@ -52,7 +52,7 @@
 			}
 			var views []tenantView
 			if err := json.Unmarshal(body, &views); err != nil {
-				return kernel.Decline(kernel.BadAnswer, "%v", err)
+				return kernel.Refuse(kernel.BadAnswer, "%v", err)
 			}
 			if wanted != "" {
 				views = slices.DeleteFunc(views, func(v tenantView) bool { return v.Tenant != wanted })
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -165,7 +165,7 @@
 func (t *Table) Choose(request *Request, now kernel.Time) Choice {
 	budget := t.budget(request.Service)
 	if request.Repeat && !budget.allows(now, t.retryShare()) {
-		return Choice{Fault: kernel.Decline(kernel.BudgetSpent, "repeated sends are bound to a share of the requests").After(retryPause)}
+		return Choice{Fault: kernel.Refuse(kernel.BudgetSpent, "repeated sends are bound to a share of the requests").After(retryPause)}
 	}
 	chosen, waits := t.pick(request, now)
 	switch {
@@ -174,9 +174,9 @@
 	case waits && now.Before(request.Until):
 		return Choice{Wait: true}
 	case waits:
-		return Choice{Fault: kernel.Decline(kernel.PendingFull, "the servers of %s have no room", request.Service).After(fullPause)}
+		return Choice{Fault: kernel.Refuse(kernel.PendingFull, "the servers of %s have no room", request.Service).After(fullPause)}
 	}
-	return Choice{Fault: kernel.Decline(kernel.NoServer, "no server of %s can take requests", request.Service).After(emptyPause)}
+	return Choice{Fault: kernel.Refuse(kernel.NoServer, "no server of %s can take requests", request.Service).After(emptyPause)}
 }
 
 // Count counts a client's request for a service, by which its retry budget grows.
--- a/internal/core/ballot/acceptor.go
+++ b/internal/core/ballot/acceptor.go
@@ -110,7 +110,7 @@
 // is more.
 func (s State) Fetch(req *wire.FetchRequest) (*wire.FetchResponse, *kernel.Fault) {
 	if code := s.votesIn(req.Formation); code != kernel.OK {
-		return nil, kernel.Decline(code, "core %s", s.Self)
+		return nil, kernel.Refuse(code, "core %s", s.Self)
 	}
 	resp := &wire.FetchResponse{Learned: s.Learned()}
 	after := req.After
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -28,7 +28,7 @@
 	if len(req.Tried) == 0 {
 		t.budget.add()
 	} else if !t.budget.has() {
-		return Choice{Fault: kernel.Decline(kernel.BudgetSpent, "retries are bound to a share of the requests").After(comeBack)}
+		return Choice{Fault: kernel.Refuse(kernel.BudgetSpent, "retries are bound to a share of the requests").After(comeBack)}
 	}
 	if req.Prefix != 0 {
 		t.popular.add(req.Prefix)
@@ -45,14 +45,14 @@
 func (t *Table) choose(req *Request, since, now kernel.Time, fresh bool) (c Choice, room bool) {
 	switch {
 	case t.view.Plan == nil || t.view.State.Sheet == nil:
-		c.Fault = kernel.Decline(kernel.NoPlan, "no plan has arrived").After(comeBack)
+		c.Fault = kernel.Refuse(kernel.NoPlan, "no plan has arrived").After(comeBack)
 		return c, false
 	case !now.Before(req.Deadline):
-		c.Fault = kernel.Decline(kernel.DeadlinePassed, "the deadline has passed").After(leastBack)
+		c.Fault = kernel.Refuse(kernel.DeadlinePassed, "the deadline has passed").After(leastBack)
 		return c, false
 	}
 	if _, known := t.view.State.Sheet.Services[req.Service]; !known {
-		c.Fault = kernel.Decline(kernel.UnknownService, "no service %q", req.Service)
+		c.Fault = kernel.Refuse(kernel.UnknownService, "no service %q", req.Service)
 		return c, false
 	}
 	if fresh && t.pending.unserved && len(t.pending.line) > 0 {
@@ -98,7 +98,7 @@
 		c.Pending = true
 		return c, found == elsewhere
 	}
-	c.Fault = kernel.Decline(kernel.NoServer, "no server of %s can take requests%s", req.Service, t.homeNote(req.Home)).After(comeBack)
+	c.Fault = kernel.Refuse(kernel.NoServer, "no server of %s can take requests%s", req.Service, t.homeNote(req.Home)).After(comeBack)
 	return c, false
 }
 
--- a/internal/core/route/pending.go
+++ b/internal/core/route/pending.go
@@ -97,7 +97,7 @@
 	switch {
 	case len(t.pending.byID) >= t.cfg.PendingBound:
 		whole := t.estimate(req, len(t.pending.byID)/2, now)
-		c.Fault = kernel.Decline(kernel.PendingFull, "%d requests are pending", len(t.pending.byID)).After(back(whole))
+		c.Fault = kernel.Refuse(kernel.PendingFull, "%d requests are pending", len(t.pending.byID)).After(back(whole))
 	case c.Wait+t.lasts(req, startMargin) >= left:
 		c.Fault = t.tooShort(req, c.Wait, left)
 	default:
@@ -108,7 +108,7 @@
 
 func (t *Table) tooShort(req *Request, wait, left kernel.Duration) *kernel.Fault {
 	takes := t.lasts(req, 1)
-	return kernel.Decline(kernel.DeadlineTooShort, "the wait is about %s and the answer takes %s, the deadline is in %s",
+	return kernel.Refuse(kernel.DeadlineTooShort, "the wait is about %s and the answer takes %s, the deadline is in %s",
 		wait.Round(kernel.Millisecond), takes.Round(kernel.Millisecond), left.Round(kernel.Millisecond)).After(back(wait + takes - left))
 }
 
@@ -204,7 +204,7 @@
 // request whose id already waits, and any beyond the bound.
 func (t *Table) Enqueue(req Request, now kernel.Time) *kernel.Fault {
 	if t.pending.byID[req.ID] != nil {
-		return kernel.Decline(kernel.BadField, "a request with this id is pending")
+		return kernel.Refuse(kernel.BadField, "a request with this id is pending")
 	}
 	if len(t.pending.byID) >= t.cfg.PendingBound {
 		return t.wait(&req, now, Choice{}).Fault
--- a/internal/core/sheet/cells.go
+++ b/internal/core/sheet/cells.go
@@ -102,13 +102,13 @@
 // it. Rows may stand in any order; an empty value leaves the cell unset.
 func ImportCSV(data []byte, limit int) (*Sheet, *kernel.Fault) {
 	if len(data) > limit {
-		return nil, kernel.Decline(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(data), limit)
+		return nil, kernel.Refuse(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(data), limit)
 	}
 	r := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(data, []byte("\ufeff"))))
 	r.FieldsPerRecord = len(csvHead)
 	head, err := r.Read()
 	if err != nil || !slices.Equal(head, csvHead) {
-		return nil, kernel.Decline(kernel.InvalidSheet, "the first row must be cell,value")
+		return nil, kernel.Refuse(kernel.InvalidSheet, "the first row must be cell,value")
 	}
 	e := importer{sheet: Sheet{Services: map[string]Service{}, Weights: map[string]map[string]float64{},
 		Tenants: map[string]Tenant{}, Settings: map[string]string{}}, seen: map[string]bool{}}
@@ -119,7 +119,7 @@
 			break
 		}
 		if err != nil {
-			return nil, kernel.Decline(kernel.InvalidSheet, "%v", err)
+			return nil, kernel.Refuse(kernel.InvalidSheet, "%v", err)
 		}
 		if why := e.set(strings.TrimSpace(row[0]), strings.TrimSpace(row[1])); why != "" {
 			line, _ := r.FieldPos(0)
--- a/internal/core/sheet/order.go
+++ b/internal/core/sheet/order.go
@@ -64,23 +64,23 @@
 func ParseOrder(verb, operator string, body []byte, limits Limits, atMS int64) (Command, *kernel.Fault) {
 	want, known := orderShapes[verb]
 	if !known {
-		return nil, kernel.Decline(kernel.UnknownPath, "no order %s", strconv.Quote(clip(verb)))
+		return nil, kernel.Refuse(kernel.UnknownPath, "no order %s", strconv.Quote(clip(verb)))
 	}
 	if len(body) > limits.Bytes {
-		return nil, kernel.Decline(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(body), limits.Bytes)
+		return nil, kernel.Refuse(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(body), limits.Bytes)
 	}
 	var b orderBody
 	if fault := parse(body, want, kernel.BadField, &b); fault != nil {
 		return nil, fault
 	}
 	if len(b.OrderID) > MaxOrderID || !utf8.ValidString(b.OrderID) {
-		return nil, kernel.Decline(kernel.BadField, "order_id: over %d bytes", MaxOrderID)
+		return nil, kernel.Refuse(kernel.BadField, "order_id: over %d bytes", MaxOrderID)
 	}
 	order := Order{OrderID: b.OrderID, Operator: operator, AtMS: atMS}
 	order.Revision, order.BaseRevision = b.Revision, b.OnRev
 	if (verb == VerbPut || verb == VerbPatch || verb == VerbMerge) && b.Revision == 0 {
 		if b.Base == nil {
-			return nil, kernel.Decline(kernel.MissingField, "base: the sheet's epoch that the order is built on")
+			return nil, kernel.Refuse(kernel.MissingField, "base: the sheet's epoch that the order is built on")
 		}
 		order.Base = *b.Base
 	}
@@ -91,7 +91,7 @@
 	switch verb {
 	case VerbPut:
 		if b.Sheet == nil {
-			return nil, kernel.Decline(kernel.MissingField, "sheet")
+			return nil, kernel.Refuse(kernel.MissingField, "sheet")
 		}
 		if fault := b.Sheet.Check(); fault != nil {
 			return nil, fault
@@ -113,7 +113,7 @@
 		return c, nil
 	case VerbPatch:
 		if len(b.Changes) == 0 {
-			return nil, kernel.Decline(kernel.MissingField, "changes")
+			return nil, kernel.Refuse(kernel.MissingField, "changes")
 		}
 		if fault := checkChanges(b.Changes, limits); fault != nil {
 			return nil, fault
@@ -123,17 +123,17 @@
 		return c, nil
 	case VerbRemove:
 		if len(b.Names) == 0 {
-			return nil, kernel.Decline(kernel.MissingField, "names")
+			return nil, kernel.Refuse(kernel.MissingField, "names")
 		}
 		c := RemoveMembers{Order: order, Names: b.Names, By: order.Operator}
 		c.Order = c.seal()
 		return c, nil
 	}
 	if b.Locality == "" {
-		return nil, kernel.Decline(kernel.MissingField, "locality")
+		return nil, kernel.Refuse(kernel.MissingField, "locality")
 	}
 	if !ValidLocality(b.Locality) {
-		return nil, kernel.Decline(kernel.UnknownLocality, "%s is neither a region nor region/zone", strconv.Quote(clip(b.Locality)))
+		return nil, kernel.Refuse(kernel.UnknownLocality, "%s is neither a region nor region/zone", strconv.Quote(clip(b.Locality)))
 	}
 	if verb == VerbEvacuate {
 		c := Evacuate{Order: order, Locality: b.Locality}
@@ -160,7 +160,7 @@
 
 func checkChanges(changes []Change, limits Limits) *kernel.Fault {
 	if len(changes) > MaxChanges {
-		return kernel.Decline(kernel.InvalidChange, "%d changes; the bound is %d", len(changes), MaxChanges)
+		return kernel.Refuse(kernel.InvalidChange, "%d changes; the bound is %d", len(changes), MaxChanges)
 	}
 	var broken rules
 	for _, change := range changes {
--- a/internal/core/sheet/parse.go
+++ b/internal/core/sheet/parse.go
@@ -66,7 +66,7 @@
 // Unknown or repeated names, nulls, wrong types and trailing data are declined.
 func ParseSheet(data []byte, limit int) (*Sheet, *kernel.Fault) {
 	if len(data) > limit {
-		return nil, kernel.Decline(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(data), limit)
+		return nil, kernel.Refuse(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(data), limit)
 	}
 	var s Sheet
 	if fault := parse(data, sheetShape, kernel.InvalidSheet, &s); fault != nil {
@@ -85,9 +85,9 @@
 	if err := json.Unmarshal(data, into); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return kernel.Decline(code, "%s: %s is out of bounds", wrong.Field, clip(wrong.Value))
+			return kernel.Refuse(code, "%s: %s is out of bounds", wrong.Field, clip(wrong.Value))
 		}
-		return kernel.Decline(kernel.BadJSON, "%v", err)
+		return kernel.Refuse(kernel.BadJSON, "%v", err)
 	}
 	return nil
 }
@@ -100,9 +100,9 @@
 		err := json.Unmarshal(data, &raw)
 		var syntax *json.SyntaxError
 		if errors.As(err, &syntax) {
-			return kernel.Decline(kernel.BadJSON, "at byte %d: %v", syntax.Offset, err)
+			return kernel.Refuse(kernel.BadJSON, "at byte %d: %v", syntax.Offset, err)
 		}
-		return kernel.Decline(kernel.BadJSON, "%v", err)
+		return kernel.Refuse(kernel.BadJSON, "%v", err)
 	}
 	s := scanner{data: data}
 	return s.value(want, code, nil, 0)
@@ -161,12 +161,12 @@
 		code = want.code
 	}
 	if depth > maxDepth {
-		return kernel.Decline(code, "%sit is nested too deep", path)
+		return kernel.Refuse(code, "%sit is nested too deep", path)
 	}
 	got, known := kindOf(first)
 	fits := known && (got == want.kind || want.kind == isRecord && got == isTable || want.kind == isAny)
 	if !fits {
-		return kernel.Decline(code, "%swant %s, not %s", path, kindNames[want.kind], s.describe(got, known))
+		return kernel.Refuse(code, "%swant %s, not %s", path, kindNames[want.kind], s.describe(got, known))
 	}
 	switch got {
 	case isTable:
@@ -183,7 +183,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(s.data[s.at:]))
 	var raw json.RawMessage
 	if err := decoder.Decode(&raw); err != nil {
-		return kernel.Decline(kernel.BadJSON, "%v", err)
+		return kernel.Refuse(kernel.BadJSON, "%v", err)
 	}
 	s.at += int(decoder.InputOffset())
 	return nil
@@ -210,14 +210,14 @@
 	for s.next() != '}' {
 		here := place{in: path, name: s.name(), named: true}
 		if _, twice := seen[here.name]; twice {
-			return kernel.Decline(code, "%sgiven twice", &here)
+			return kernel.Refuse(code, "%sgiven twice", &here)
 		}
 		seen[here.name] = struct{}{}
 		inner := want.each
 		switch want.kind {
 		case isRecord:
 			if inner = want.fields[here.name]; inner == nil {
-				return kernel.Decline(kernel.UnknownField, "%sno such field", &here)
+				return kernel.Refuse(kernel.UnknownField, "%sno such field", &here)
 			}
 		case isAny:
 			inner = whole
--- a/internal/core/sheet/patch.go
+++ b/internal/core/sheet/patch.go
@@ -47,7 +47,7 @@
 func ParseChange(text string) (Change, *kernel.Fault) {
 	path, value, ok := strings.Cut(text, "=")
 	if !ok || path == "" {
-		return Change{}, kernel.Decline(kernel.InvalidChange, "%s is not path=value", strconv.Quote(clip(text)))
+		return Change{}, kernel.Refuse(kernel.InvalidChange, "%s is not path=value", strconv.Quote(clip(text)))
 	}
 	return TextChange(strings.TrimSpace(path), strings.TrimSpace(value))
 }
@@ -63,13 +63,13 @@
 	switch {
 	case c.row != "" && c.column == "" && c.table != "settings":
 		if !json.Valid([]byte(value)) {
-			return Change{}, kernel.Decline(kernel.InvalidChange, "%s: a whole row is written as JSON", path)
+			return Change{}, kernel.Refuse(kernel.InvalidChange, "%s: a whole row is written as JSON", path)
 		}
 		return Change{Path: path, Value: json.RawMessage(value)}, nil
 	case c.numeric():
 		number, err := strconv.ParseFloat(value, 64)
 		if err != nil || !validNumber(number) {
-			return Change{}, kernel.Decline(kernel.InvalidChange, "%s: %s is no number from 0 to %g", path, strconv.Quote(clip(value)), float64(MaxNumber))
+			return Change{}, kernel.Refuse(kernel.InvalidChange, "%s: %s is no number from 0 to %g", path, strconv.Quote(clip(value)), float64(MaxNumber))
 		}
 		typed = number
 	case c.column == "keys":
@@ -77,7 +77,7 @@
 	}
 	data, err := json.Marshal(typed)
 	if err != nil {
-		return Change{}, kernel.Decline(kernel.InvalidChange, "%s: %v", path, err)
+		return Change{}, kernel.Refuse(kernel.InvalidChange, "%s: %v", path, err)
 	}
 	return Change{Path: path, Value: data}, nil
 }
@@ -95,7 +95,7 @@
 
 func splitPath(path string) (cellPath, *kernel.Fault) {
 	bad := func(why string) (cellPath, *kernel.Fault) {
-		return cellPath{}, kernel.Decline(kernel.InvalidChange, "%s: %s", strconv.Quote(clip(path)), why)
+		return cellPath{}, kernel.Refuse(kernel.InvalidChange, "%s: %s", strconv.Quote(clip(path)), why)
 	}
 	table, rest, ok := strings.Cut(path, ".")
 	if !ok || rest == "" {
@@ -129,10 +129,10 @@
 // rest; tenants that don't change aren't checked anew. A nil sheet is empty.
 func (s *Sheet) Patch(changes []Change) (*Sheet, *kernel.Fault) {
 	if len(changes) == 0 {
-		return nil, kernel.Decline(kernel.InvalidChange, "no changes")
+		return nil, kernel.Refuse(kernel.InvalidChange, "no changes")
 	}
 	if len(changes) > MaxChanges {
-		return nil, kernel.Decline(kernel.InvalidChange, "%d changes; the bound is %d", len(changes), MaxChanges)
+		return nil, kernel.Refuse(kernel.InvalidChange, "%d changes; the bound is %d", len(changes), MaxChanges)
 	}
 	e := editor{rows: make(map[string]bool), tenants: make(map[string]bool), seen: make(map[string]bool, len(changes))}
 	if s != nil {
--- a/internal/core/sheet/sheet.go
+++ b/internal/core/sheet/sheet.go
@@ -154,7 +154,7 @@
 // bound on size is passed and InvalidSheet otherwise.
 func (s *Sheet) Check() *kernel.Fault {
 	if s == nil {
-		return kernel.Decline(kernel.InvalidSheet, "no sheet")
+		return kernel.Refuse(kernel.InvalidSheet, "no sheet")
 	}
 	return s.check(sortedNames(s.Tenants))
 }
@@ -163,10 +163,10 @@
 // be sound among themselves.
 func (s *Sheet) check(tenants []string) *kernel.Fault {
 	if size := s.Size(); size > MaxBytes {
-		return kernel.Decline(kernel.SheetTooLarge, "about %d bytes; the bound is %d", size, MaxBytes)
+		return kernel.Refuse(kernel.SheetTooLarge, "about %d bytes; the bound is %d", size, MaxBytes)
 	}
 	if len(s.Tenants) > MaxTenants || len(s.Services) > MaxServices || len(s.Settings) > MaxSettings {
-		return kernel.Decline(kernel.SheetTooLarge, "%d tenants, %d services, %d settings; the bounds are %d, %d and %d",
+		return kernel.Refuse(kernel.SheetTooLarge, "%d tenants, %d services, %d settings; the bounds are %d, %d and %d",
 			len(s.Tenants), len(s.Services), len(s.Settings), MaxTenants, MaxServices, MaxSettings)
 	}
 	var broken rules
--- a/internal/kernel/code.go
+++ b/internal/kernel/code.go
@@ -192,8 +192,8 @@
 	return fmt.Sprintf("%d %s: %s", f.Code, f.Code, f.Detail)
 }
 
-// Decline returns a fault with a formatted detail.
-func Decline(code Code, format string, args ...any) *Fault {
+// Refuse returns a fault with a formatted detail.
+func Refuse(code Code, format string, args ...any) *Fault {
 	return &Fault{Code: code, Detail: fmt.Sprintf(format, args...)}
 }
 
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -328,12 +328,12 @@
 func (c *Core) closedFault() *kernel.Fault {
 	switch c.agreement.Standing() {
 	case wire.Standing_STANDING_BLANK, wire.Standing_STANDING_UNSPECIFIED:
-		return kernel.Decline(kernel.CoreBlank, "the cores have not formed yet")
+		return kernel.Refuse(kernel.CoreBlank, "the cores have not formed yet")
 	case wire.Standing_STANDING_AMNESIAC:
-		return kernel.Decline(kernel.CoreAmnesiac, "the core rebuilds its state")
+		return kernel.Refuse(kernel.CoreAmnesiac, "the core rebuilds its state")
 	}
 	if !c.opened {
-		return kernel.Decline(kernel.NoMajority, "the core has not caught up since its start")
+		return kernel.Refuse(kernel.NoMajority, "the core has not caught up since its start")
 	}
 	return nil
 }
@@ -349,7 +349,7 @@
 		name = req.Self.Name
 	}
 	if name == "" {
-		return nil, kernel.Decline(kernel.MissingField, "name")
+		return nil, kernel.Refuse(kernel.MissingField, "name")
 	}
 	type answer struct {
 		resp  *wire.RenewResponse
@@ -368,7 +368,7 @@
 			return answer{fault: fault}
 		}
 		if accepted > c.learned() {
-			return answer{fault: kernel.Decline(kernel.NoMajority, "the ballot of epoch %d is open", accepted)}
+			return answer{fault: kernel.Refuse(kernel.NoMajority, "the ballot of epoch %d is open", accepted)}
 		}
 		resp := c.ledger.Renew(req, c.learned(), c.clock.Now())
 		if resp.Who {
--- a/internal/node/core/fleet_test.go
+++ b/internal/node/core/fleet_test.go
@@ -154,7 +154,7 @@
 func (b ballots) ReadMajority(ctx context.Context) (sheet.State, error) {
 	if b.f.split.Load() {
 		<-ctx.Done()
-		return sheet.State{}, kernel.Decline(kernel.NoMajority, "1 of 3 cores answered")
+		return sheet.State{}, kernel.Refuse(kernel.NoMajority, "1 of 3 cores answered")
 	}
 	return b.f.agreed.Load().state, nil
 }
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -62,7 +62,7 @@
 	case c.orders <- struct{}{}:
 		defer func() { <-c.orders }()
 	default:
-		return faulty(kernel.Decline(kernel.PendingFull, "%d orders are under way", orderBound).After(comeBack), 0, ""), nil
+		return faulty(kernel.Refuse(kernel.PendingFull, "%d orders are under way", orderBound).After(comeBack), 0, ""), nil
 	}
 	switch req.Verb {
 	case verbGet, verbHistory:
@@ -73,7 +73,7 @@
 	command, fault := sheet.ParseOrder(req.Verb, req.Operator, req.Body,
 		sheet.Limits{Bytes: c.config.SheetMax, Setting: c.config.Setting}, c.config.FleetNow().UnixMilli())
 	if req.Operator == "" {
-		fault = kernel.Decline(kernel.OperatorUnknown, "the order names no operator")
+		fault = kernel.Refuse(kernel.OperatorUnknown, "the order names no operator")
 	}
 	if fault != nil {
 		c.log.Emit(events.OrderDeclined, "verb", req.Verb, "operator", req.Operator, "code", fault.Code)
@@ -101,7 +101,7 @@
 	case kernel.CoreBlank, kernel.CoreAmnesiac, kernel.DiskFull, kernel.NoMajority, kernel.OutcomePending:
 		return fault.After(comeBack)
 	}
-	return kernel.Decline(kernel.NoMajority, "no majority of the cores answered in time").After(comeBack)
+	return kernel.Refuse(kernel.NoMajority, "no majority of the cores answered in time").After(comeBack)
 }
 
 // carry brings a command through its ballot and waits until it is in force.
@@ -119,7 +119,7 @@
 	if err != nil {
 		fault := unread(err)
 		if ctx.Err() != nil {
-			fault = kernel.Decline(kernel.OutcomePending, "the ballot has not ended; send the order again with its id").After(comeBack)
+			fault = kernel.Refuse(kernel.OutcomePending, "the ballot has not ended; send the order again with its id").After(comeBack)
 		}
 		c.log.Emit(events.OrderPending, "order", id, "waiting", fault.Detail)
 		return faulty(fault, 0, id)
@@ -190,7 +190,7 @@
 		select {
 		case <-ctx.Done():
 			c.log.Emit(events.OrderPending, "order", id, "epoch", result.Epoch, "waiting", why)
-			fault := kernel.Decline(kernel.OutcomePending, "agreed at epoch %d and not known to be in force: %s; send the order again with its id", result.Epoch, why)
+			fault := kernel.Refuse(kernel.OutcomePending, "agreed at epoch %d and not known to be in force: %s; send the order again with its id", result.Epoch, why)
 			return faulty(fault.After(comeBack), result.Epoch, id)
 		case <-c.clock.After(pace):
 			pace = min(2*pace, c.config.AckPace)
@@ -201,7 +201,7 @@
 func answered(body any, epoch uint64) *wire.OrderResponse {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return faulty(kernel.Decline(kernel.Internal, "%v", err), epoch, "")
+		return faulty(kernel.Refuse(kernel.Internal, "%v", err), epoch, "")
 	}
 	return &wire.OrderResponse{Code: uint32(kernel.OK), Body: data, Epoch: epoch}
 }
--- a/internal/node/front/connect.go
+++ b/internal/node/front/connect.go
@@ -17,7 +17,7 @@
 	view := f.views.View()
 	if ask.Service != "" && view.State.Sheet != nil {
 		if _, known := view.State.Sheet.Services[ask.Service]; !known {
-			return nil, kernel.Decline(kernel.UnknownService, "the sheet in force has no service %q", ask.Service)
+			return nil, kernel.Refuse(kernel.UnknownService, "the sheet in force has no service %q", ask.Service)
 		}
 	}
 	region, zone := ask.Region, ask.Zone
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -198,7 +198,7 @@
 		return fault
 	}
 	if f.views.View().Plan == nil {
-		return kernel.Decline(kernel.NoPlan, "").After(kernel.Second)
+		return kernel.Refuse(kernel.NoPlan, "").After(kernel.Second)
 	}
 	return nil
 }
@@ -231,11 +231,11 @@
 // rules tells whether this node may decide on a new request now.
 func (f *Front) rules() *kernel.Fault {
 	if f.leaving.Load() {
-		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(kernel.Second)
+		return kernel.Refuse(kernel.FrontLeaving, "ask another node").After(kernel.Second)
 	}
 	if !f.views.Ruling() {
 		wait := f.views.View().Verdict.RetryAfter
-		return kernel.Decline(kernel.NotRuling, "ask another node").After(max(wait, 100*kernel.Millisecond))
+		return kernel.Refuse(kernel.NotRuling, "ask another node").After(max(wait, 100*kernel.Millisecond))
 	}
 	return nil
 }
--- a/internal/node/front/keeper.go
+++ b/internal/node/front/keeper.go
@@ -86,7 +86,7 @@
 		if k.clock.Now().Sub(k.started)-kernel.Duration(k.ruled.Load()) < k.cutAfter {
 			return nil
 		}
-		return kernel.Decline(kernel.NotRuling, "the node lost touch while the call ran").After(kernel.Second)
+		return kernel.Refuse(kernel.NotRuling, "the node lost touch while the call ran").After(kernel.Second)
 	}
 	k.ruled.Store(int64(k.clock.Now().Sub(k.started)))
 	index := k.views.View().Index
@@ -94,7 +94,7 @@
 		return nil
 	}
 	if tenant, _, known := tenantOf(index, call.key); !known || tenant != call.tenant {
-		return kernel.Decline(kernel.KeyRevoked, "the sheet in force no longer has the key")
+		return kernel.Refuse(kernel.KeyRevoked, "the sheet in force no longer has the key")
 	}
 	call.index.Store(index)
 	return nil
@@ -164,7 +164,7 @@
 		select {
 		case <-ask.cut:
 			for call := range k.running {
-				k.cut(call, kernel.Decline(kernel.FrontLeaving, "the node is being taken away").After(kernel.Second))
+				k.cut(call, kernel.Refuse(kernel.FrontLeaving, "the node is being taken away").After(kernel.Second))
 			}
 		default:
 		}
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -65,7 +65,7 @@
 	s := &seat{request: request, choice: make(chan route.Choice, 1)}
 	s.lost, s.lose = kernel.WithCancel(kernel.Background())
 	if !r.asks.Offer(s) {
-		return nil, kernel.Decline(kernel.PendingFull, "%d requests wait to be routed", routerBound).After(kernel.Second)
+		return nil, kernel.Refuse(kernel.PendingFull, "%d requests wait to be routed", routerBound).After(kernel.Second)
 	}
 	return s, nil
 }
@@ -113,7 +113,7 @@
 		}
 		r.log.Emit(events.RouteBroke, "panic", panicked)
 		if s != nil {
-			r.deliver(s, route.Choice{Fault: kernel.Decline(kernel.NoServer, "a fault of the program; see the log").After(kernel.Second)})
+			r.deliver(s, route.Choice{Fault: kernel.Refuse(kernel.NoServer, "a fault of the program; see the log").After(kernel.Second)})
 		}
 	}()
 	decide()
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -35,7 +35,7 @@
 		return fault
 	}
 	if _, _, known := tenantOf(f.views.View().Index, head.Key); !known {
-		return kernel.Decline(kernel.UnknownKey, "the sheet in force has no such key")
+		return kernel.Refuse(kernel.UnknownKey, "the sheet in force has no such key")
 	}
 	return nil
 }
@@ -170,13 +170,13 @@
 	}
 	tenant, row, known := tenantOf(view.Index, c.key)
 	if !known {
-		return kernel.Decline(kernel.UnknownKey, "the sheet in force has no such key")
+		return kernel.Refuse(kernel.UnknownKey, "the sheet in force has no such key")
 	}
 	c.tenant, a.Tenant = tenant, tenant
 	c.index.Store(view.Index)
 	service, known := view.Index.Sheet().Services[c.request.Service]
 	if !known {
-		return kernel.Decline(kernel.UnknownService, "the sheet in force has no service %q", c.request.Service)
+		return kernel.Refuse(kernel.UnknownService, "the sheet in force has no service %q", c.request.Service)
 	}
 	c.service = c.request.Service
 	if fault = c.bind(tenant, row.Home); fault != nil {
@@ -184,7 +184,7 @@
 	}
 	a.Home = c.request.Home
 	if service.Kind != kind {
-		return kernel.Decline(kernel.WrongServiceKind, "%s is a %s service", c.request.Service, service.Kind)
+		return kernel.Refuse(kernel.WrongServiceKind, "%s is a %s service", c.request.Service, service.Kind)
 	}
 	if tokens == 0 {
 		if tokens = service.PlainTokens; tokens == 0 {
@@ -208,7 +208,7 @@
 	case named == "":
 		c.request.Home = home
 	default:
-		return kernel.Decline(kernel.BadField, "home is %q, but %s is bound to %q", named, tenant, home)
+		return kernel.Refuse(kernel.BadField, "home is %q, but %s is bound to %q", named, tenant, home)
 	}
 	return nil
 }
@@ -245,7 +245,7 @@
 // maySend tells whether the request may go to a server at this moment.
 func (c *call) maySend() *kernel.Fault {
 	if !c.front.views.Ruling() {
-		return kernel.Decline(kernel.NotRuling, "ask another node").After(kernel.Second)
+		return kernel.Refuse(kernel.NotRuling, "ask another node").After(kernel.Second)
 	}
 	return c.front.keeper.stands(&c.running)
 }
@@ -256,9 +256,9 @@
 	case c.fault.Load() != nil:
 		return c.fault.Load()
 	case errors.Is(ctx.Err(), kernel.DeadlineExceeded):
-		return kernel.Decline(kernel.DeadlinePassed, "%s", late).After(100 * kernel.Millisecond)
+		return kernel.Refuse(kernel.DeadlinePassed, "%s", late).After(100 * kernel.Millisecond)
 	}
-	return kernel.Decline(kernel.CallerGone, "the caller closed the connection")
+	return kernel.Refuse(kernel.CallerGone, "the caller closed the connection")
 }
 
 func (c *call) attempt(choice route.Choice) *backend.Attempt {
@@ -363,19 +363,19 @@
 	case ctx.Err() != nil:
 		return nil, "", c.notRun(c.ended(ctx, "the deadline passed before the call was sent"))
 	}
-	return nil, choice.Server, kernel.Decline(kernel.NotRun, "%s", failure.Detail)
+	return nil, choice.Server, kernel.Refuse(kernel.NotRun, "%s", failure.Detail)
 }
 
 // late tells whether an answer that has arrived may no longer be passed on.
 func (c *call) late() *kernel.Fault {
 	if !c.front.clock.Now().Before(c.request.Deadline) {
-		return kernel.Decline(kernel.DeadlinePassed, "the answer came after the deadline")
+		return kernel.Refuse(kernel.DeadlinePassed, "the answer came after the deadline")
 	}
 	return c.front.keeper.stands(&c.running)
 }
 
 func unknown(detail string) *kernel.Fault {
-	return kernel.Decline(kernel.OutcomeUnknown, "%s", detail)
+	return kernel.Refuse(kernel.OutcomeUnknown, "%s", detail)
 }
 
 // notRun says of a one-shot of which nothing was sent that it has not run. A
@@ -384,7 +384,7 @@
 	if len(c.request.Tried) == 0 && fault.Code != kernel.DeadlinePassed {
 		return fault
 	}
-	return kernel.Decline(kernel.NotRun, "%s", fault.Error()).After(max(fault.RetryAfter, 100*kernel.Millisecond))
+	return kernel.Refuse(kernel.NotRun, "%s", fault.Error()).After(max(fault.RetryAfter, 100*kernel.Millisecond))
 }
 
 func (c *call) prompt(ctx kernel.Context, prompt *clientapi.Prompt, stream *clientapi.Stream) *kernel.Fault {
@@ -449,13 +449,13 @@
 	case failure.Kind == backend.Barred && !begun:
 		return "", c.notBegun(failure.Cause)
 	case ctx.Err() != nil && begun && c.fault.Load() == nil && errors.Is(ctx.Err(), kernel.DeadlineExceeded):
-		return "", kernel.Decline(kernel.StreamCut, "the deadline passed while the stream ran").After(100 * kernel.Millisecond)
+		return "", kernel.Refuse(kernel.StreamCut, "the deadline passed while the stream ran").After(100 * kernel.Millisecond)
 	case ctx.Err() != nil:
 		return "", c.ended(ctx, "no event came before the deadline")
 	case begun:
-		return "", kernel.Decline(kernel.StreamCut, "%s", failure.Detail).After(100 * kernel.Millisecond)
+		return "", kernel.Refuse(kernel.StreamCut, "%s", failure.Detail).After(100 * kernel.Millisecond)
 	}
-	return server, kernel.Decline(kernel.StreamNotBegun, "%s", failure.Detail)
+	return server, kernel.Refuse(kernel.StreamNotBegun, "%s", failure.Detail)
 }
 
 // notBegun says of a prompt that was tried before that no server began it.
@@ -463,7 +463,7 @@
 	if len(c.request.Tried) == 0 || fault.Code == kernel.CallerGone || fault.Code == kernel.KeyRevoked {
 		return fault
 	}
-	return kernel.Decline(kernel.StreamNotBegun, "%s", fault.Error()).After(max(fault.RetryAfter, 100*kernel.Millisecond))
+	return kernel.Refuse(kernel.StreamNotBegun, "%s", fault.Error()).After(max(fault.RetryAfter, 100*kernel.Millisecond))
 }
 
 // passage passes a stream's events on to its caller.
@@ -483,12 +483,12 @@
 	now := c.front.clock.Now()
 	if !now.Before(c.request.Deadline) {
 		if !p.out.Begun() {
-			return kernel.Decline(kernel.DeadlinePassed, "the first event came after the deadline").After(100 * kernel.Millisecond)
+			return kernel.Refuse(kernel.DeadlinePassed, "the first event came after the deadline").After(100 * kernel.Millisecond)
 		}
-		return kernel.Decline(kernel.StreamCut, "the deadline passed while the stream ran").After(100 * kernel.Millisecond)
+		return kernel.Refuse(kernel.StreamCut, "the deadline passed while the stream ran").After(100 * kernel.Millisecond)
 	}
 	if err := p.out.Event(event.Data); err != nil {
-		return kernel.Decline(kernel.CallerGone, "the caller takes no events: %s", err)
+		return kernel.Refuse(kernel.CallerGone, "the caller takes no events: %s", err)
 	}
 	if p.events == 0 {
 		p.first = now.Sub(began)
--- a/internal/node/gateway/answer.go
+++ b/internal/node/gateway/answer.go
@@ -32,7 +32,7 @@
 		return p.stream(answer, attempt)
 	}
 	if p.begun {
-		return kernel.Decline(kernel.StreamCut, "a server answered %d to a stream that was to go on", answer.Status), true
+		return kernel.Refuse(kernel.StreamCut, "a server answered %d to a stream that was to go on", answer.Status), true
 	}
 	return p.whole(answer, attempt)
 }
@@ -120,7 +120,7 @@
 		case err == io.EOF && (answer.Framed() || len(events.rest()) == 0):
 			return p.finish(answer, events.rest()), false
 		case err == io.EOF:
-			return kernel.Decline(kernel.StreamCut, "the stream ended inside an event"), true
+			return kernel.Refuse(kernel.StreamCut, "the stream ended inside an event"), true
 		case err != nil:
 			return p.cut(err), true
 		}
@@ -186,7 +186,7 @@
 
 func (p *passage) gone(err error) *kernel.Fault {
 	p.clientGone = true
-	return kernel.Decline(kernel.CallerGone, "the client takes no answer: %s", err)
+	return kernel.Refuse(kernel.CallerGone, "the client takes no answer: %s", err)
 }
 
 // cut says of an answer that its server broke off.
@@ -195,7 +195,7 @@
 	if errors.As(err, &fault) {
 		return fault
 	}
-	return p.request.ended(p.ctx, kernel.Decline(kernel.BadAnswer, "%s", err))
+	return p.request.ended(p.ctx, kernel.Refuse(kernel.BadAnswer, "%s", err))
 }
 
 func splitList(value string) []string {
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -40,7 +40,7 @@
 // earlier attempt goes before the reason why there is no further one.
 func (q *request) final(p *passage, fault, earlier *kernel.Fault) *kernel.Fault {
 	if q.http.Context().Err() != nil {
-		fault = kernel.Decline(kernel.CallerGone, "the client closed the connection")
+		fault = kernel.Refuse(kernel.CallerGone, "the client closed the connection")
 	}
 	if p.begun {
 		panic(http.ErrAbortHandler)
@@ -55,7 +55,7 @@
 		return q.unknown(fault)
 	}
 	if fault.Code == kernel.DeadlinePassed {
-		return kernel.Decline(kernel.NotRun, "%s", fault.Detail).After(leastPause)
+		return kernel.Refuse(kernel.NotRun, "%s", fault.Detail).After(leastPause)
 	}
 	return fault
 }
@@ -67,7 +67,7 @@
 	case kernel.DeadlinePassed, kernel.OutcomeUnknown, kernel.BadAnswer:
 		return fault
 	}
-	return kernel.Decline(kernel.OutcomeUnknown, "%s", fault.Detail)
+	return kernel.Refuse(kernel.OutcomeUnknown, "%s", fault.Detail)
 }
 
 // attempt sends the request to one server. again tells that another may be
@@ -143,9 +143,9 @@
 	}
 	q.exclude(server)
 	if !failure.Sent {
-		return kernel.Decline(kernel.NotRun, "%s", failure).After(leastPause), true
+		return kernel.Refuse(kernel.NotRun, "%s", failure).After(leastPause), true
 	}
-	return kernel.Decline(kernel.OutcomeUnknown, "%s", failure), q.mayRepeat()
+	return kernel.Refuse(kernel.OutcomeUnknown, "%s", failure), q.mayRepeat()
 }
 
 // rejected decides on an attempt that the server did not run.
@@ -156,7 +156,7 @@
 	if said.Elsewhere {
 		why = "the server is gone; another one has its address"
 	}
-	return kernel.Decline(kernel.NotRun, "%s", why).After(rejectedPause), true
+	return kernel.Refuse(kernel.NotRun, "%s", why).After(rejectedPause), true
 }
 
 const rejectedPause = 150 * kernel.Millisecond
@@ -165,9 +165,9 @@
 func (q *request) ended(ctx kernel.Context, fault *kernel.Fault) *kernel.Fault {
 	switch {
 	case q.http.Context().Err() != nil:
-		return kernel.Decline(kernel.CallerGone, "the client closed the connection")
+		return kernel.Refuse(kernel.CallerGone, "the client closed the connection")
 	case errors.Is(ctx.Err(), kernel.DeadlineExceeded) || fault == nil:
-		return kernel.Decline(kernel.DeadlinePassed, "the deadline passed before an answer")
+		return kernel.Refuse(kernel.DeadlinePassed, "the deadline passed before an answer")
 	}
 	return fault
 }
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -36,7 +36,7 @@
 	suspected map[string]bool // servers that were told to be silent
 }
 
-// ticket is a request that asks for a server. Its grant is written once.
+// ticket is a request that asks for a server; given gets its answer, once.
 type ticket struct {
 	request balance.Request
 	order   uint64
@@ -72,7 +72,7 @@
 func (d *dispatcher) assign(ctx kernel.Context, request balance.Request, first bool) assignment {
 	t := &ticket{request: request, first: first, given: make(chan assignment, 1)}
 	if !d.asks.Offer(t) {
-		return assignment{fault: kernel.Decline(kernel.PendingFull, "%d requests wait to be routed", askBound).After(kernel.Second)}
+		return assignment{fault: kernel.Refuse(kernel.PendingFull, "%d requests wait to be routed", askBound).After(kernel.Second)}
 	}
 	select {
 	case got := <-t.given:
@@ -81,7 +81,7 @@
 	case <-d.over:
 	}
 	d.move(move{leaves: t})
-	return assignment{fault: kernel.Decline(kernel.DeadlinePassed, "the request was given up while it waited for a server")}
+	return assignment{fault: kernel.Refuse(kernel.DeadlinePassed, "the request was given up while it waited for a server")}
 }
 
 // began tells that the answer to an attempt has begun.
@@ -208,7 +208,7 @@
 		return
 	}
 	if len(d.waiting) >= waitBound {
-		t.given <- assignment{fault: kernel.Decline(kernel.PendingFull, "%d requests wait for room", waitBound).After(kernel.Second)}
+		t.given <- assignment{fault: kernel.Refuse(kernel.PendingFull, "%d requests wait for room", waitBound).After(kernel.Second)}
 		return
 	}
 	d.count++
@@ -248,7 +248,7 @@
 
 // takeMoves takes in what has happened before a choice is made.
 func (d *dispatcher) takeMoves() {
-	for pending := d.moves.Len(); pending > 0; pending-- {
+	for left := d.moves.Len(); left > 0; left-- {
 		d.apply(<-d.moves.Items())
 	}
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -165,7 +165,7 @@
 // Ready tells whether the node takes traffic by routes: nil, or why not.
 func (g *Gateway) Ready() *kernel.Fault {
 	if g.leaving.Load() {
-		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(kernel.Second)
+		return kernel.Refuse(kernel.FrontLeaving, "ask another node").After(kernel.Second)
 	}
 	return g.rules()
 }
@@ -173,10 +173,10 @@
 // rules tells whether this node may decide on a request now.
 func (g *Gateway) rules() *kernel.Fault {
 	if !g.views.Ruling() {
-		return kernel.Decline(kernel.NotRuling, "ask another node").After(notRulingPause)
+		return kernel.Refuse(kernel.NotRuling, "ask another node").After(notRulingPause)
 	}
 	if g.views.View().State.Sheet == nil {
-		return kernel.Decline(kernel.NoSheet, "").After(notRulingPause)
+		return kernel.Refuse(kernel.NoSheet, "").After(notRulingPause)
 	}
 	return nil
 }
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -97,7 +97,7 @@
 func (q *request) admit() *kernel.Fault {
 	g := q.gateway
 	if g.closed.Load() {
-		return kernel.Decline(kernel.FrontLeaving, "ask another node").After(notRulingPause)
+		return kernel.Refuse(kernel.FrontLeaving, "ask another node").After(notRulingPause)
 	}
 	var fault *kernel.Fault
 	if q.call, fault = g.dialect.Read(q.http); fault != nil {
@@ -124,7 +124,7 @@
 	path, _, _ := strings.Cut(q.target(), "?")
 	route, found := index.Route(q.http.Host, path)
 	if !found {
-		return kernel.Decline(kernel.UnknownRoute, "no route for %s%s", q.http.Host, path)
+		return kernel.Refuse(kernel.UnknownRoute, "no route for %s%s", q.http.Host, path)
 	}
 	q.index, q.route = index, route
 	if len(index.Sheet().Tenants) == 0 {
@@ -139,9 +139,9 @@
 		q.tenant, q.terms = name, tenant
 	case route.Public:
 	case q.call.Key == "":
-		return kernel.Decline(kernel.MissingKey, "")
+		return kernel.Refuse(kernel.MissingKey, "")
 	default:
-		return kernel.Decline(kernel.UnknownKey, "the sheet in force has no such key")
+		return kernel.Refuse(kernel.UnknownKey, "the sheet in force has no such key")
 	}
 	return nil
 }
@@ -161,7 +161,7 @@
 		return fault
 	}
 	if q.tenant != tenant || !slices.ContainsFunc(q.route.Splits, func(s sheet.Split) bool { return s.Service == service && s.Weight > 0 }) {
-		return kernel.Decline(kernel.NotRun, "the route has changed").After(notRulingPause)
+		return kernel.Refuse(kernel.NotRun, "the route has changed").After(notRulingPause)
 	}
 	return nil
 }
@@ -194,7 +194,7 @@
 		most = int64(limits.BodyBytes)
 	}
 	if r.ContentLength > most {
-		return kernel.Decline(kernel.BodyTooLarge, "%d bytes of at most %d", r.ContentLength, most)
+		return kernel.Refuse(kernel.BodyTooLarge, "%d bytes of at most %d", r.ContentLength, most)
 	}
 	control := http.NewResponseController(q.writer)
 	_ = control.SetReadDeadline(q.gateway.clock.Now().Add(q.gateway.config.BodyTimeout))
@@ -227,7 +227,7 @@
 		body = append(body, chunk[:n]...)
 		switch {
 		case int64(len(body)) > most:
-			return nil, kernel.Decline(kernel.BodyTooLarge, "more than %d bytes", most)
+			return nil, kernel.Refuse(kernel.BodyTooLarge, "more than %d bytes", most)
 		case !q.hold(int64(n)):
 			return nil, q.bodiesFull()
 		case err == io.EOF:
@@ -247,25 +247,25 @@
 }
 
 func (q *request) bodiesFull() *kernel.Fault {
-	return kernel.Decline(kernel.PendingFull, "the bodies that the node holds are at their bound").After(kernel.Second)
+	return kernel.Refuse(kernel.PendingFull, "the bodies that the node holds are at their bound").After(kernel.Second)
 }
 
 func (q *request) unread(err error) *kernel.Fault {
 	if q.http.Context().Err() != nil {
-		return kernel.Decline(kernel.CallerGone, "%v", err)
+		return kernel.Refuse(kernel.CallerGone, "%v", err)
 	}
 	var slow interface{ Timeout() bool }
 	if errors.As(err, &slow) && slow.Timeout() {
-		return kernel.Decline(kernel.SlowBody, "the body did not arrive in time")
+		return kernel.Refuse(kernel.SlowBody, "the body did not arrive in time")
 	}
-	return kernel.Decline(kernel.BadField, "the body is malformed")
+	return kernel.Refuse(kernel.BadField, "the body is malformed")
 }
 
 // place works out what the choice of a server depends on.
 func (q *request) place() *kernel.Fault {
 	regions, possible := homes(q.route.Homes, q.terms)
 	if !possible {
-		return kernel.Decline(kernel.NoServer, "the homes of the route and of the tenant have no region in common").After(kernel.Second)
+		return kernel.Refuse(kernel.NoServer, "the homes of the route and of the tenant have no region in common").After(kernel.Second)
 	}
 	objective := kernel.Duration(q.route.ObjectiveMS) * kernel.Millisecond
 	q.order = balance.Request{
@@ -360,7 +360,7 @@
 	if decision.Pass {
 		return nil
 	}
-	fault := kernel.Decline(decision.Code, "%s has %.0f in a window", q.tenant, decision.Limit)
+	fault := kernel.Refuse(decision.Code, "%s has %.0f in a window", q.tenant, decision.Limit)
 	return fault.After(max(decision.RetryAfter, leastPause))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"syscall"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -16,16 +15,12 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/sys/unix"
 
 	"stepwick/internal/adapter/backend"
 	"stepwick/internal/adapter/clientapi"
 	"stepwick/internal/adapter/controlapi"
 	"stepwick/internal/adapter/disklog"
 	"stepwick/internal/adapter/internalrpc"
-	"stepwick/internal/adapter/platform"
-	"stepwick/internal/adapter/upstream"
-	"stepwick/internal/core/balance"
 	"stepwick/internal/core/plan"
 	"stepwick/internal/core/route"
 	"stepwick/internal/core/sheet"
@@ -39,7 +34,6 @@
 	"stepwick/internal/node/replica"
 	"stepwick/internal/node/spend"
 	"stepwick/internal/node/watch"
-	"stepwick/internal/port"
 	"stepwick/internal/settings"
 	"stepwick/internal/wire"
 )
@@ -52,30 +46,12 @@
 
 const coreStaleFor = kernel.Second
 
-// World is what a process touches outside itself.
-type World struct {
-	Clock  kernel.Clock
-	Listen func(address string) (net.Listener, error)
-	Dial   func(ctx kernel.Context, network, address string) (net.Conn, error)
-	Edge   Edge // nil for the process's own listeners
-
-	// DialServer opens connections to the servers of routes; Dial when nil.
-	DialServer func(ctx kernel.Context, network, address string) (net.Conn, error)
-}
-
 // Run runs a process of a role on this machine until the context ends; then it
 // hands over within its grace and returns nil.
 func Run(ctx kernel.Context, role string, values *settings.Values, log events.Log) error {
 	return RunAt(ctx, nil, role, values, log)
 }
 
-func (w World) serverDial() func(ctx kernel.Context, network, address string) (net.Conn, error) {
-	if w.DialServer != nil {
-		return w.DialServer
-	}
-	return w.Dial
-}
-
 // RunAt is Run on a platform that an edge speaks to; without one the process
 // has its own listeners.
 func RunAt(ctx kernel.Context, edge Edge, role string, values *settings.Values, log events.Log) error {
@@ -98,31 +74,6 @@
 	}, role, values, log)
 }
 
-const (
-	// serverSilence is how long the machine of a server may leave bytes or a probe
-	// of a resting connection without acknowledgement.
-	serverSilence = 1200 * kernel.Millisecond
-	serverProbes  = kernel.Second // between two probes of a connection that rests
-)
-
-// serverDialer dials like another dialer, but finds out soon when the machine
-// at the far end is gone without a word.
-func serverDialer(base *net.Dialer) *net.Dialer {
-	dialer := *base
-	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: serverProbes, Interval: serverProbes, Count: 1}
-	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(serverSilence.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}
-	return &dialer
-}
-
 // RunIn is Run in a given world.
 func RunIn(ctx kernel.Context, world World, role string, values *settings.Values, log events.Log) error {
 	for first := values.Bool("core.first"); ; first = false {
@@ -251,37 +202,6 @@
 	return p, nil
 }
 
-// carries tells whether the process carries traffic.
-func (p *process) carries() bool { return p.base.Front }
-
-func (p *process) servers(world World) port.ServerSource {
-	if world.Edge != nil {
-		return world.Edge.Servers(world.Dial)
-	}
-	return platform.New(platform.Config{URL: p.values.String("platform.url"), Dial: world.Dial})
-}
-
-func (p *process) buildGateway(world World, registry *prometheus.Registry) error {
-	if world.Edge == nil {
-		return nil
-	}
-	var err error
-	p.gateway, err = gateway.New(gateway.Config{
-		Balance: balance.Config{
-			Self: p.base.Name, Region: p.base.Region, Zone: p.base.Zone,
-			RetryRatio: p.values.Float("retry.budget"), RetryWindow: p.values.Duration("retry.window"), RetrySlack: p.values.Float("retry.slack"),
-			ColdOverage: p.values.Float("cold.overage"), ColdSlack: p.values.Float("cold.slack"),
-		},
-		Upstream: upstream.Config{Dial: world.serverDial(), ConnectTimeout: p.values.Duration("connect.timeout")},
-		BodyMax:  int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
-		HeaderTimeout: p.values.Duration("body.timeout"), BodyTimeout: p.values.Duration("body.timeout"),
-		PlainTokens: p.values.Float("plain_tokens"), DeadlineMost: p.values.Duration("deadline.max"),
-		Quota:   gateway.Quota{Part: p.values.Float("tally.part"), Reserve: p.values.Float("tally.reserve")},
-		Observe: func(ctx kernel.Context, server string, reachable bool) { p.watcher.Observe(ctx, server, reachable) },
-	}, world.Edge.Dialect(), p.follower, p.spend, p.clock, p.log, registry)
-	return err
-}
-
 func (p *process) buildCore() error {
 	var first []byte
 	if file := p.values.String("first_sheet"); file != "" {
@@ -513,41 +433,6 @@
 	return nil
 }
 
-// wasReplaced notes that another process holds this core's place.
-func (p *process) wasReplaced() {
-	select {
-	case p.replaced <- struct{}{}:
-	default:
-	}
-}
-
-// addTraffic adds the parts that carry traffic: the process's own API, or what
-// comes through an edge.
-func (p *process) addTraffic(supervisor *suture.Supervisor) {
-	if p.edge == nil {
-		supervisor.Add(service{"caller listener", func(ctx kernel.Context) error { return ended(p.front.Listen(ctx, p.caller)) }})
-		supervisor.Add(service{"front", p.front.Serve})
-		return
-	}
-	behind := &behindEdge{process: p, orders: p.orders}
-	supervisor.Add(service{"edge", func(ctx kernel.Context) error { return p.edge.Serve(ctx, behind, p.listen) }})
-	supervisor.Add(service{"gateway", p.gateway.Serve})
-	if p.caller != nil {
-		supervisor.Add(service{"caller listener", func(ctx kernel.Context) error { return ended(p.gateway.Listen(ctx, p.caller)) }})
-	}
-}
-
-// drain lets running requests finish until the context ends.
-func (p *process) drain(ctx kernel.Context) error {
-	switch {
-	case p.gateway == nil:
-		return p.front.Drain(ctx)
-	case p.carries():
-		return p.gateway.Drain(ctx)
-	}
-	return nil
-}
-
 func (p *process) handOver() {
 	grace := p.values.Duration("drain.grace")
 	p.log.Emit(events.ProcessStopping, "name", p.base.Name, "grace", grace)
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -38,7 +38,7 @@
 func (r *relay) Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
 	cores := r.cores()
 	if len(cores) == 0 {
-		return nil, kernel.Decline(kernel.CoreUnreachable, "no core is known yet").After(kernel.Second)
+		return nil, kernel.Refuse(kernel.CoreUnreachable, "no core is known yet").After(kernel.Second)
 	}
 	answers := make(chan relayed, len(cores))
 	ask := func(core *wire.Process) {
@@ -85,7 +85,7 @@
 		}
 	}
 	if last == nil && !reached {
-		return nil, kernel.Decline(kernel.CoreUnreachable, "no core of %d could be reached: %s", len(cores), strings.Join(met, ", ")).After(kernel.Second)
+		return nil, kernel.Refuse(kernel.CoreUnreachable, "no core of %d could be reached: %s", len(cores), strings.Join(met, ", ")).After(kernel.Second)
 	}
 	return pending(req, last, met)
 }
@@ -109,9 +109,9 @@
 		why += ": " + strings.Join(met, ", ")
 	}
 	if readOnly(req.Verb) {
-		return nil, kernel.Decline(kernel.NoMajority, "%s", why).After(kernel.Second)
+		return nil, kernel.Refuse(kernel.NoMajority, "%s", why).After(kernel.Second)
 	}
-	return nil, kernel.Decline(kernel.OutcomePending, "%s; send the order again with its id", why).After(kernel.Second)
+	return nil, kernel.Refuse(kernel.OutcomePending, "%s; send the order again with its id", why).After(kernel.Second)
 }
 
 // how says in a word what became of a call.
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -32,7 +32,7 @@
 	return connect.NewResponse(resp), nil
 }
 
-var errNotCore = kernel.Decline(kernel.NotCore, "this process is not a core")
+var errNotCore = kernel.Refuse(kernel.NotCore, "this process is not a core")
 
 func (p *peer) Hello(ctx kernel.Context, req *connect.Request[wire.HelloRequest]) (*connect.Response[wire.HelloResponse], error) {
 	return answer(ctx, req, p.directory.Hello)
@@ -44,7 +44,7 @@
 
 func (p *peer) Add(ctx kernel.Context, req *connect.Request[wire.AddRequest]) (*connect.Response[wire.AddResponse], error) {
 	if !p.follower.Timed() {
-		return nil, kernel.Decline(kernel.NotRuling, "this process does not know the fleet's time yet")
+		return nil, kernel.Refuse(kernel.NotRuling, "this process does not know the fleet's time yet")
 	}
 	return answer(ctx, req, p.spend.Add)
 }
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -208,7 +208,7 @@
 			return nil
 		}
 		if learned == state.Learned() {
-			return kernel.Decline(kernel.EpochBehind, "core %s gave nothing after epoch %d", from, learned)
+			return kernel.Refuse(kernel.EpochBehind, "core %s gave nothing after epoch %d", from, learned)
 		}
 	}
 }
--- a/internal/node/replica/owner.go
+++ b/internal/node/replica/owner.go
@@ -81,7 +81,7 @@
 			return errors.Wrap(err, "the log's snapshot")
 		}
 		if state.Self != o.r.cfg.Self {
-			return kernel.Decline(kernel.WrongFormation, "the data folder is core %s's", state.Self)
+			return kernel.Refuse(kernel.WrongFormation, "the data folder is core %s's", state.Self)
 		}
 		o.state = state
 	}
@@ -197,7 +197,7 @@
 		return nil
 	}
 	if use == toVote && (o.full || o.stuck) {
-		return kernel.Decline(kernel.DiskFull, "only the reserve is left")
+		return kernel.Refuse(kernel.DiskFull, "only the reserve is left")
 	}
 	encoded := make([][]byte, len(records))
 	for i, record := range records {
--- a/internal/node/replica/propose.go
+++ b/internal/node/replica/propose.go
@@ -120,9 +120,9 @@
 		}
 	}
 	if !sent {
-		return outcome{err: kernel.Decline(kernel.NoMajority, "no ballot was held")}
+		return outcome{err: kernel.Refuse(kernel.NoMajority, "no ballot was held")}
 	}
-	return outcome{err: kernel.Decline(code, "%s", detail)}
+	return outcome{err: kernel.Refuse(code, "%s", detail)}
 }
 
 // met tells whether a proposal has come to its end by what was learned since it
@@ -238,7 +238,7 @@
 	select {
 	case r.proposals <- proposal{ctx: ctx, target: target, done: done}:
 	case <-ctx.Done():
-		return kernel.Decline(kernel.NoMajority, "proposals wait for a majority")
+		return kernel.Refuse(kernel.NoMajority, "proposals wait for a majority")
 	}
 	select {
 	case out := <-done:
@@ -247,7 +247,7 @@
 		}
 		return out.err
 	case <-ctx.Done():
-		return kernel.Decline(kernel.NoMajority, "slot %d could not be finished in time", target)
+		return kernel.Refuse(kernel.NoMajority, "slot %d could not be finished in time", target)
 	}
 }
 
@@ -256,7 +256,7 @@
 	return ask(ctx, r, func(o *owner, reply func(ballot.State, error)) {
 		v := o.standing(view{standing: o.state.Standing()})
 		if code := standingCode(v.standing); code != kernel.OK {
-			reply(ballot.State{}, kernel.Decline(code, "core %s: %s", o.r.cfg.Self, v.waiting))
+			reply(ballot.State{}, kernel.Refuse(code, "core %s: %s", o.r.cfg.Self, v.waiting))
 			return
 		}
 		reply(o.state, nil)
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -235,7 +235,7 @@
 	if v.standing == wire.Standing_STANDING_VOTING {
 		return nil
 	}
-	return kernel.Decline(standingCode(v.standing), "%s", v.waiting)
+	return kernel.Refuse(standingCode(v.standing), "%s", v.waiting)
 }
 
 func standingCode(standing wire.Standing) kernel.Code {
@@ -355,7 +355,7 @@
 	select {
 	case r.proposals <- proposal{ctx: ctx, command: command, match: match, done: done}:
 	case <-ctx.Done():
-		return 0, sheet.Result{}, kernel.Decline(kernel.NoMajority, "other proposals wait for a majority")
+		return 0, sheet.Result{}, kernel.Refuse(kernel.NoMajority, "other proposals wait for a majority")
 	}
 	select {
 	case out := <-done:
@@ -364,7 +364,7 @@
 		}
 		return out.epoch, out.result, out.err
 	case <-ctx.Done():
-		return 0, sheet.Result{}, kernel.Decline(kernel.OutcomePending, "the ballot is not over")
+		return 0, sheet.Result{}, kernel.Refuse(kernel.OutcomePending, "the ballot is not over")
 	}
 }
 
@@ -397,7 +397,7 @@
 	}
 	target, tip, heard, _ := r.readAll(ctx, state)
 	if heard < state.Majority() {
-		return sheet.State{}, kernel.Decline(kernel.NoMajority, "%d of %d cores answered", heard, len(state.Voters))
+		return sheet.State{}, kernel.Refuse(kernel.NoMajority, "%d of %d cores answered", heard, len(state.Voters))
 	}
 	for {
 		now, err := r.sheetNow(ctx)
@@ -432,14 +432,14 @@
 	var none T
 	o := r.owner.Load()
 	if o == nil {
-		return none, kernel.Decline(kernel.CoreUnreachable, "the core's log is closed")
+		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
 	}
 	answers := make(chan answer, 1)
 	asked := func(o *owner) { question(o, func(value T, err error) { answers <- answer{value, err} }) }
 	select {
 	case o.inbox <- asked:
 	case <-o.gone:
-		return none, kernel.Decline(kernel.CoreUnreachable, "the core's log is closed")
+		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
 	case <-ctx.Done():
 		return none, ctx.Err()
 	}
@@ -447,7 +447,7 @@
 	case a := <-answers:
 		return a.value, a.err
 	case <-o.gone:
-		return none, kernel.Decline(kernel.CoreUnreachable, "the core's log is closed")
+		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
 	case <-ctx.Done():
 		return none, ctx.Err()
 	}
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -332,7 +332,7 @@
 }
 
 func (d *dying) Dead() <-chan struct{} { return d.dead }
-func (d *dying) Err() error            { return kernel.Decline(kernel.DiskFull, "no room") }
+func (d *dying) Err() error            { return kernel.Refuse(kernel.DiskFull, "no room") }
 
 func TestSlowAndFullDisks(t *testing.T) {
 	inBubble(t, "A slow disk delays nobody else", func(f *fleet) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -87,7 +87,7 @@
 	if file != "" {
 		var err error
 		if data, err = os.ReadFile(file); err != nil {
-			return nil, kernel.Decline(kernel.BadSetting, "%v", errors.Cause(err))
+			return nil, kernel.Refuse(kernel.BadSetting, "%v", errors.Cause(err))
 		}
 	}
 	values, problems := Read(file, data, flags, role)
