--- a/internal/core/balance/server.go
+++ b/internal/core/balance/server.go
@@ -32,6 +32,7 @@
 	status   *wire.ServerStatus
 	excluded string // why it gets nothing; empty where it may
 	cold     coldLimit
+	replaced bool // another server was met at its address
 
 	inFlight int
 	waiting  []*Attempt // whose answers have not begun, the oldest first
@@ -65,6 +66,9 @@
 func (t *Table) learn(s *server, status *wire.ServerStatus, now kernel.Time) {
 	s.status = status
 	s.excluded = plan.Excluded(t.view.State, status)
+	if s.replaced {
+		s.excluded = plan.Gone
+	}
 	s.cold.until = now.Add(kernel.UnixMilli(status.ColdUntilMs).Sub(t.view.FleetNow))
 	if status.ColdUntilMs == 0 {
 		s.cold.until = kernel.Time{}
@@ -130,6 +134,8 @@
 	s.leaveWaiting(a)
 	s.probing = false
 	switch {
+	case outcome.Replaced:
+		s.replaced, s.excluded = true, plan.Gone
 	case outcome.Erred:
 		s.heard = now
 		s.doubt(now)
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -89,7 +89,8 @@
 	OK       bool // the server answered as it should
 	Erred    bool // the server answered that it failed
 	Rejected bool // the server said that it did not run the request
-	Refused  bool // the connection was refused, or another server has the address
+	Refused  bool // the connection was refused
+	Replaced bool // another server has the address: this one is gone for good
 	Failed   bool // no answer, or none that is whole
 	Silent   bool // the server's machine acknowledged nothing, and no connection came up
 }
@@ -210,6 +211,9 @@
 }
 
 func (t *Table) allowed(s *server, request *Request) bool {
+	if s.excluded != "" {
+		return false
+	}
 	if len(request.Regions) > 0 && !slices.Contains(request.Regions, s.status.Region) {
 		return false
 	}
--- a/internal/core/balance/table_test.go
+++ b/internal/core/balance/table_test.go
@@ -151,6 +151,14 @@
 			So(tab.Choose(ask(fmt.Sprint(i), 0), at(500)).Server, ShouldNotEqual, a.Server())
 		}
 	})
+	Convey("A server at whose address another one was met gets nothing more, whatever the list says", t, func() {
+		view := fleet(1, sheet.Service{})
+		tab := table(view, Config{})
+		tab.Finished(send(tab, "a", start), Outcome{Replaced: true}, start)
+		So(tab.Choose(ask("b", 0), at(1)).Fault.Code, ShouldEqual, kernel.NoServer)
+		tab.Update(view, at(10_000))
+		So(tab.Choose(ask("c", 0), at(10_000)).Fault.Code, ShouldEqual, kernel.NoServer)
+	})
 	Convey("A server tried before is out of the question", t, func() {
 		tab := table(fleet(2, sheet.Service{}), Config{RetrySlack: 100})
 		request := ask("a", 0)
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -92,7 +92,7 @@
 	said := g.dialect.Said(answer.Status, answer.Header)
 	if said.NotExecuted || said.Elsewhere {
 		g.metrics.attempts.WithLabelValues(q.service, "rejected").Inc()
-		outcome.Rejected, outcome.Refused = said.NotExecuted, said.Elsewhere
+		outcome.Rejected, outcome.Replaced = !said.Elsewhere, said.Elsewhere
 		_, _ = io.CopyN(io.Discard, answer, rejectionMost)
 		return q.rejected(given.server, said)
 	}
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -267,7 +267,7 @@
 		switch {
 		case m.outcome.Silent:
 			d.silenced(m.attempt.Server(), now)
-		case m.outcome.Refused:
+		case m.outcome.Refused, m.outcome.Replaced:
 			d.drop(m.attempt.Server())
 		}
 	}
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -330,6 +330,7 @@
 	Convey("An unsafe request goes on to another server where the first did not run it", t, func() {
 		So(two(says("503 Full", "Not-Run: 1\r\n"), whole("ok")).ask("/unsafe/", "").status, ShouldEqual, http.StatusOK)
 		So(two(says("421 Elsewhere", ""), whole("ok")).ask("/unsafe/", "").status, ShouldEqual, http.StatusOK)
+		So(two(says("421 Elsewhere", "Not-Run: 1\r\n"), whole("ok")).ask("/unsafe/", "").status, ShouldEqual, http.StatusOK)
 	})
 	Convey("Where no server ran it, the client is told when to come back", t, func() {
 		full := says("503 Full", "Not-Run: 1\r\n")
