--- a/internal/adapter/upstream/answer.go
+++ b/internal/adapter/upstream/answer.go
@@ -54,6 +54,9 @@
 	return n, sent(a.ctx, Cut, err)
 }
 
+// Abort breaks the answer off while it is being read: the reader gets a Failure.
+func (a *Answer) Abort() { a.conn.close() }
+
 // Close ends the attempt. A connection whose answer was read to its end is
 // kept for later requests where the server allows that; any other is closed,
 // which tells the server to stop.
--- a/internal/node/gateway/answer.go
+++ b/internal/node/gateway/answer.go
@@ -105,9 +105,12 @@
 	var events splitter
 	var chunk [8 << 10]byte
 	control := http.NewResponseController(p.writer())
+	watch := p.request.watchStall(p.request.runs, answer.Abort)
+	defer watch.Stop()
 	for first := true; ; {
 		n, err := answer.Read(chunk[:])
 		if n > 0 {
+			watch.Reset(p.request.stallAfter(p.request.runs))
 			if first {
 				p.request.gateway.dispatch.began(attempt)
 				first = false
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -83,8 +83,15 @@
 	if fault := q.stands(); fault != nil {
 		return fault, false
 	}
-	answer, failure := g.client.Send(ctx, given.server, q.outgoing(given.server, p.last))
+	sending, cancel := kernel.WithCancel(ctx)
+	defer cancel()
+	watch := q.watchStall(q.runs+1, cancel)
+	answer, failure := g.client.Send(sending, given.server, q.outgoing(given.server, p.last))
+	watch.Stop()
 	if failure != nil {
+		if failure.Kind == upstream.Withdrawn && ctx.Err() == nil {
+			failure = &upstream.Failure{Kind: upstream.Lost, Sent: true, Cause: errStalled}
+		}
 		g.metrics.attempts.WithLabelValues(q.service, string(failure.Kind)).Inc()
 		return q.failed(ctx, given.server, failure, &outcome)
 	}
@@ -107,6 +114,33 @@
 	return fault, again
 }
 
+// errStalled is the cause of an attempt that was given up because nothing came.
+var errStalled = errors.New("the server was silent for too long")
+
+const (
+	// A server may be silent on a repeatable request, before its answer or within
+	// a stream, for twice the route's objective or pause until another is tried.
+	stallFactor = 2
+	stallLeast  = 700 * kernel.Millisecond
+	stallNever  = kernel.Hour
+)
+
+// stallAfter returns how long a server may be silent until another is tried,
+// when so many servers were sent the request; very long where no further one
+// may be.
+func (q *request) stallAfter(sent int) kernel.Duration {
+	if !q.route.Repeatable() || sent >= max(q.route.Attempts, 1) {
+		return stallNever
+	}
+	span := max(q.route.ObjectiveMS, q.route.GapMS)
+	return max(stallFactor*kernel.Duration(span)*kernel.Millisecond, stallLeast)
+}
+
+// watchStall calls stop unless something comes in time.
+func (q *request) watchStall(sent int, stop func()) kernel.Alarm {
+	return kernel.NewAlarm(q.stallAfter(sent), stop)
+}
+
 // rejectionMost bounds what is read of an answer that says that the request was
 // not run.
 const rejectionMost = 64 << 10
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -400,6 +400,16 @@
 		s.run()
 		So(s.ask("/once/", "").body, ShouldEqual, "id: 1\ndata: x\n\ndata: tail")
 	})
+	Convey("A server that falls silent is given up where another may go on, before its answer and within it", t, func() {
+		never := func(*http.Request, net.Conn) {}
+		So(two(never, stream(false, 1)).ask("/stream/", "").body, ShouldEqual, "id: 1\ndata: x\n\n")
+		halts := func(r *http.Request, conn net.Conn) {
+			event := "id: 1\ndata: x\n\n"
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(event), event)
+		}
+		So(two(halts, stream(false, 2)).ask("/stream/", "").body, ShouldEqual, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+		So(two(never, stream(false, 1)).ask("/once/", "", "Left", "1500").status, ShouldEqual, http.StatusGatewayTimeout)
+	})
 	Convey("A client that leaves ends the work at the server", t, func() {
 		ended := make(chan struct{})
 		s := open(t)
