--- a/internal/core/sheet/cells.go
+++ b/internal/core/sheet/cells.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/csv"
+	"encoding/json"
 	"io"
 	"maps"
 	"slices"
@@ -17,7 +18,8 @@
 type Cell struct{ Path, Value string }
 
 // Cells returns the cells that are set, in the order services, weights,
-// tenants, settings, and by name in each.
+// tenants, routes, limits, settings, and by name in each. Routes, limits, http
+// services and tenants with columns for routes are one cell a row, in JSON.
 func (s *Sheet) Cells() []Cell {
 	if s == nil {
 		return nil
@@ -26,6 +28,10 @@
 	add := func(path, value string) { cells = append(cells, Cell{path, value}) }
 	for _, name := range sortedNames(s.Services) {
 		service := s.Services[name]
+		if service.Kind == KindHTTP {
+			add("services."+name, rowText(service))
+			continue
+		}
 		add("services."+name+".kind", service.Kind)
 		if service.PlainTokens != 0 {
 			add("services."+name+".plain_tokens", figure(service.PlainTokens))
@@ -38,6 +44,10 @@
 	}
 	for _, name := range sortedNames(s.Tenants) {
 		tenant := s.Tenants[name]
+		if tenant.forRoutes() {
+			add("tenants."+name, rowText(tenant))
+			continue
+		}
 		add("tenants."+name+".rate", figure(tenant.Rate))
 		if tenant.Burst != 0 {
 			add("tenants."+name+".burst", figure(tenant.Burst))
@@ -49,12 +59,36 @@
 			add("tenants."+name+".keys", strings.Join(tenant.KeyHashes, " "))
 		}
 	}
+	for _, name := range sortedNames(s.Routes) {
+		add("routes."+name, rowText(s.Routes[name]))
+	}
+	if s.Limits != nil {
+		add(limitsCell, rowText(s.Limits))
+	}
 	for _, name := range sortedNames(s.Settings) {
 		add("settings."+name, s.Settings[name])
 	}
 	return cells
 }
 
+// limitsCell is the one row of the limits of clients.
+const limitsCell = "limits.clients"
+
+// forRoutes tells whether a tenant has columns that concern routes; its row is
+// then one cell.
+func (t Tenant) forRoutes() bool {
+	return t.Priority != 0 || t.Unit != "" || t.PlainTokens != 0 || len(t.Homes) > 0 || t.Origin != nil
+}
+
+// rowText writes a row as one cell, in JSON.
+func rowText(row any) string {
+	text, err := json.Marshal(row)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
 // Diff returns what changes from one sheet to another, one line a cell: "+" for
 // a cell that comes, "-" for one that goes, "~" for one that changes. Either
 // sheet may be nil.
@@ -111,7 +145,7 @@
 		return nil, kernel.Refuse(kernel.InvalidSheet, "the first row must be cell,value")
 	}
 	e := importer{sheet: Sheet{Services: map[string]Service{}, Weights: map[string]map[string]float64{},
-		Tenants: map[string]Tenant{}, Settings: map[string]string{}}, seen: map[string]bool{}}
+		Tenants: map[string]Tenant{}, Settings: map[string]string{}, Routes: map[string]Route{}}, seen: map[string]bool{}}
 	var broken rules
 	for {
 		row, err := r.Read()
@@ -152,6 +186,9 @@
 	if value == "" && c.table != "settings" {
 		return ""
 	}
+	if c.column == "" && rowShapes[c.table] != nil && c.table != "weights" {
+		return e.setRow(c, json.RawMessage(value))
+	}
 	var v float64
 	if c.numeric() {
 		parsed, err := strconv.ParseFloat(value, 64)
@@ -196,6 +233,28 @@
 	return ""
 }
 
+// setRow sets a row that is written as one cell.
+func (e *importer) setRow(c cellPath, value json.RawMessage) (why string) {
+	switch c.table {
+	case "services":
+		var service Service
+		why = typed(value, rowShapes[c.table], &service)
+		e.sheet.Services[c.row] = service
+	case "tenants":
+		var tenant Tenant
+		why = typed(value, rowShapes[c.table], &tenant)
+		e.sheet.Tenants[c.row] = tenant
+	case "routes":
+		var route Route
+		why = typed(value, rowShapes[c.table], &route)
+		e.sheet.Routes[c.row] = route
+	case "limits":
+		e.sheet.Limits = &ClientLimits{}
+		why = typed(value, rowShapes[c.table], e.sheet.Limits)
+	}
+	return why
+}
+
 func hashFields(value string) []string {
 	return strings.FieldsFunc(value, func(r rune) bool { return r == ',' || r == ' ' })
 }
--- a/internal/core/sheet/parse.go
+++ b/internal/core/sheet/parse.go
@@ -47,6 +47,7 @@
 		"services": {kind: isRecord, fields: map[string]*shape{"kind": text, "plain_tokens": number, "health_path": text,
 			"max_connections": number, "cold_per_second": number, "cold_ms": number, "origin": opaque}},
 		"routes":  routeShape,
+		"limits":  limitsShape,
 		"weights": {kind: isTable, each: number},
 		"tenants": {kind: isRecord, fields: map[string]*shape{"rate": number, "burst": number, "home": text, "keys": texts,
 			"priority": number, "unit": text, "plain_tokens": number, "homes": texts, "origin": opaque}},
--- a/internal/core/sheet/patch.go
+++ b/internal/core/sheet/patch.go
@@ -19,6 +19,7 @@
 //	weights.SERVICE, weights.SERVICE.REGION
 //	tenants.NAME, tenants.NAME.rate, .burst, .home, .keys
 //	tenants.NAME.keys+ (adds one hash), tenants.NAME.keys- (takes one away)
+//	routes.NAME, limits.clients
 //	settings.NAME
 //
 // A path of two parts sets a whole row. Value is the cell's JSON; it is absent
@@ -104,14 +105,17 @@
 	if table == "settings" {
 		return cellPath{table: table, row: rest}, nil
 	}
-	if table != "services" && table != "weights" && table != "tenants" {
-		return bad("no such table; there are services, weights, tenants and settings")
+	if rowShapes[table] == nil {
+		return bad("no such table; there are services, weights, tenants, routes, limits and settings")
 	}
 	row, column, deep := strings.Cut(rest, ".")
 	if !ValidName(row) {
 		return bad("its row is no name")
 	}
 	if !deep {
+		if table == "limits" && path != limitsCell {
+			return bad("the limits have one row, " + limitsCell)
+		}
 		return cellPath{table: table, row: row}, nil
 	}
 	if table == "weights" {
@@ -155,7 +159,7 @@
 
 type editor struct {
 	sheet  Sheet
-	tables [4]bool
+	tables [5]bool
 	// rows are the weights' rows that are the editor's own; tenants those set.
 	rows    map[string]bool
 	tenants map[string]bool
@@ -182,6 +186,10 @@
 		return e.weight(c, change)
 	case "tenants":
 		return e.tenant(c, change)
+	case "routes":
+		return e.route(c, change)
+	case "limits":
+		return e.limits(change)
 	}
 	return e.setting(c, change)
 }
@@ -325,6 +333,36 @@
 	return slices.Concat(hashes[:at], hashes[at+1:]), ""
 }
 
+func (e *editor) route(c cellPath, change Change) string {
+	if _, known := e.sheet.Routes[c.row]; !known && change.Delete {
+		return "no such route"
+	}
+	own(e, 4, &e.sheet.Routes)
+	if change.Delete {
+		delete(e.sheet.Routes, c.row)
+		return ""
+	}
+	var route Route
+	if why := typed(change.Value, rowShapes["routes"], &route); why != "" {
+		return why
+	}
+	e.sheet.Routes[c.row] = route
+	return ""
+}
+
+func (e *editor) limits(change Change) string {
+	if change.Delete {
+		e.sheet.Limits = nil
+		return ""
+	}
+	var limits ClientLimits
+	if why := typed(change.Value, rowShapes["limits"], &limits); why != "" {
+		return why
+	}
+	e.sheet.Limits = &limits
+	return ""
+}
+
 func (e *editor) setting(c cellPath, change Change) string {
 	if _, known := e.sheet.Settings[c.row]; !known && change.Delete {
 		return "no such setting"
--- a/internal/core/sheet/routes_test.go
+++ b/internal/core/sheet/routes_test.go
@@ -152,3 +152,37 @@
 		So(sure, ShouldBeFalse)
 	})
 }
+
+func TestCellsOfRoutes(t *testing.T) {
+	full := routed()
+	full.Limits = &ClientLimits{BodyBytes: 1000}
+	full.Services["chat"] = Service{Kind: KindModel}
+	full.Weights = map[string]map[string]float64{"chat": {"lagos": 1}}
+	full.Tenants["city"] = Tenant{Rate: 5, KeyHashes: []string{hash("three")}}
+	full.Settings = map[string]string{"route.strategy": "affinity"}
+	Convey("A sheet of routes is whole after a way through CSV", t, func() {
+		back, fault := ImportCSV(full.ExportCSV(), MaxBytes)
+		So(fault, ShouldBeNil)
+		So(encoded(back), ShouldEqual, encoded(full))
+	})
+	Convey("A difference names the route", t, func() {
+		other := *full
+		other.Routes = map[string]Route{"digest": full.Routes["digest"]}
+		So(Diff(full, &other), ShouldHaveLength, 1)
+		So(Diff(full, &other)[0], ShouldStartWith, "- routes.map = {")
+	})
+	Convey("Routes and limits are set and deleted as whole rows", t, func() {
+		set, fault := ParseChange(`routes.new={"host":"h","prefix":"/n/","kind":"safe","timeout_ms":5,"splits":[{"service":"desk","weight":1}]}`)
+		So(fault, ShouldBeNil)
+		patched, fault := full.Patch([]Change{set, {Path: "routes.map", Delete: true}, {Path: limitsCell, Delete: true}})
+		So(fault, ShouldBeNil)
+		So(patched.Routes["new"].Prefix, ShouldEqual, "/n/")
+		So(patched.Routes, ShouldNotContainKey, "map")
+		So(patched.Limits, ShouldBeNil)
+		So(full.Routes, ShouldContainKey, "map")
+		for _, path := range []string{"routes.none", "limits.other", "routes.map.host"} {
+			_, fault = full.Patch([]Change{{Path: path, Delete: true}})
+			So(fault, ShouldNotBeNil)
+		}
+	})
+}
--- a/internal/core/sheet/state_test.go
+++ b/internal/core/sheet/state_test.go
@@ -354,7 +354,7 @@
 		}
 		edited := *base
 		edited.Tenants = cloned(base.Tenants)
-		e := editor{sheet: edited, tables: [4]bool{2: true}, rows: map[string]bool{}, tenants: map[string]bool{}, seen: map[string]bool{}}
+		e := editor{sheet: edited, tables: [5]bool{2: true}, rows: map[string]bool{}, tenants: map[string]bool{}, seen: map[string]bool{}}
 		twice := ""
 		for _, change := range changes {
 			twice += e.make(change)
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 
@@ -31,13 +32,24 @@
 	orders  *relay
 }
 
-func (b *behindEdge) Ready() *kernel.Fault    { return b.process.gateway.Ready() }
-func (b *behindEdge) Ingress() http.Handler   { return b.process.gateway }
-func (b *behindEdge) Fronts() []*wire.Process { return b.process.follower.View().Fronts }
-func (b *behindEdge) Status() any             { return b.process.status() }
+func (b *behindEdge) Ready() *kernel.Fault  { return b.process.gateway.Ready() }
+func (b *behindEdge) Ingress() http.Handler { return b.process.gateway }
+func (b *behindEdge) Status() any           { return b.process.status() }
 
-// Lost returns the fronts that are silent without being known to be gone.
-func (b *behindEdge) Lost() []*wire.Process {
+// Nearest names the ready fronts of the client's region, or all where it has
+// none. A node that may not rule is most likely on the lesser side of a cut that
+// clients can reach across: it names the fronts that have fallen silent to it.
+func (b *behindEdge) Nearest(region string, most int) []string {
+	fronts := b.process.follower.View().Fronts
+	if fault := b.Ready(); fault != nil && fault.Code == kernel.NotRuling {
+		fronts = b.lost()
+	}
+	return nearest(fronts, region, most)
+}
+
+// lost returns the fronts that are silent without being known to be gone, as
+// they were last known.
+func (b *behindEdge) lost() []*wire.Process {
 	var lost []*wire.Process
 	for _, name := range b.process.follower.View().Silent {
 		if process, known := b.process.directory.Process(name); known {
@@ -47,6 +59,26 @@
 	return lost
 }
 
+// nearest returns the addresses of the ready fronts of a region, or of all
+// where it has none.
+func nearest(fronts []*wire.Process, region string, most int) []string {
+	var here, all []string
+	for _, front := range fronts {
+		if !front.Ready || front.Leaving || front.CallerAddress == "" {
+			continue
+		}
+		all = append(all, front.CallerAddress)
+		if front.Region == region {
+			here = append(here, front.CallerAddress)
+		}
+	}
+	if len(here) == 0 {
+		here = all
+	}
+	rand.Shuffle(len(here), func(i, j int) { here[i], here[j] = here[j], here[i] })
+	return here[:min(len(here), most)]
+}
+
 // SetSeeds names other seeds than the process was started with.
 func (b *behindEdge) SetSeeds(ctx kernel.Context, seeds []string) {
 	b.process.directory.SetSeeds(ctx, seeds)
--- a/internal/port/ingress.go
+++ b/internal/port/ingress.go
@@ -65,12 +65,9 @@
 	Ready() *kernel.Fault
 	// Ingress answers requests that come by routes.
 	Ingress() http.Handler
-	// Fronts returns the processes that carry traffic, as this one knows them:
-	// neither leaving nor known to be gone.
-	Fronts() []*wire.Process
-	// Lost returns the processes that carried traffic when this one last heard
-	// of them, and are silent now without being known to be gone.
-	Lost() []*wire.Process
+	// Nearest returns where a client of a region is to send its requests: the
+	// addresses of at most so many fronts, in no order.
+	Nearest(region string, most int) []string
 	// Order hands an operator's call to a core; see wire.OrderRequest.
 	Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error)
 	// SetSeeds names other seeds than the process was started with.
