--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -8,9 +8,9 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 
+	"stepwick/internal/adapter/listen"
 	"stepwick/internal/kernel"
 	"stepwick/internal/stage"
 )
@@ -83,7 +83,7 @@
 // Bounded returns a listener with no more connections open at once than the
 // limits allow; further ones wait to be accepted.
 func (a *API) Bounded(listener net.Listener) net.Listener {
-	return &boundedListener{Listener: listener, free: make(chan struct{}, a.limits.Load().Connections), closed: make(chan struct{})}
+	return listen.Bounded(listener, a.limits.Load().Connections)
 }
 
 type exchange struct {
@@ -378,40 +378,3 @@
 	}
 	return passed
 }
-
-type boundedListener struct {
-	net.Listener
-	free   chan struct{}
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *boundedListener) Accept() (net.Conn, error) {
-	select {
-	case l.free <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.free
-		return nil, err
-	}
-	return &boundedConn{Conn: conn, free: l.free}, nil
-}
-
-func (l *boundedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-type boundedConn struct {
-	net.Conn
-	free chan struct{}
-	once sync.Once
-}
-
-func (c *boundedConn) Close() error {
-	c.once.Do(func() { <-c.free })
-	return c.Conn.Close()
-}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
+	"stepwick/internal/adapter/listen"
 	"stepwick/internal/adapter/upstream"
 	"stepwick/internal/core/balance"
 	"stepwick/internal/core/tally"
@@ -155,7 +156,7 @@
 	}
 	stop := kernel.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.Serve(listener)
+	err := server.Serve(listen.Bounded(listener, g.config.Connections))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -166,6 +166,8 @@
 		Help: "The largest body of a caller's request."},
 	{Name: "sheet.max", Type: Size, Default: "16MiB", Rule: "1KiB to 256MiB", Check: sized(1<<10, 256<<20),
 		Help: "The largest body of an operator's order."},
+	{Name: "listen.connections", Type: Int, Default: "4096", Rule: "16 to 1000000", Check: counted(16, 1000000),
+		Help: "Connections of clients by routes that are open at once; further ones wait to be accepted."},
 	{Name: "header.max", Type: Size, Default: "16KiB", Rule: "1KiB to 1MiB", Check: sized(1<<10, 1<<20),
 		Help: "The largest header of a request."},
 	{Name: "body.timeout", Type: Duration, Default: "5s", Rule: "100ms to 60s", Check: within(100*kernel.Millisecond, 60*kernel.Second),
