--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net"
-	"net/http"
 
 	"stepwick/internal/kernel"
 	"stepwick/internal/port"
@@ -32,9 +31,8 @@
 	orders  *relay
 }
 
-func (b *behindEdge) Ready() *kernel.Fault  { return b.process.gateway.Ready() }
-func (b *behindEdge) Ingress() http.Handler { return b.process.gateway }
-func (b *behindEdge) Status() any           { return b.process.status() }
+// Ready tells whether the process takes traffic by routes.
+func (b *behindEdge) Ready() *kernel.Fault { return b.process.gateway.Ready() }
 
 // Nearest names the ready fronts of the client's region, or all where it has
 // none. A node that may not rule is most likely on the lesser side of a cut that
--- a/internal/port/ingress.go
+++ b/internal/port/ingress.go
@@ -63,8 +63,6 @@
 type Node interface {
 	// Ready tells whether the process takes traffic: nil, or why not.
 	Ready() *kernel.Fault
-	// Ingress answers requests that come by routes.
-	Ingress() http.Handler
 	// Nearest returns where a client of a region is to send its requests: the
 	// addresses of at most so many fronts, in no order.
 	Nearest(region string, most int) []string
@@ -72,6 +70,4 @@
 	Order(ctx kernel.Context, req *wire.OrderRequest) (*wire.OrderResponse, error)
 	// SetSeeds names other seeds than the process was started with.
 	SetSeeds(ctx kernel.Context, seeds []string)
-	// Status describes the process and what it knows, as JSON.
-	Status() any
 }
