Rebuild a lost disk from a rebuild quorum, so that two of five may be lost at once

Cause: a wiped core waited for all other voters. With five voters, of which the deployment may lose two at once, two wiped cores waited for each other for good. Ruled out: rebuilding from any one or two voters (a value that a, b and c accepted is then forgotten when a and b rebuild without c). Change: n-q+1 voting cores suffice for a life after the first; answers say whether their core votes. Of the majority q that accepted, f wiped since, q-f are among the n-f left, and any n-q+1 of those meet them. A first life still needs all others: only the founder may hold what outlived an earlier formation. Three cores behave as before.

--- a/internal/core/ballot/ballot_test.go
+++ b/internal/core/ballot/ballot_test.go
@@ -177,6 +177,67 @@
 	})
 }
 
+func TestRecoveryOfTwoAtOnce(t *testing.T) {
+	five := []string{"a", "b", "c", "d", "e"}
+	lives := map[string]uint64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1}
+	voting := func(name string) State {
+		return Entered{Lives: lives}.Fold(Joined{Formation: "f", Voters: five}.Fold(Blank(name)))
+	}
+	wiped := func(name string) State { return Joined{Formation: "f", Voters: five}.Fold(Blank(name)) }
+	probes := func(asks string, cores ...State) map[string]*wire.RecoverResponse {
+		answers := map[string]*wire.RecoverResponse{}
+		for _, core := range cores {
+			_, answers[core.Self] = core.Recover(&wire.RecoverRequest{Core: asks, Probe: true})
+		}
+		return answers
+	}
+	announced := func(asks string, life uint64, cores ...State) map[string]*wire.RecoverResponse {
+		answers := map[string]*wire.RecoverResponse{}
+		for _, core := range cores {
+			_, answers[core.Self] = core.Recover(&wire.RecoverRequest{Formation: "f", Core: asks, Life: life})
+		}
+		return answers
+	}
+	Convey("Of five cores two that are wiped at once rebuild from the other three, and hold what a majority accepted", t, func() {
+		c, _ := accept(voting("c"), 1, 3, "a", "chosen by a, b and c", nil)
+		d, e := voting("d"), voting("e")
+		life, waiting := wiped("a").NextLife(probes("a", wiped("b"), c, d, e), 0)
+		So(waiting, ShouldBeEmpty)
+		So(life, ShouldEqual, 2)
+		record, waiting := wiped("a").Enter(life, announced("a", life, wiped("b"), c, d, e))
+		So(waiting, ShouldBeEmpty)
+		a := record.Fold(wiped("a"))
+		So(string(a.Votes[1].Value), ShouldEqual, "chosen by a, b and c")
+		record, waiting = wiped("b").Enter(life, announced("b", life, a, d, e))
+		So(waiting, ShouldBeEmpty)
+		So(string(record.Fold(wiped("b")).Votes[1].Value), ShouldEqual, "chosen by a, b and c")
+	})
+	Convey("Two others are too few, and so are three of which one has lost its disk", t, func() {
+		d, e := voting("d"), voting("e")
+		_, waiting := wiped("a").NextLife(probes("a", d, e), 0)
+		So(waiting, ShouldEqual, "b")
+		_, waiting = wiped("a").NextLife(probes("a", wiped("b"), d, e), 0)
+		So(waiting, ShouldEqual, "c")
+		_, waiting = wiped("a").Enter(2, announced("a", 2, d, e))
+		So(waiting, ShouldEqual, "b")
+		c := voting("c")
+		d = Lived{Core: "c", Life: 2}.Fold(d)
+		_, waiting = wiped("a").Enter(2, announced("a", 2, c, d, e))
+		So(waiting, ShouldEqual, "b")
+	})
+	Convey("A first life needs the answers of all, as only the founder may hold what outlived an earlier formation", t, func() {
+		first := func(name string) State { return Lived{Core: name, Life: 1}.Fold(wiped(name)) }
+		_, waiting := wiped("a").NextLife(probes("a", first("b"), first("c"), first("d")), 0)
+		So(waiting, ShouldEqual, "e")
+		_, waiting = first("a").NextLife(probes("a", voting("b"), voting("c"), voting("d")), 0)
+		So(waiting, ShouldEqual, "e")
+		_, waiting = first("a").Enter(1, announced("a", 1, voting("b"), voting("c"), voting("d")))
+		So(waiting, ShouldEqual, "e")
+		_, waiting = wiped("a").NextLife(probes("a", first("b"), first("c"), first("d"), voting("e")), 0)
+		So(waiting, ShouldBeEmpty)
+	})
+}
+
 func drawRecord(t *rapid.T) Record {
 	ballot := Ballot{rapid.Uint64().Draw(t, "number"), rapid.SampledFrom(voters).Draw(t, "core")}
 	slot, value := rapid.Uint64Range(1, 1<<40).Draw(t, "slot"), rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "value")
--- a/internal/core/ballot/recovery.go
+++ b/internal/core/ballot/recovery.go
@@ -1,6 +1,7 @@
 package ballot
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,12 +10,17 @@
 	"stepwick/internal/wire"
 )
 
+const (
+	firstLife  = 1 // announced by a core that proves that it has never voted
+	secondLife = firstLife + 1
+)
+
 // Recover answers a core that enters the formation with an empty disk. The new
 // life must be synced before the answer leaves. A core that has not entered
 // answers too if its disk proves that it never voted; one that lost its disk
 // declines, and marks its answer to a probe with CoreAmnesiac.
 func (s State) Recover(req *wire.RecoverRequest) ([]Record, *wire.RecoverResponse) {
-	resp := &wire.RecoverResponse{Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives()}
+	resp := &wire.RecoverResponse{Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives(), Voting: s.Life() != 0}
 	decline := func(code kernel.Code) ([]Record, *wire.RecoverResponse) {
 		resp.Decline = uint32(code)
 		return nil, resp
@@ -34,7 +40,7 @@
 		return decline(kernel.NotCore)
 	case req.Life < s.Lives[req.Core] || req.Life == 0:
 		return decline(kernel.EpochBehind)
-	case s.Life() == 0 && s.Announced != 1:
+	case s.Life() == 0 && s.Announced != firstLife:
 		return decline(kernel.CoreAmnesiac)
 	}
 	lived := Lived{Core: req.Core, Life: req.Life}
@@ -44,65 +50,67 @@
 	return []Record{lived}, lived.Fold(s).message()
 }
 
-// NextLife returns the life with which to recover, from a probe of all other
-// voters; it is to be kept in a Lived record before it is announced. Without
-// all of them it says whom it waits for. A first life, which proves that this
-// core never voted, needs the word of one that is sure of its own disk, once
+// NextLife returns the life with which to recover, from a probe of the other
+// voters; it is to be kept in a Lived record before it is announced. All of them
+// must answer, or a rebuild quorum if it knows that this core has had a life
+// before; else NextLife says whom it waits for. A first life, which proves that
+// this core never voted, needs the word of one that is sure of its own disk, once
 // any other core has lost its disk. Salt is the process's own, so that no two
 // processes that claim one name ever announce the same life: the votes of both
 // would count as one core's. It says nothing where it is zero.
 func (s State) NextLife(probes map[string]*wire.RecoverResponse, salt uint64) (life uint64, waiting string) {
-	sure, lost := false, false
+	sure, lost, voting := false, false, 0
 	for _, name := range s.Others() {
 		probe := probes[name]
-		if probe == nil || !probe.Ok || probe.Formation != s.Formation {
-			return 0, name
+		if !s.answers(probe) {
+			waiting = cmp.Or(waiting, name)
+			continue
 		}
 		life = max(life, probe.Lives[s.Self])
 		sure = sure || probe.Decline == 0 && probe.Lives[name] > 0
 		lost = lost || probe.Decline != 0
+		if probe.Voting {
+			voting++
+		}
+	}
+	switch {
+	case s.Announced > 0 && life <= s.Announced:
+		life = s.Announced
+	case life > 0:
+		life += 1 + salt
+	default:
+		life = firstLife
 	}
-	if s.Announced > 0 && life <= s.Announced {
-		return s.Announced, ""
+	if waiting != "" && (life == firstLife || voting < s.RebuildQuorum()) {
+		return 0, waiting
 	}
-	if life == 0 && lost && !sure {
+	if life == firstLife && s.Announced == 0 && lost && !sure {
 		return 0, "a core that has its disk"
 	}
-	if life == 0 {
-		return 1, ""
-	}
-	return life + 1 + salt, ""
+	return life, ""
 }
 
 // lost tells whether the core knows that its disk forgot a life in which it may
 // have voted.
-func (s State) lost() bool { return s.Life() == 0 && s.Announced > 1 }
+func (s State) lost() bool { return s.Life() == 0 && s.Announced >= secondLife }
 
-// Enter merges the answers of all other voters to a Recover into the one record
-// by which this core enters. It waits, and says for whom, while an answer is
-// missing or is of a core that lost its disk and has not itself recovered since.
+// Enter merges the answers of other voters to a Recover into the one record by
+// which this core enters. It waits, and says for whom, until all of them have
+// answered or, in a later life than the first, a rebuild quorum of voting cores.
+// The answer of a core that lost its disk and has not itself recovered since
+// does not count.
 func (s State) Enter(life uint64, answers map[string]*wire.RecoverResponse) (record Record, waiting string) {
-	known := maps.Clone(s.Lives)
-	if known == nil {
-		known = map[string]uint64{}
-	}
-	for _, name := range s.Others() {
-		answer := answers[name]
-		if answer == nil || !answer.Ok || answer.Formation != s.Formation {
-			return nil, name
-		}
-		raise(known, answer.Lives)
-	}
+	known := s.knownLives(answers)
 	if known[s.Self] > life {
 		return nil, s.Self
 	}
+	counted, waiting := s.countedAnswers(life, answers, known)
+	if waiting != "" {
+		return nil, waiting
+	}
 	entered := Entered{Lives: known, SnapshotEpoch: s.SnapshotEpoch, Snapshot: s.Snapshot, Chosen: s.Chosen, Votes: map[uint64]Vote{}}
 	learned := s.Learned()
-	for _, name := range s.Others() {
-		answer := answers[name]
-		if answer.Lives[name] < known[name] {
-			return nil, fmt.Sprintf("%s (lost its disk too)", name)
-		}
+	for _, answer := range counted {
 		if top := answer.SnapshotEpoch + uint64(len(answer.Chosen)); top > learned {
 			learned = top
 			entered.SnapshotEpoch, entered.Snapshot, entered.Chosen = answer.SnapshotEpoch, answer.Snapshot, answer.Chosen
@@ -115,6 +123,47 @@
 	return entered, ""
 }
 
+// countedAnswers returns the answers that a rebuild may rest on, or whom it
+// waits for.
+func (s State) countedAnswers(life uint64, answers map[string]*wire.RecoverResponse, known map[string]uint64) (counted []*wire.RecoverResponse, waiting string) {
+	voting := 0
+	for _, name := range s.Others() {
+		answer := answers[name]
+		switch {
+		case !s.answers(answer):
+			waiting = cmp.Or(waiting, name)
+			continue
+		case answer.Lives[name] < known[name]:
+			waiting = cmp.Or(waiting, fmt.Sprintf("%s (lost its disk too)", name))
+			continue
+		case answer.Voting:
+			voting++
+		}
+		counted = append(counted, answer)
+	}
+	if waiting == "" || life >= secondLife && voting >= s.RebuildQuorum() {
+		return counted, ""
+	}
+	return nil, waiting
+}
+
+// knownLives are the disk lives known here and to any of the answers.
+func (s State) knownLives(answers map[string]*wire.RecoverResponse) map[string]uint64 {
+	known := make(map[string]uint64, len(s.Voters))
+	maps.Copy(known, s.Lives)
+	for _, name := range s.Others() {
+		if answer := answers[name]; s.answers(answer) {
+			raise(known, answer.Lives)
+		}
+	}
+	return known
+}
+
+// answers tells whether an answer is one of the core's own formation.
+func (s State) answers(answer *wire.RecoverResponse) bool {
+	return answer != nil && answer.Ok && answer.Formation == s.Formation
+}
+
 // Rejoin decides whether a core that has not entered should join the formation
 // of a probe's answer: a blank core any that names it; one that waits in
 // another formation only if that one has been entered and its own has not, or,
--- a/internal/core/ballot/state.go
+++ b/internal/core/ballot/state.go
@@ -19,7 +19,7 @@
 	Formation string   // empty on a blank core
 	Voters    []string // sorted names
 	// Lives holds the disk lives of all voters as known here; a core's own is
-	// zero until it has entered the formation by recovery from all others.
+	// zero until it has entered the formation by recovery from others.
 	Lives map[string]uint64
 	// Announced is the core's own life from before it is announced until it has
 	// entered. The first life proves that the core has never voted; a later one
@@ -54,6 +54,13 @@
 // Majority is the least number of voters of which any two sets share one.
 func (s State) Majority() int { return len(s.Voters)/2 + 1 }
 
+// RebuildQuorum is the least number of voting cores from which a lost disk can
+// be rebuilt. Whatever a majority accepted is held by one of them, however many
+// of that majority have lost their disks meanwhile: of n voters, f of them
+// wiped, majority-f of the n-f left hold it, and any n-majority+1 of these n-f
+// include one that does.
+func (s State) RebuildQuorum() int { return len(s.Voters) - s.Majority() + 1 }
+
 // Others returns the voters besides the core itself.
 func (s State) Others() []string {
 	return slices.DeleteFunc(slices.Clone(s.Voters), func(name string) bool { return name == s.Self })
@@ -134,7 +141,7 @@
 }
 
 func (s State) message() *wire.RecoverResponse {
-	return &wire.RecoverResponse{Ok: true, Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives(),
+	return &wire.RecoverResponse{Ok: true, Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives(), Voting: s.Life() != 0,
 		SnapshotEpoch: s.SnapshotEpoch, Snapshot: s.Snapshot, Chosen: s.Chosen, Votes: s.openVotes()}
 }
 
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -64,7 +64,7 @@
 	FormationComplete = add(3002, "formation_complete", Info, "Every core joined the formation; ballots may begin.", "")
 	FormationWaits    = add(3003, "formation_waits", Warn, "A first formation waits for cores that haven't come.", "Start the cores named, or mend core.voters.")
 	WrongFormation    = add(3004, "wrong_formation", Error, "A message of another formation came.", "A core's data folder or seeds belong to another fleet.")
-	RecoveryBegun     = add(3005, "recovery_begun", Warn, "This core's disk is blank although it has voted: it rebuilds from all other cores and votes on nothing until then.", "Keep the other cores up until recovery_complete.")
+	RecoveryBegun     = add(3005, "recovery_begun", Warn, "This core's disk is blank although it has voted: it rebuilds from the other cores and votes on nothing until then.", "Keep the other cores up until recovery_complete.")
 	RecoveryComplete  = add(3006, "recovery_complete", Info, "The core has rebuilt its state, synced it and votes again.", "")
 	RecoveryWaits     = add(3007, "recovery_waits", Warn, "The rebuild waits for a core that doesn't answer.", "Bring the core named back.")
 	TornTailCut       = add(3008, "torn_tail_cut", Warn, "The log ended in a record that wasn't whole; it was cut at the last whole one.", "Expected after a loss of power.")
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -346,8 +346,9 @@
 	}
 }
 
-// enter rebuilds the core from all other voters: it learns which disk life is
-// next, announces it, and merges what each of them syncs and answers.
+// enter rebuilds the core from the other voters, or from those that can be
+// reached where they suffice: it learns which disk life is next, announces it,
+// and merges what each of them syncs and answers.
 func (r *Replica) enter(ctx kernel.Context, state ballot.State) {
 	others := state.Others()
 	probes := r.probe(ctx, others)
@@ -365,7 +366,7 @@
 		}
 	}
 	if waiting != "" {
-		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once all others answer; it waits for %s", waiting))
+		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once enough others answer; it waits for %s", waiting))
 		return
 	}
 	if life != state.Announced && !r.join(ctx, ballot.Lived{Core: r.cfg.Self, Life: life}, "announces its disk life") {
@@ -375,7 +376,8 @@
 		r.events.Emit(events.RecoveryBegun, "core", r.cfg.Self, "life", life)
 	}
 	req := &wire.RecoverRequest{Formation: state.Formation, Core: r.cfg.Self, Life: life}
-	answers := gather(ctx, r, others, r.cfg.EntryTimeout, 0, func(ctx kernel.Context, core string) (*wire.RecoverResponse, error) {
+	intact, enough := entryQuorum(state, probes)
+	answers := gather(ctx, r, intact, r.cfg.EntryTimeout, enough, func(ctx kernel.Context, core string) (*wire.RecoverResponse, error) {
 		return call(ctx, r, core, req, r.Recover, wireconnect.PeerClient.Recover)
 	})
 	entered, err := ask(ctx, r, func(o *owner, reply func(string, error)) {
@@ -395,7 +397,7 @@
 		r.waits(ctx, events.DiskFull, "the rebuilt state does not fit on the disk")
 	case err != nil:
 	case entered != "":
-		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once all others answer; it waits for %s", entered))
+		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once enough others answer; it waits for %s", entered))
 	case life > 1:
 		r.events.Emit(events.RecoveryComplete, "core", r.cfg.Self, "life", life)
 	default:
@@ -403,6 +405,21 @@
 	}
 }
 
+// entryQuorum returns the cores to rebuild from, and how many of them suffice;
+// zero is all.
+func entryQuorum(state ballot.State, probes map[string]*wire.RecoverResponse) (cores []string, enough int) {
+	var voting []string
+	for _, core := range state.Others() {
+		if probe := probes[core]; probe != nil && probe.Voting {
+			voting = append(voting, core)
+		}
+	}
+	if len(voting) < state.RebuildQuorum() {
+		return state.Others(), 0
+	}
+	return voting, state.RebuildQuorum()
+}
+
 // offerFirstSheet proposes the configured sheet to a formation that never had
 // one; it tells whether the offer is settled, either way.
 func (r *Replica) offerFirstSheet(ctx kernel.Context) bool {
--- a/sim/ballots/model.go
+++ b/sim/ballots/model.go
@@ -27,13 +27,14 @@
 
 // Flaws.
 const (
-	Sound          Flaw = iota
-	LivesHidden         // answers never tell of a later disk life
-	LifeForgotten       // an answerer does not keep the life it was told
-	PromiseTwice        // a ballot may be promised to two openings
-	PartialRebuild      // a wiped core takes the first answer for all
-	RebuildWithout      // a wiped core votes at once
-	SharedLife          // two processes of one name may announce the same disk life
+	Sound             Flaw = iota
+	LivesHidden            // answers never tell of a later disk life
+	LifeForgotten          // an answerer does not keep the life it was told
+	PromiseTwice           // a ballot may be promised to two openings
+	PartialRebuild         // a wiped core takes the first answer for all
+	RebuildWithout         // a wiped core votes at once
+	RebuildFromTooFew      // a wiped core takes one answer fewer than a rebuild quorum for enough
+	SharedLife             // two processes of one name may announce the same disk life
 )
 
 // Bounds of an exploration.
--- a/sim/ballots/random.go
+++ b/sim/ballots/random.go
@@ -16,6 +16,8 @@
 
 // Faults are the rates of a random run. Times are in virtual milliseconds.
 type Faults struct {
+	Cores     int     // 3 if zero
+	Calm      int64   // before the first fault or lost message, in which the cores may form
 	Until     int64   // when faults end and the cores must come to agree
 	Loss      float64 // of a message
 	Duplicate float64 // of a request
@@ -25,7 +27,7 @@
 	Patience  int64   // how long a proposer waits for answers
 	TwoWipes  bool    // a second disk may be lost while the first is being rebuilt
 	Replaced  bool    // in place of a wipe another process takes the name, and the old one goes on
-	Flaw      Flaw    // Sound, LifeForgotten or RebuildWithout
+	Flaw      Flaw    // Sound, LifeForgotten, RebuildWithout or SharedLife
 }
 
 // Outcome of a random run.
@@ -43,20 +45,25 @@
 	compactEvery = 12
 	settleTime   = 20_000
 	entryTimeout = 600
+	probeGrace   = 80 // for which a rebuilding core waits for the other probes
 )
 
-// Run plays one seed: three cores found a formation and agree on commands
+// Run plays one seed: cores found a formation and agree on commands
 // while messages are lost, doubled and overtaken, processes crash between an
 // append and its sync, disks are wiped and links are cut; then all heals.
 func Run(seed uint64, faults Faults) Outcome {
-	s := &sim{random: rand.New(rand.NewPCG(seed, 7)), faults: faults, chosen: map[uint64][]byte{}}
-	for i := range s.cores {
-		s.cores[i] = &core{sim: s, index: i, state: ballot.Blank(names[i])}
+	if faults.Cores == 0 {
+		faults.Cores = len(names)
+	}
+	s := &sim{random: rand.New(rand.NewPCG(seed, 7)), faults: faults, chosen: map[uint64][]byte{},
+		names: fiveNames[:faults.Cores], old: make([]*core, faults.Cores)}
+	for i, name := range s.names {
+		s.cores = append(s.cores, &core{sim: s, index: i, state: ballot.Blank(name)})
 	}
 	for _, c := range s.cores {
 		s.boot(c)
 	}
-	s.after(s.between(1, faults.Every), s.fault)
+	s.after(faults.Calm+s.between(1, faults.Every), s.fault)
 	s.after(faults.Until, s.heal)
 	for s.outcome.Violation == "" && len(s.queue) > 0 && s.now < faults.Until+settleTime {
 		e := heap.Pop(&s.queue).(event)
@@ -74,6 +81,9 @@
 	return s.outcome
 }
 
+// fiveNames are the cores of the largest random run.
+var fiveNames = []string{"a", "b", "c", "d", "e"}
+
 type event struct {
 	at, order int64
 	do        func()
@@ -99,9 +109,10 @@
 	now     int64
 	order   int64
 	queue   events
-	cores   [3]*core
-	old     [3]*core // the last process that had a name before another took it
-	cut     [3][3]bool
+	names   []string
+	cores   []*core
+	old     []*core // the last process that had a name before another took it
+	cut     [5][5]bool
 	chosen  map[uint64][]byte
 	rolling []uint64 // digest of the first commands, by count
 	done    bool     // faults have ended
@@ -134,6 +145,9 @@
 	then  func()
 }
 
+// troubled tells whether messages may be lost and late now.
+func (s *sim) troubled() bool { return s.now >= s.faults.Calm && !s.done }
+
 func (s *sim) between(low, high int64) int64 { return low + s.random.Int64N(max(high-low, 1)) }
 func (s *sim) chance(p float64) bool         { return s.random.Float64() < p }
 
@@ -174,14 +188,14 @@
 	if s.done {
 		return
 	}
-	c := s.cores[s.random.IntN(3)]
+	c := s.cores[s.random.IntN(len(s.cores))]
 	switch s.random.IntN(4) {
 	case 0, 1:
 		if c.up {
 			s.crash(c)
 		}
 	case 2:
-		from, to := s.random.IntN(3), s.random.IntN(3)
+		from, to := s.random.IntN(len(s.cores)), s.random.IntN(len(s.cores))
 		s.cut[from][to] = true
 		if s.chance(0.5) {
 			s.cut[to][from] = true
@@ -196,7 +210,7 @@
 
 func (s *sim) heal() {
 	s.done = true
-	s.cut = [3][3]bool{}
+	s.cut = [5][5]bool{}
 	for _, c := range s.cores {
 		c.slow = 0
 	}
@@ -250,7 +264,7 @@
 
 // voters returns the cores as one of them calls them: itself for its own name.
 func (c *core) voters() []*core {
-	all := slices.Clone(c.sim.cores[:])
+	all := slices.Clone(c.sim.cores)
 	all[c.index] = c
 	return all
 }
@@ -263,11 +277,12 @@
 			blank++
 		}
 	}
-	if blank == 1 && s.faults.TwoWipes && c.durable().Life() != 0 && len(s.chosen) > 0 {
+	borne := len(s.cores) - ballot.State{Voters: s.names}.Majority()
+	if blank == borne && s.faults.TwoWipes && c.durable().Life() != 0 && len(s.chosen) > 0 {
 		s.outcome.Lost = true
 		return true
 	}
-	return blank == 0
+	return blank < borne
 }
 
 func (c *core) durable() ballot.State {
@@ -280,7 +295,7 @@
 
 func (s *sim) boot(c *core) {
 	if c.base.Self == "" {
-		c.base = ballot.Blank(names[c.index])
+		c.base = ballot.Blank(s.names[c.index])
 	}
 	c.up = true
 	c.state = c.base
@@ -294,8 +309,8 @@
 	}
 	c.synced, c.waiting, c.proposing, c.entering, c.seen, c.slow = len(c.log), nil, 0, false, 0, 0
 	if s.faults.Flaw == RebuildWithout && c.state.Formation == "" && len(s.chosen) > 0 {
-		other := s.cores[(c.index+1)%3].state
-		joined := ballot.Joined{Formation: other.Formation, Voters: names}.Fold(c.state)
+		other := s.cores[(c.index+1)%len(s.cores)].state
+		joined := ballot.Joined{Formation: other.Formation, Voters: s.names}.Fold(c.state)
 		c.base = ballot.Entered{Lives: other.Lives}.Fold(joined)
 		c.state = c.base
 	}
@@ -422,7 +437,7 @@
 		records, answer := handle(to)
 		to.commit(records)
 		to.whenSynced(func() {
-			if from != to && (s.chance(s.faults.Loss) && !s.done || s.cut[to.index][from.index]) {
+			if from != to && (s.chance(s.faults.Loss) && s.troubled() || s.cut[to.index][from.index]) {
 				return
 			}
 			s.after(s.latency(from, to), func() {
@@ -432,7 +447,7 @@
 			})
 		})
 	}
-	if from != to && s.chance(s.faults.Loss) && !s.done {
+	if from != to && s.chance(s.faults.Loss) && s.troubled() {
 		return
 	}
 	s.after(s.latency(from, to), deliver)
@@ -445,7 +460,7 @@
 	if from == to {
 		return 0
 	}
-	if s.chance(s.faults.Late) && !s.done {
+	if s.chance(s.faults.Late) && s.troubled() {
 		return s.between(1, 2000)
 	}
 	return s.between(1, 20)
@@ -468,14 +483,27 @@
 	return slices.DeleteFunc(c.voters(), func(o *core) bool { return o == c })
 }
 
+// probeAll asks all other cores how they are. It goes on once all have answered,
+// or after a grace.
 func (c *core) probeAll(then func(map[string]*wire.RecoverResponse)) {
-	answers := map[string]*wire.RecoverResponse{}
-	take := once(func(name string, answer *wire.RecoverResponse) {
-		answers[name] = answer
-		if len(answers) == 2 {
+	answers, life, over := map[string]*wire.RecoverResponse{}, c.life, false
+	proceed := func() {
+		if !over && c.life == life {
+			over = true
 			then(answers)
 		}
+	}
+	take := once(func(name string, answer *wire.RecoverResponse) {
+		if !over {
+			answers[name] = answer
+		}
+		if len(answers) == len(c.sim.cores)-1 {
+			proceed()
+		}
 	})
+	if len(c.sim.cores) > len(names) {
+		c.sim.after(probeGrace, proceed)
+	}
 	for _, other := range c.others() {
 		rpc(c, other, func(o *core) ([]ballot.Record, *wire.RecoverResponse) {
 			return o.state.Recover(&wire.RecoverRequest{Core: c.state.Self, Probe: true})
@@ -485,7 +513,7 @@
 
 func (c *core) seek() {
 	c.probeAll(func(answers map[string]*wire.RecoverResponse) {
-		for _, name := range names {
+		for _, name := range c.sim.names {
 			if answers[name] == nil {
 				continue
 			}
@@ -494,7 +522,7 @@
 				return
 			}
 		}
-		record, ok := c.state.Establish(fmt.Sprintf("%s-%d", c.state.Self, c.sim.now), 3, answers, 0, nil)
+		record, ok := c.state.Establish(fmt.Sprintf("%s-%d", c.state.Self, c.sim.now), len(c.sim.cores), answers, 0, nil)
 		if !ok {
 			return
 		}
@@ -522,7 +550,7 @@
 		}
 	})
 	c.probeAll(func(probes map[string]*wire.RecoverResponse) {
-		for _, name := range names {
+		for _, name := range c.sim.names {
 			if probes[name] == nil {
 				continue
 			}
@@ -543,13 +571,13 @@
 }
 
 func (c *core) announce(life uint64) {
-	formation := c.state.Formation
+	formation, rebuildQuorum := c.state.Formation, c.state.RebuildQuorum()
 	c.round++
 	round := c.round
 	answers := map[string]*wire.RecoverResponse{}
 	take := once(func(name string, answer *wire.RecoverResponse) {
 		answers[name] = answer
-		if len(answers) < 2 || c.round != round || c.state.Life() != 0 || c.state.Formation != formation {
+		if len(answers) < rebuildQuorum || c.round != round || c.state.Life() != 0 || c.state.Formation != formation {
 			return
 		}
 		if record, waiting := c.state.Enter(life, answers); waiting == "" {
@@ -569,7 +597,7 @@
 
 // look fetches from another core what is missing here.
 func (c *core) look() {
-	other := c.others()[c.sim.random.IntN(2)]
+	other := c.others()[c.sim.random.IntN(len(c.sim.cores)-1)]
 	c.fetch(other)
 	if c.sim.faults.Replaced {
 		c.stand(other)
