Let newcomers take the places of as many gone cores as a rebuild bears

Cause: a newcomer took a place only when exactly one core was gone; with five voters, two machines replaced at once left the formation at three for good. Change: a place is free once its core is silent for core.gone_after and a rebuild quorum of others answers; each candidate prefers another of several names by hash, and two that claim one are told apart by their disk lives as before.

--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -1,15 +1,18 @@
 package node
 
 import (
+	"cmp"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"stepwick/internal/adapter/internalrpc"
+	"stepwick/internal/core/ballot"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/settings"
@@ -182,27 +185,35 @@
 }
 
 // vacant returns the name of a core that has not answered for long enough,
-// while all others vote.
+// while so many others do that a lost disk can be rebuilt from them. Of several
+// such names each candidate prefers another one, so that two of them seldom
+// claim the same.
 func (c *candidate) vacant(cores map[string]*sighting, voters []string) (string, bool) {
 	now := c.clock.Now()
 	var gone []string
+	answering := 0
 	for _, voter := range voters {
 		seen := cores[voter]
 		if seen != nil && seen.answered {
+			answering++
 			delete(c.silent, voter)
 			continue
 		}
 		if _, since := c.silent[voter]; !since {
 			c.silent[voter] = now
 		}
-		gone = append(gone, voter)
+		if now.Sub(c.silent[voter]) >= c.goneAfter {
+			gone = append(gone, voter)
+		}
 	}
-	if len(gone) != 1 || now.Sub(c.silent[gone[0]]) < c.goneAfter {
+	if len(gone) == 0 || answering < (ballot.State{Voters: voters}).RebuildQuorum() {
 		return "", false
 	}
-	return gone[0], true
+	return slices.MaxFunc(gone, func(a, b string) int { return cmp.Compare(c.preference(a), c.preference(b)) }), true
 }
 
+func (c *candidate) preference(place string) uint64 { return xxhash.Sum64String(c.own + "/" + place) }
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
