--- a/cmd/rig/judge/judge.go
+++ b/cmd/rig/judge/judge.go
@@ -376,7 +376,7 @@
 	}
 	for _, o := range l.Orders {
 		if w, ok := won[o.ID]; ok && !o.Lost && o.Status >= 400 && o.Status < 500 {
-			say(&found, "order %s was accepted as epoch %d and, sent again at %s through %s, declined with code %d", o.ID, w.Epoch, sec(o.Sent), o.Front, o.Code)
+			say(&found, "order %s was accepted as epoch %d and, sent again at %s through %s, refused with code %d", o.ID, w.Epoch, sec(o.Sent), o.Front, o.Code)
 		}
 	}
 	applied := map[string]bool{}
@@ -387,7 +387,7 @@
 	}
 	for _, o := range l.Orders {
 		if !o.Lost && o.Status >= 400 && o.Status < 500 && o.Mark != "" && applied[o.Mark] {
-			say(&found, "order %s was declined with code %d at %s, but its sheet was read back", o.ID, o.Code, sec(o.Told))
+			say(&found, "order %s was refused with code %d at %s, but its sheet was read back", o.ID, o.Code, sec(o.Told))
 		}
 	}
 	return found
--- a/cmd/rig/judge/judge_test.go
+++ b/cmd/rig/judge/judge_test.go
@@ -20,7 +20,7 @@
 		{Token: "s1", Kind: "stream", Front: "front1", Sent: second, First: second, Done: second, Deadline: 5 * second, End: ledger.Served, AnswerID: "s1", Final: true, Count: 2,
 			Events: []ledger.Event{{ID: "s1", Token: "s1", Run: "r1"}, {ID: "s1", Seq: 1, Token: "s1", Run: "r1", Index: 1}}},
 		{Token: "g1", Kind: "get", Front: "front1", Sent: second, First: second, Done: second, Deadline: 5 * second, End: ledger.Served, AnswerID: "g1", Body: "g1", Whole: true},
-		{Token: "g2", Kind: "get", Front: "front1", Sent: second, Done: second, Deadline: 5 * second, End: ledger.Declined, Code: int(kernel.NoServer), Retry: "later"},
+		{Token: "g2", Kind: "get", Front: "front1", Sent: second, Done: second, Deadline: 5 * second, End: ledger.Refused, Code: int(kernel.NoServer), Retry: "later"},
 	}
 	l.Runs = []ledger.Run{
 		{ID: "r1", Server: "model1", Kind: "model", Token: "s1", Arrived: second, Ran: true, Sent: 2, Final: true, InFlight: 3, Slots: 16},
@@ -55,7 +55,7 @@
 	}
 }
 
-var quota = ledger.Attempt{End: ledger.Declined, Status: 429, Code: int(kernel.QuotaExceeded)}
+var quota = ledger.Attempt{End: ledger.Refused, Status: 429, Code: int(kernel.QuotaExceeded)}
 
 func TestJudges(t *testing.T) {
 	Convey("A ledger without a breach gives no violation", t, func() {
@@ -108,10 +108,10 @@
 		{"resent", "an order accepted twice", func(l *ledger.Ledger) {
 			l.Orders = append(l.Orders, ledger.Order{ID: "o2", Verb: "patch", Base: 3, Status: 200, Epoch: 9, Mark: "2"})
 		}},
-		{"resent", "an accepted order that is declined when sent again", func(l *ledger.Ledger) {
+		{"resent", "an accepted order that is refused when sent again", func(l *ledger.Ledger) {
 			l.Orders = append(l.Orders, ledger.Order{ID: "o2", Verb: "patch", Base: 3, Status: 409, Code: int(kernel.BaseMoved)})
 		}},
-		{"resent", "a declined order that was applied", func(l *ledger.Ledger) { l.Orders[2].Mark = "2" }},
+		{"resent", "a refused order that was applied", func(l *ledger.Ledger) { l.Orders[2].Mark = "2" }},
 		{"revoked", "a revoked key that works", func(l *ledger.Ledger) { l.Probes[0].Sent, l.Probes[0].Done = 16*second, 16*second }},
 		{"drain", "a request to a draining server", func(l *ledger.Ledger) {
 			l.Runs = append(l.Runs, ledger.Run{ID: "r5", Server: "model1", Kind: "model", Arrived: 33100 * kernel.Millisecond})
@@ -132,7 +132,7 @@
 		{"over_quota", "a tenant that gets 1.5 of its allowance", func(l *ledger.Ledger) {
 			steady(l, "press", 150, 30*second, func(int) ledger.Attempt { return ledger.Attempt{End: ledger.Served} })
 		}},
-		{"under_quota", "a decline at half of the allowance", func(l *ledger.Ledger) {
+		{"under_quota", "a refusal at half of the allowance", func(l *ledger.Ledger) {
 			steady(l, "press", 50, 30*second, func(i int) ledger.Attempt {
 				if i == 250 {
 					return quota
--- a/cmd/rig/judge/quota.go
+++ b/cmd/rig/judge/quota.go
@@ -13,8 +13,8 @@
 	return a.End == ledger.Served || a.End == ledger.GaveUp || len(a.Events) > 0
 }
 
-func quotaDecline(a ledger.Attempt) bool {
-	return a.End == ledger.Declined && (a.Code == int(kernel.QuotaExceeded) || a.Code == int(kernel.ShareExceeded))
+func quotaRefusal(a ledger.Attempt) bool {
+	return a.End == ledger.Refused && (a.Code == int(kernel.QuotaExceeded) || a.Code == int(kernel.ShareExceeded))
 }
 
 func byTenant(l *ledger.Ledger) map[string][]ledger.Attempt {
@@ -91,7 +91,7 @@
 		asked += list[i].Tokens
 		if got(list[i]) {
 			passed += list[i].Tokens
-		} else if !quotaDecline(list[i]) {
+		} else if !quotaRefusal(list[i]) {
 			others++
 		}
 	}
@@ -103,7 +103,7 @@
 	for _, tenant := range tenants(l) {
 		list, most := by[tenant], limit(l.Allowances[tenant])
 		for _, a := range list {
-			if !quotaDecline(a) || a.Code == int(kernel.ShareExceeded) && cutNear(l, a.Sent-2*QuotaSpan, a.Sent) {
+			if !quotaRefusal(a) || a.Code == int(kernel.ShareExceeded) && cutNear(l, a.Sent-2*QuotaSpan, a.Sent) {
 				continue
 			}
 			low, peak := true, 0.0
@@ -112,7 +112,7 @@
 				low, peak = asked < QuotaNever*most, max(peak, asked)
 			}
 			if low {
-				say(&found, "tenant %s was declined with code %d at %s through %s; in no 8 s span of the last 16 s did it ask for more than %.2f of its allowance", tenant, a.Code, sec(a.Sent), a.Front, peak/most)
+				say(&found, "tenant %s was refused with code %d at %s through %s; in no 8 s span of the last 16 s did it ask for more than %.2f of its allowance", tenant, a.Code, sec(a.Sent), a.Front, peak/most)
 				break
 			}
 		}
@@ -121,7 +121,7 @@
 }
 
 // starved looks at spans of steady excess demand in which nothing but quota
-// declined: a tenant must get its allowance.
+// refused: a tenant must get its allowance.
 func starved(l *ledger.Ledger) (found []string) {
 	by := byTenant(l)
 	for _, tenant := range tenants(l) {
--- a/cmd/rig/ledger/ledger.go
+++ b/cmd/rig/ledger/ledger.go
@@ -29,7 +29,7 @@
 // Ends of an attempt.
 const (
 	Served    = "served"    // a whole 2xx answer, or a stream up to its final event
-	Declined  = "declined"  // a numbered fault before any event
+	Refused   = "refused"   // a numbered fault before any event
 	CutError  = "cut_error" // a stream ended by an error event
 	CutAbort  = "cut_abort" // the connection broke after the request was written
 	CleanEnd  = "clean_end" // a stream ended cleanly without a final event
@@ -73,7 +73,7 @@
 	Token    string `json:"token"`
 	Request  string `json:"request"`
 	Arrived  At     `json:"arrived"`
-	Ran      bool   `json:"ran"` // began to run; false when declined with busy or reset before
+	Ran      bool   `json:"ran"` // began to run; false when refused with busy or reset before
 	Done     At     `json:"done"`
 	Sent     int    `json:"sent"`
 	Final    bool   `json:"final"`
@@ -100,7 +100,7 @@
 	Code     int    `json:"code"`
 	Epoch    uint64 `json:"epoch"`
 	InForce  bool   `json:"in_force"`
-	Invalid  bool   `json:"invalid,omitempty"` // must be declined
+	Invalid  bool   `json:"invalid,omitempty"` // must be refused
 	Mark     string `json:"mark,omitempty"`    // outside sign of the sheet: see Probe and ReadBack
 	Target   string `json:"target,omitempty"`  // locality of an evacuation or restore
 	Detail   string `json:"detail,omitempty"`
@@ -136,7 +136,7 @@
 // Passed tells whether the key was accepted.
 func (p Probe) Passed() bool { return p.Status/100 == 2 || p.Code == int(kernel.QuotaExceeded) }
 
-// Unknown tells whether the key was declined as belonging to no tenant.
+// Unknown tells whether the key was refused as belonging to no tenant.
 func (p Probe) Unknown() bool { return p.Code == int(kernel.UnknownKey) }
 
 // KeyMark is the acknowledged instant from which key number Key is the only one.
--- a/cmd/rig/load/caller.go
+++ b/cmd/rig/load/caller.go
@@ -85,7 +85,7 @@
 }
 
 // Tally counts attempts as they end, for the table while a run lasts.
-type Tally struct{ Served, Declined, Failed, Unsent int }
+type Tally struct{ Served, Refused, Failed, Unsent int }
 
 const openMost = 3000
 
@@ -315,8 +315,8 @@
 	switch a.End {
 	case ledger.Served, ledger.GaveUp:
 		t.Served++
-	case ledger.Declined:
-		t.Declined++
+	case ledger.Refused:
+		t.Refused++
 	case ledger.Unsent:
 		t.Unsent++
 	default:
@@ -427,7 +427,7 @@
 	}
 	var body kernel.FaultBody
 	_ = json.Unmarshal(data, &body)
-	a.Code, a.Retry, a.End = int(body.Code), string(body.Retry), ledger.Declined
+	a.Code, a.Retry, a.End = int(body.Code), string(body.Retry), ledger.Refused
 	if body.Code == kernel.OutcomeUnknown || body.Code == kernel.BadAnswer {
 		a.End = ledger.CutError
 	}
--- a/cmd/rig/prove/stage.go
+++ b/cmd/rig/prove/stage.go
@@ -182,7 +182,7 @@
 	ticker := kernel.System().Ticker(kernel.Second)
 	defer ticker.Stop()
 	var last load.Tally
-	fmt.Fprintf(s.Out, "%6s %8s %9s %8s %8s %7s %8s\n", "second", "served", "declined", "failed", "unsent", "epoch", "skipped")
+	fmt.Fprintf(s.Out, "%6s %8s %9s %8s %8s %7s %8s\n", "second", "served", "refused", "failed", "unsent", "epoch", "skipped")
 	for i := 1; ; i++ {
 		select {
 		case <-ticker.C():
@@ -191,7 +191,7 @@
 		}
 		now := s.Crowd.Tally()
 		_, epoch := s.Control.Newest()
-		fmt.Fprintf(s.Out, "%6d %8d %9d %8d %8d %7d %8d\n", i, now.Served-last.Served, now.Declined-last.Declined, now.Failed-last.Failed, now.Unsent-last.Unsent, epoch, s.Crowd.Skipped.Load())
+		fmt.Fprintf(s.Out, "%6d %8d %9d %8d %8d %7d %8d\n", i, now.Served-last.Served, now.Refused-last.Refused, now.Failed-last.Failed, now.Unsent-last.Unsent, epoch, s.Crowd.Skipped.Load())
 		last = now
 	}
 }
@@ -244,7 +244,7 @@
 // Summary is what a run came to. Goodput is the attempts served a second.
 type Summary struct {
 	Served     int               `json:"served"`
-	Declined   int               `json:"declined"`
+	Refused    int               `json:"refused"`
 	Failed     int               `json:"failed"`
 	Unsent     int               `json:"unsent"`
 	Violations int               `json:"violations"`
@@ -272,8 +272,8 @@
 		switch a.End {
 		case ledger.Served, ledger.GaveUp:
 			s.Served++
-		case ledger.Declined:
-			s.Declined++
+		case ledger.Refused:
+			s.Refused++
 		case ledger.Unsent:
 			s.Unsent++
 		default:
--- a/cmd/rig/prove_command.go
+++ b/cmd/rig/prove_command.go
@@ -81,7 +81,7 @@
 	Violations int                `json:"violations"`
 	Trouble    string             `json:"trouble,omitempty"`
 	Served     int                `json:"served"`
-	Declined   int                `json:"declined"`
+	Refused    int                `json:"refused"`
 	Failed     int                `json:"failed"`
 	Orders     int                `json:"orders_won"`
 	Worst      map[string]float64 `json:"worst_span,omitempty"`
@@ -149,7 +149,7 @@
 		}
 	}
 	sum := prove.Sum(&l, s.Began)
-	v.Violations, v.Served, v.Declined, v.Failed, v.Orders = len(found), sum.Served, sum.Declined, sum.Failed, sum.Orders
+	v.Violations, v.Served, v.Refused, v.Failed, v.Orders = len(found), sum.Served, sum.Refused, sum.Failed, sum.Orders
 	if p.Group == 7 {
 		v.Worst = map[string]float64{}
 		for name := range l.Allowances {
--- a/cmd/rig/report/report.go
+++ b/cmd/rig/report/report.go
@@ -28,12 +28,12 @@
 // ended, and by tenant the tokens got in the 8 s before as a share of the
 // allowance.
 type Second struct {
-	Second   int                `json:"second"`
-	Served   int                `json:"served"`
-	Declined int                `json:"declined"`
-	Failed   int                `json:"failed"`
-	Spend    map[string]float64 `json:"spend"`
-	Marks    []string           `json:"marks,omitempty"`
+	Second  int                `json:"second"`
+	Served  int                `json:"served"`
+	Refused int                `json:"refused"`
+	Failed  int                `json:"failed"`
+	Spend   map[string]float64 `json:"spend"`
+	Marks   []string           `json:"marks,omitempty"`
 }
 
 // Seconds folds a ledger into seconds.
@@ -58,8 +58,8 @@
 			if sums, ok := tokens[a.Tenant]; ok {
 				sums[min(int(a.Sent.Seconds()), len(out)-1)] += a.Tokens
 			}
-		case ledger.Declined:
-			s.Declined++
+		case ledger.Refused:
+			s.Refused++
 		default:
 			s.Failed++
 		}
@@ -98,7 +98,7 @@
 	spend := map[string]plotter.XYs{}
 	for _, s := range seconds {
 		x := float64(s.Second)
-		for name, y := range map[string]int{"served": s.Served, "declined": s.Declined, "failed": s.Failed} {
+		for name, y := range map[string]int{"served": s.Served, "refused": s.Refused, "failed": s.Failed} {
 			service[name] = append(service[name], plotter.XY{X: x, Y: float64(y)})
 		}
 		for name, y := range s.Spend {
--- a/cmd/rig/report/report_test.go
+++ b/cmd/rig/report/report_test.go
@@ -18,11 +18,11 @@
 		for i := range 10 {
 			at := time.Duration(i) * time.Second
 			l.Attempts = append(l.Attempts, ledger.Attempt{Tenant: "press", Tokens: 10, Sent: at, Done: at, End: ledger.Served},
-				ledger.Attempt{Tenant: "press", Tokens: 10, Sent: at, Done: at, End: ledger.Declined})
+				ledger.Attempt{Tenant: "press", Tokens: 10, Sent: at, Done: at, End: ledger.Refused})
 		}
 		rows := Seconds(l)
 		So(len(rows), ShouldEqual, 10)
-		So(rows[9].Served+rows[9].Declined, ShouldEqual, 2)
+		So(rows[9].Served+rows[9].Refused, ShouldEqual, 2)
 		So(rows[0].Spend["press"], ShouldEqual, 0.1)
 		So(rows[9].Spend["press"], ShouldEqual, 0.8)
 		So(rows[4].Marks, ShouldResemble, []string{"kill core1"})
--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -119,7 +119,7 @@
 		fault = x.answer()
 	}
 	if fault != nil {
-		x.decline(fault)
+		x.refuse(fault)
 	}
 }
 
@@ -177,9 +177,9 @@
 
 var routes = Routes()
 
-func (x *exchange) decline(fault *kernel.Fault) {
+func (x *exchange) refuse(fault *kernel.Fault) {
 	if !x.taken {
-		x.api.calls.Declined(fault)
+		x.api.calls.Refused(fault)
 	}
 	if x.stream != nil && x.stream.begun {
 		x.stream.cut(fault)
@@ -229,7 +229,7 @@
 		panic(panicked)
 	}
 	x.api.calls.Broke(x.head.ID, panicked)
-	x.decline(kernel.Refuse(kernel.Internal, "see the log event of request %s", x.head.ID))
+	x.refuse(kernel.Refuse(kernel.Internal, "see the log event of request %s", x.head.ID))
 }
 
 func serveConnect(x *exchange) *kernel.Fault {
--- a/internal/adapter/clientapi/clientapi.go
+++ b/internal/adapter/clientapi/clientapi.go
@@ -148,8 +148,8 @@
 	// Standing names the standing of the core beside this front, "" on a plain
 	// front. It rides the answer to the readiness check and doesn't decide it.
 	Standing() string
-	// Declined hears of each request that never became a call.
-	Declined(fault *kernel.Fault)
+	// Refused hears of each request that never became a call.
+	Refused(fault *kernel.Fault)
 	// Broke hears of a panic while a request was served.
 	Broke(id string, panicked any)
 }
--- a/internal/adapter/clientapi/clientapi_test.go
+++ b/internal/adapter/clientapi/clientapi_test.go
@@ -66,7 +66,7 @@
 func (f *fakeCalls) Knows(*Head) *kernel.Fault { return f.knows }
 func (f *fakeCalls) Ready() *kernel.Fault      { return f.ready }
 func (f *fakeCalls) Standing() string          { return f.standing }
-func (f *fakeCalls) Declined(*kernel.Fault)    {}
+func (f *fakeCalls) Refused(*kernel.Fault)     {}
 func (f *fakeCalls) Broke(string, any)         { f.broke++ }
 
 func (f *fakeCalls) Connect(_ kernel.Context, ask *Connect) (*Nearest, *kernel.Fault) {
@@ -156,7 +156,7 @@
 		{"prompt cut", &fakeCalls{events: []string{event}, fault: cut}, request("POST", "/v1/prompt", keyed, whole)},
 		{"prompt that breaks midway", &fakeCalls{events: []string{event}, panics: "oh"}, request("POST", "/v1/prompt", keyed, whole)},
 		{"prompt that breaks at once", &fakeCalls{panics: "oh"}, request("POST", "/v1/prompt", keyed, whole)},
-		{"prompt declined", &fakeCalls{fault: later}, request("POST", "/v1/prompt", keyed, whole)},
+		{"prompt refused", &fakeCalls{fault: later}, request("POST", "/v1/prompt", keyed, whole)},
 		{"one-shot", &fakeCalls{answer: web}, request("GET", "/v1/call/outages/map/a%2Fb?x=1&y=%20", keyed, "")},
 		{"one-shot by HEAD", &fakeCalls{answer: web}, request("HEAD", "/v1/call/outages/map", keyed, "")},
 		{"one-shot of unknown outcome", &fakeCalls{fault: kernel.Refuse(kernel.OutcomeUnknown, "reset")}, request("POST", "/v1/call/orders", keyed, "{}")},
@@ -228,7 +228,7 @@
 		{"no body yet, and never one", strings.ReplaceAll("POST /v1/call/s/ HTTP/1.1\nHost: n\n"+keyed+"Content-Length: 10\n\n", "\n", "\r\n"), kernel.SlowBody},
 	}
 	for _, row := range rows {
-		Convey("A request with "+row.name+" is declined by number and reaches no call", t, func() {
+		Convey("A request with "+row.name+" is refused by number and reaches no call", t, func() {
 			calls := &fakeCalls{answer: &Answer{Status: 200}}
 			answer := exchangeRaw(t, Limits{BodyMax: 4096, HeaderMax: 1024}, calls, row.request)
 			So(answer, ShouldContainSubstring, fmt.Sprintf("Stepwick-Code: %d\r\n", row.code))
@@ -278,7 +278,7 @@
 			}
 		})
 	})
-	Convey("A decline isn't held back by a body that doesn't come, which costs its connection after the bound", t, func() {
+	Convey("A refusal isn't held back by a body that doesn't come, which costs its connection after the bound", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			listener := newPipeListener()
 			server := New(Limits{BodyTimeout: 3 * time.Second}, &fakeCalls{}, kernel.System(), nil).Server()
@@ -327,7 +327,7 @@
 			}
 		})
 	})
-	Convey("Bodies beyond the bound of all are declined at once, and every end gives its bytes back", t, func() {
+	Convey("Bodies beyond the bound of all are refused at once, and every end gives its bytes back", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			calls := &fakeCalls{events: []string{`{"seq":0}`}, ended: make(chan error, 1)}
 			listener, bound := newPipeListener(), int64(2*len(whole)-1)
@@ -365,7 +365,7 @@
 			}
 		})
 	})
-	Convey("Requests beyond the bound are declined at once, and a connection outlives its answers", t, func() {
+	Convey("Requests beyond the bound are refused at once, and a connection outlives its answers", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			calls := &fakeCalls{events: []string{`{"seq":0}`}, ended: make(chan error, 1)}
 			listener := newPipeListener()
--- a/internal/adapter/controlapi/api.go
+++ b/internal/adapter/controlapi/api.go
@@ -63,7 +63,7 @@
 }
 
 // New returns the API. It panics on an entry of the operators that the settings
-// should have declined.
+// should have refused.
 func New(config Config, orders Orders, inspector Inspector, clock kernel.Clock, log events.Log) *API {
 	config.SheetMax = or(config.SheetMax, 16<<20)
 	config.BodyTimeout = or(config.BodyTimeout, 5*kernel.Second)
@@ -131,7 +131,7 @@
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
 		}
-		result = declined(fault, "")
+		result = refused(fault, "")
 	}
 	x.write(result)
 }
@@ -188,7 +188,7 @@
 		}
 	}
 	if x.operator == "" {
-		x.api.log.Emit(events.OperatorDeclined, "from", x.r.RemoteAddr, "path", x.call.Path)
+		x.api.log.Emit(events.OperatorRefused, "from", x.r.RemoteAddr, "path", x.call.Path)
 		return kernel.Refuse(kernel.OperatorUnknown, "")
 	}
 	return nil
@@ -248,9 +248,9 @@
 	_ = x.control.SetWriteDeadline(kernel.Time{})
 }
 
-// declined is the answer of a fault, with the order's id where there is one, so
+// refused is the answer of a fault, with the order's id where there is one, so
 // that the order can be sent again under it.
-func declined(fault *kernel.Fault, id string) answer {
+func refused(fault *kernel.Fault, id string) answer {
 	body := struct {
 		kernel.FaultBody
 		OrderID string `json:"order_id,omitempty"`
@@ -269,12 +269,12 @@
 	if code != kernel.OK {
 		var told kernel.FaultBody
 		if json.Unmarshal(resp.Body, &told) != nil || told.Code != code {
-			return declined(&kernel.Fault{Code: code}, id)
+			return refused(&kernel.Fault{Code: code}, id)
 		}
 		return answer{code: code, retryAfter: kernel.Duration(told.RetryAfterMS) * kernel.Millisecond, body: resp.Body}
 	}
 	if len(resp.Body) < 2 || resp.Body[0] != '{' {
-		return declined(kernel.Refuse(kernel.Internal, "the core's answer has no body"), id)
+		return refused(kernel.Refuse(kernel.Internal, "the core's answer has no body"), id)
 	}
 	body := append([]byte(`{"code":0`), resp.Body[1:]...)
 	if resp.Body[1] != '}' {
--- a/internal/adapter/controlapi/api_test.go
+++ b/internal/adapter/controlapi/api_test.go
@@ -167,7 +167,7 @@
 	say("ada", "PATCH", "/v1/control/sheet", `{"changes":[]}`)
 	say("ada", "POST", "/v1/control/evacuate", `{"zone":"lagos/a"}`)
 	if len(c.asked) != relayed {
-		t.Errorf("%d calls that had to be declined here were relayed", len(c.asked)-relayed)
+		t.Errorf("%d calls that had to be refused here were relayed", len(c.asked)-relayed)
 	}
 	goldie.New(t).Assert(t, "exchange", out.Bytes())
 }
@@ -183,7 +183,7 @@
 			So(call.handle, ShouldNotBeNil)
 		}
 	})
-	Convey("A body too large is declined, told or not how large it is", t, func() {
+	Convey("A body too large is refused, told or not how large it is", t, func() {
 		server := serve(t, &cores{}, Config{SheetMax: 100})
 		_, text := call(server, "ada", "PUT", "/v1/control/sheet", strings.Repeat(" ", 101))
 		So(text, ShouldContainSubstring, `"code":4004`)
@@ -229,7 +229,7 @@
 		So(text, ShouldContainSubstring, `"code":2003`)
 		So(resp.Header.Get("Retry-After"), ShouldEqual, "1")
 	})
-	Convey("An operator's entry that the settings should have declined stops the start", t, func() {
+	Convey("An operator's entry that the settings should have refused stops the start", t, func() {
 		So(func() { New(Config{Operators: []string{"ada:abc"}}, nil, nil, kernel.System(), events.Discard) }, ShouldPanic)
 	})
 }
--- a/internal/adapter/controlapi/calls.go
+++ b/internal/adapter/controlapi/calls.go
@@ -104,7 +104,7 @@
 	command, fault := sheet.ParseOrder(x.call.Verb, x.operator, x.body,
 		sheet.Limits{Bytes: len(x.body), Setting: x.api.config.Setting}, 0)
 	if fault != nil {
-		return declined(fault, "")
+		return refused(fault, "")
 	}
 	order, _ := sheet.OrderOf(command)
 	id := order.OrderID
@@ -113,7 +113,7 @@
 	}
 	body, fault := withID(x.body, id)
 	if fault != nil {
-		return declined(fault, "")
+		return refused(fault, "")
 	}
 	return x.relay(body, id, x.api.config.OrderWait)
 }
@@ -126,7 +126,7 @@
 func (x *exchange) status() answer {
 	code, own := x.api.inspector.Inspect(x.r.Context(), "status", "")
 	if code != kernel.OK {
-		return declined(kernel.Refuse(code, "status"), "")
+		return refused(kernel.Refuse(code, "status"), "")
 	}
 	fleet := x.relay(nil, "", min(viewWait, x.api.config.OrderWait))
 	body := struct {
@@ -140,7 +140,7 @@
 	}
 	data, err := json.Marshal(body)
 	if err != nil {
-		return declined(kernel.AsFault(err), "")
+		return refused(kernel.AsFault(err), "")
 	}
 	return answer{code: kernel.OK, body: data}
 }
@@ -149,7 +149,7 @@
 func (x *exchange) inspect() answer {
 	code, body := x.api.inspector.Inspect(x.r.Context(), x.call.Verb, x.argument)
 	if code != kernel.OK {
-		return declined(kernel.Refuse(code, "%s %s", x.call.Verb, x.argument), "")
+		return refused(kernel.Refuse(code, "%s %s", x.call.Verb, x.argument), "")
 	}
 	return answer{code: code, body: body}
 }
@@ -168,7 +168,7 @@
 				fault = kernel.Refuse(kernel.OutcomePending, "no core answered in time; send the order again with its id").After(kernel.Second)
 			}
 		}
-		return declined(fault, id)
+		return refused(fault, id)
 	}
 	x.relayed(id, kernel.Code(resp.Code), x.api.clock.Now().Sub(began))
 	return answered(resp, id)
--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -218,12 +218,12 @@
 	}
 }
 
-// failed logs a hello that a stranger declined, and while nobody else is known
+// failed logs a hello that a stranger refused, and while nobody else is known
 // any that failed.
 func (d *Directory) failed(address string, err error) {
 	switch {
 	case connect.CodeOf(err) == connect.CodePermissionDenied:
-		d.log.Emit(events.SecretDeclined, "address", address)
+		d.log.Emit(events.SecretRefused, "address", address)
 	case len(*d.table.Load()) < 2:
 		d.log.Emit(events.SeedsUnreachable, "address", address, "error", err)
 	}
--- a/internal/adapter/internalrpc/directory_test.go
+++ b/internal/adapter/internalrpc/directory_test.go
@@ -86,7 +86,7 @@
 		})
 	})
 
-	Convey("Another secret is declined, and a host that is down refuses", t, func() {
+	Convey("Another secret is refused, and a host that is down refuses", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			net := memnet.New(ctx)
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -81,7 +81,7 @@
 const (
 	ExitInternal = 1 // a fault of the program, or an outcome that must be looked up
 	ExitUsage    = 2 // a wrong command line or setting
-	ExitNo       = 3 // declined; the same again gets the same
+	ExitNo       = 3 // refused; the same again gets the same
 	ExitLater    = 4 // not now; try again later
 	ExitSame     = 5 // send the same order id again
 	ExitMoved    = 6 // another order on the same base won
--- a/internal/cli/docs.go
+++ b/internal/cli/docs.go
@@ -88,7 +88,7 @@
 find out before sending it again.
 
 *Exit* is the exit code of the command line: 0 met, 1 a fault of the program or an outcome to look up, 2 a wrong command
-line or setting, 3 declined for good, 4 try later, 5 send the same order id again, 6 another order on the same base won.
+line or setting, 3 refused for good, 4 try later, 5 send the same order id again, 6 another order on the same base won.
 
 | Code | Name | HTTP | Retry | Exit | Meaning |
 |---|---|---|---|---|---|
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -101,7 +101,7 @@
 			d.Service, dash(d.Tenant), dash(d.Region), d.Epoch, d.Plan, d.PlanTerm)
 		verdict := "passed"
 		if !d.Passed {
-			verdict = "declined"
+			verdict = "refused"
 		}
 		if d.Fault != "" {
 			verdict += ": " + d.Fault
--- a/internal/cli/sheet.go
+++ b/internal/cli/sheet.go
@@ -166,7 +166,7 @@
 		Short: "Replace the whole sheet",
 		Long: `Replace the whole sheet by a file's: JSON or CSV, "-" for the standard input. What
 changes is shown first. A file written by "sheet get" names the sheet epoch that
-it was read at: if another order has won since, this one is declined.`,
+it was read at: if another order has won since, this one is refused.`,
 		Example: "  stepwick sheet put sheet.json\n  stepwick sheet put sheet.json --dry-run",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
--- a/internal/core/ballot/acceptor.go
+++ b/internal/core/ballot/acceptor.go
@@ -13,18 +13,18 @@
 const fetchBytes = 4 << 20
 
 // Prepare decides on a ballot's opening. A ballot is promised once: the same
-// one again is declined, so that a core that forgot its own unsynced ballot
+// one again is refused, so that a core that forgot its own unsynced ballot
 // in a crash cannot open it a second time.
 func (s State) Prepare(req *wire.PrepareRequest) ([]Record, *wire.PrepareResponse) {
 	resp := &wire.PrepareResponse{Core: s.Self, Learned: s.Learned(), Lives: maps.Clone(s.Lives)}
 	if code := s.votesIn(req.Formation); code != kernel.OK {
-		resp.Decline = uint32(code)
+		resp.Refusal = uint32(code)
 		return nil, resp
 	}
 	if req.Slot <= s.Learned() {
 		resp.ChosenValue, resp.Chosen = s.Command(req.Slot)
 		if !resp.Chosen {
-			resp.Decline = uint32(kernel.EpochBehind)
+			resp.Refusal = uint32(kernel.EpochBehind)
 		}
 		return nil, resp
 	}
@@ -38,24 +38,24 @@
 	return []Record{Promised{Slot: req.Slot, Ballot: asked}}, resp
 }
 
-// Accept decides on a value. It is declined below the promise, and when it
+// Accept decides on a value. It is refused below the promise, and when it
 // rests on the promise of a core whose disk is known to be lost since.
 func (s State) Accept(req *wire.AcceptRequest) ([]Record, *wire.AcceptResponse) {
 	resp := &wire.AcceptResponse{Core: s.Self, Learned: s.Learned(), Lives: maps.Clone(s.Lives)}
 	if code := s.votesIn(req.Formation); code != kernel.OK {
-		resp.Decline = uint32(code)
+		resp.Refusal = uint32(code)
 		return nil, resp
 	}
 	if req.Slot <= s.Learned() {
 		resp.ChosenValue, resp.Chosen = s.Command(req.Slot)
 		if !resp.Chosen {
-			resp.Decline = uint32(kernel.EpochBehind)
+			resp.Refusal = uint32(kernel.EpochBehind)
 		}
 		return nil, resp
 	}
 	for core, life := range req.PromisedLives {
 		if s.Lives[core] > life {
-			resp.Decline = uint32(kernel.CoreAmnesiac)
+			resp.Refusal = uint32(kernel.CoreAmnesiac)
 			return nil, resp
 		}
 	}
@@ -65,7 +65,7 @@
 	case asked.Below(vote.Promised):
 		return nil, resp
 	case asked == vote.Accepted && !bytes.Equal(vote.Value, req.Value):
-		resp.Decline = uint32(kernel.Internal)
+		resp.Refusal = uint32(kernel.Internal)
 		return nil, resp
 	case asked == vote.Accepted:
 		resp.Accepted = true
@@ -100,7 +100,7 @@
 func (s State) Read(req *wire.ReadRequest) *wire.ReadResponse {
 	resp := &wire.ReadResponse{Core: s.Self, Learned: s.Learned(), Highest: s.Highest(), Life: s.Lives[req.Core]}
 	if code := s.votesIn(req.Formation); code != kernel.OK {
-		resp.Decline = uint32(code)
+		resp.Refusal = uint32(code)
 	}
 	return resp
 }
--- a/internal/core/ballot/recovery.go
+++ b/internal/core/ballot/recovery.go
@@ -18,30 +18,30 @@
 // Recover answers a core that enters the formation with an empty disk. The new
 // life must be synced before the answer leaves. A core that has not entered
 // answers too if its disk proves that it never voted; one that lost its disk
-// declines, and marks its answer to a probe with CoreAmnesiac.
+// refuses, and marks its answer to a probe with CoreAmnesiac.
 func (s State) Recover(req *wire.RecoverRequest) ([]Record, *wire.RecoverResponse) {
 	resp := &wire.RecoverResponse{Core: s.Self, Formation: s.Formation, Voters: s.Voters, Lives: s.lives(), Voting: s.Life() != 0}
-	decline := func(code kernel.Code) ([]Record, *wire.RecoverResponse) {
-		resp.Decline = uint32(code)
+	refuse := func(code kernel.Code) ([]Record, *wire.RecoverResponse) {
+		resp.Refusal = uint32(code)
 		return nil, resp
 	}
 	switch {
 	case s.Formation == "":
-		return decline(kernel.CoreBlank)
+		return refuse(kernel.CoreBlank)
 	case req.Probe:
 		resp.Ok = true
 		if s.lost() {
-			return decline(kernel.CoreAmnesiac)
+			return refuse(kernel.CoreAmnesiac)
 		}
 		return nil, resp
 	case req.Formation != s.Formation:
-		return decline(kernel.WrongFormation)
+		return refuse(kernel.WrongFormation)
 	case req.Core == s.Self || !slices.Contains(s.Voters, req.Core):
-		return decline(kernel.NotCore)
+		return refuse(kernel.NotCore)
 	case req.Life < s.Lives[req.Core] || req.Life == 0:
-		return decline(kernel.EpochBehind)
+		return refuse(kernel.EpochBehind)
 	case s.Life() == 0 && s.Announced != firstLife:
-		return decline(kernel.CoreAmnesiac)
+		return refuse(kernel.CoreAmnesiac)
 	}
 	lived := Lived{Core: req.Core, Life: req.Life}
 	if s.Lives[req.Core] == req.Life {
@@ -67,8 +67,8 @@
 			continue
 		}
 		life = max(life, probe.Lives[s.Self])
-		sure = sure || probe.Decline == 0 && probe.Lives[name] > 0
-		lost = lost || probe.Decline != 0
+		sure = sure || probe.Refusal == 0 && probe.Lives[name] > 0
+		lost = lost || probe.Refusal != 0
 		if probe.Voting {
 			voting++
 		}
@@ -195,7 +195,7 @@
 		return nil, false
 	}
 	for _, answer := range present {
-		if answer == nil || kernel.Code(answer.Decline) != kernel.CoreBlank {
+		if answer == nil || kernel.Code(answer.Refusal) != kernel.CoreBlank {
 			return nil, false
 		}
 	}
--- a/internal/core/ballot/transcript_test.go
+++ b/internal/core/ballot/transcript_test.go
@@ -61,7 +61,7 @@
 	probes, answers := map[string]*wire.RecoverResponse{}, map[string]*wire.RecoverResponse{}
 	for _, other := range s.Others() {
 		_, probes[other] = g.cores[other].Recover(&wire.RecoverRequest{Core: who, Probe: true})
-		g.say("%s probes %s: %s", who, other, code(probes[other].Decline, "lives %v", probes[other].Lives))
+		g.say("%s probes %s: %s", who, other, code(probes[other].Refusal, "lives %v", probes[other].Lives))
 	}
 	life, waiting := s.NextLife(probes, 0)
 	if waiting != "" {
@@ -71,7 +71,7 @@
 	g.keep(who, []Record{Lived{Core: who, Life: life}})
 	for _, other := range s.Others() {
 		records, answer := g.cores[other].Recover(&wire.RecoverRequest{Formation: s.Formation, Core: who, Life: life})
-		g.say("%s announces life %d to %s: %s", who, life, other, code(answer.Decline, "learned %d, %d open slots, lives %v", len(answer.Chosen), len(answer.Votes), answer.Lives))
+		g.say("%s announces life %d to %s: %s", who, life, other, code(answer.Refusal, "learned %d, %d open slots, lives %v", len(answer.Chosen), len(answer.Votes), answer.Lives))
 		g.keep(other, records)
 		answers[other] = answer
 	}
@@ -83,9 +83,9 @@
 	g.keep(who, []Record{record})
 }
 
-func code(decline uint32, format string, args ...any) string {
-	if decline != 0 {
-		return "declines, " + kernel.Code(decline).String()
+func code(refusal uint32, format string, args ...any) string {
+	if refusal != 0 {
+		return "refuses, " + kernel.Code(refusal).String()
 	}
 	return fmt.Sprintf(format, args...)
 }
@@ -102,7 +102,7 @@
 		}
 		records, resp := g.cores[core].Prepare(prepare)
 		g.say("%s prepares %s in slot %d at %s: %s", who, name(p.Ballot), slot, core,
-			code(resp.Decline, "promised %v, accepted %q by %s", resp.Promised, resp.AcceptedValue, name(Of(resp.AcceptedBallot))))
+			code(resp.Refusal, "promised %v, accepted %q by %s", resp.Promised, resp.AcceptedValue, name(Of(resp.AcceptedBallot))))
 		g.keep(core, records)
 		if p, step = p.Promise(resp); step.Accept != nil {
 			break
@@ -119,7 +119,7 @@
 		}
 		records, resp := g.cores[core].Accept(accept)
 		g.say("%s asks %s to accept %q by %s on lives %v: %s", who, core, accept.Value, name(p.Ballot), accept.PromisedLives,
-			code(resp.Decline, "accepted %v", resp.Accepted))
+			code(resp.Refusal, "accepted %v", resp.Accepted))
 		g.keep(core, records)
 		p, step = p.Accepted(resp)
 	}
--- a/internal/core/grant/ledger.go
+++ b/internal/core/grant/ledger.go
@@ -67,7 +67,7 @@
 	name := self.GetName()
 	e, ok := l.members[name]
 	if r, gone := l.left[name]; (gone && self.GetIncarnation() <= r.incarnation) || (ok && self.GetIncarnation() < e.incarnation) {
-		resp.Decline = uint32(kernel.EpochBehind)
+		resp.Refusal = uint32(kernel.EpochBehind)
 		return resp
 	}
 	if !ok || self.GetIncarnation() > e.incarnation {
@@ -82,7 +82,7 @@
 	delete(l.gone, name)
 	e.epoch = max(e.epoch, req.Epoch)
 	if req.Epoch == 0 || req.Epoch < learned {
-		resp.Decline = uint32(kernel.EpochBehind)
+		resp.Refusal = uint32(kernel.EpochBehind)
 		return resp
 	}
 	e.until = now.Add(l.ttl)
--- a/internal/core/route/pending.go
+++ b/internal/core/route/pending.go
@@ -200,7 +200,7 @@
 	return kernel.Duration(min(float64(n)/perSecond, 3600) * float64(kernel.Second))
 }
 
-// Enqueue puts a request among the pending ones, as Choose said. It declines a
+// Enqueue puts a request among the pending ones, as Choose said. It refuses a
 // request whose id already waits, and any beyond the bound.
 func (t *Table) Enqueue(req Request, now kernel.Time) *kernel.Fault {
 	if t.pending.byID[req.ID] != nil {
@@ -214,7 +214,7 @@
 }
 
 // Next takes one request out of the pending ones that can go now, or that must
-// be declined because its servers are gone or no answer could come by its
+// be refused because its servers are gone or no answer could come by its
 // deadline: in a crowd, work on requests that end too late would starve those
 // that could still be met. The caller calls Started for a choice and then Next again, after each Finished,
 // each Update and at Wake.
--- a/internal/core/route/pending_test.go
+++ b/internal/core/route/pending_test.go
@@ -66,7 +66,7 @@
 			So(ok, ShouldBeTrue)
 			So(wake, ShouldEqual, late.Deadline)
 		})
-		Convey("are declined at once when their servers are gone", func() {
+		Convey("are refused at once when their servers are gone", func() {
 			table.Update(viewOf(map[string]*wire.ServerStatus{}), start)
 			ready, ok := table.Next(start)
 			So(ok, ShouldBeTrue)
@@ -77,7 +77,7 @@
 			So(table.Cancel(soon.ID), ShouldBeFalse)
 			So(table.Pending(), ShouldEqual, 1)
 		})
-		Convey("decline at once what would wait beyond its deadline", func() {
+		Convey("refuse at once what would wait beyond its deadline", func() {
 			table = crowded(256)
 			for i := range 40 {
 				at := start.Add(time.Duration(i) * 100 * time.Millisecond)
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -85,7 +85,7 @@
 				}
 			}
 		})
-		Convey("sends a bound request home only, and declines it when home is empty", func() {
+		Convey("sends a bound request home only, and refuses it when home is empty", func() {
 			req := ask(1)
 			req.Home = "abeokuta"
 			for range 20 {
@@ -150,7 +150,7 @@
 				So(table.serve(ask(i), start).Server, ShouldNotEqual, "m0")
 			}
 		})
-		Convey("declines with when to come back while it knows no plan, service or server", func() {
+		Convey("refuses with when to come back while it knows no plan, service or server", func() {
 			So(New(Config{Self: "n1"}).Choose(ask(1), start).Fault.Code, ShouldEqual, kernel.NoPlan)
 			req := ask(1)
 			req.Service = "none"
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -6,7 +6,7 @@
 // server that holds its prefix, as long as that one is not loaded beyond the
 // others. Each server has a cap of requests in flight over all fronts; a front
 // admits its part of it. Where no server has room the request waits in the
-// pending requests, ordered by deadline, or is declined at once.
+// pending requests, ordered by deadline, or is refused at once.
 package route
 
 import (
@@ -129,10 +129,10 @@
 
 // Outcome is how a request ended at a server. OK: answered in whole. Refused:
 // the connection was refused. Timeout: no answer within its bound. Busy: the
-// server declined before it began. NothingWritten: no byte reached the server.
+// server refused before it began. NothingWritten: no byte reached the server.
 // FirstToken is the time to the first event, 0 when none came. Service and Took,
 // the time from the start to the end, teach the table how long a service's
-// requests take; without them it declines nothing on that account.
+// requests take; without them it refuses nothing on that account.
 type Outcome struct {
 	OK             bool
 	NothingWritten bool
@@ -192,7 +192,7 @@
 	return short
 }
 
-// New returns a table that knows nothing: it declines until the first Update.
+// New returns a table that knows nothing: it refuses until the first Update.
 func New(cfg Config) *Table {
 	cfg = cfg.orDefaults()
 	return &Table{cfg: cfg, servers: map[string]*server{}, pools: map[poolKey]*pool{}, shares: map[shareKey]*wheel{},
--- a/internal/core/sheet/command.go
+++ b/internal/core/sheet/command.go
@@ -51,7 +51,7 @@
 // Command is one entry of the log of agreed commands.
 type Command interface {
 	Verb() string
-	// Apply returns the state of the given epoch and the outcome. A declined
+	// Apply returns the state of the given epoch and the outcome. A refused
 	// command uses up its epoch and changes nothing else.
 	Apply(s State, epoch uint64) (State, Result)
 }
@@ -106,7 +106,7 @@
 		Locality string `json:"locality"`
 	}
 	// AddMembers puts processes on the roster. Names that are on it stay as
-	// they are. While an earlier change isn't settled it is declined with
+	// they are. While an earlier change isn't settled it is refused with
 	// EpochBehind, to be tried again later.
 	AddMembers struct {
 		Members []Member `json:"members"`
@@ -154,7 +154,7 @@
 		return s, result
 	}
 	if fault := c.Sheet.Check(); fault != nil {
-		return s, s.declined(fault)
+		return s, s.refused(fault)
 	}
 	summary := fmt.Sprintf("%d services, %d tenants", len(c.Sheet.Services), len(c.Sheet.Tenants))
 	return s.install(c.Sheet, order).accept(order, VerbPut, summary)
@@ -169,7 +169,7 @@
 	}
 	patched, fault := s.Sheet.Patch(c.Changes)
 	if fault != nil {
-		return s, s.declined(fault)
+		return s, s.refused(fault)
 	}
 	return s.install(patched, order).accept(order, VerbPatch, summarize(c.Changes))
 }
@@ -183,7 +183,7 @@
 	}
 	merged := s.Sheet.Merged(c.Upsert, c.Remove)
 	if fault := merged.Check(); fault != nil {
-		return s, s.declined(fault)
+		return s, s.refused(fault)
 	}
 	summary := fmt.Sprintf("%d routes, %d services, %d tenants", len(merged.Routes), len(merged.Services), len(merged.Tenants))
 	return s.install(merged, order).accept(order, VerbMerge, summary)
@@ -300,7 +300,7 @@
 	return Result{Code: code, Epoch: s.Epoch, SheetEpoch: s.SheetEpoch, Detail: fmt.Sprintf(format, args...)}
 }
 
-func (s State) declined(fault *kernel.Fault) Result {
+func (s State) refused(fault *kernel.Fault) Result {
 	return Result{Code: fault.Code, Epoch: s.Epoch, SheetEpoch: s.SheetEpoch, Detail: fault.Detail}
 }
 
@@ -469,7 +469,7 @@
 
 // Encode returns the command's bytes, with the digest of an order in them. It
 // panics on a command that JSON can't hold, such as one with a weight that is
-// not finite; Check declines those first.
+// not finite; Check refuses those first.
 func Encode(command Command) []byte {
 	switch c := command.(type) {
 	case PutSheet:
--- a/internal/core/sheet/parse.go
+++ b/internal/core/sheet/parse.go
@@ -64,7 +64,7 @@
 )
 
 // ParseSheet reads a sheet from at most limit bytes of JSON and checks it.
-// Unknown or repeated names, nulls, wrong types and trailing data are declined.
+// Unknown or repeated names, nulls, wrong types and trailing data are refused.
 func ParseSheet(data []byte, limit int) (*Sheet, *kernel.Fault) {
 	if len(data) > limit {
 		return nil, kernel.Refuse(kernel.SheetTooLarge, "%d bytes; the bound is %d", len(data), limit)
--- a/internal/core/sheet/sheet_test.go
+++ b/internal/core/sheet/sheet_test.go
@@ -101,7 +101,7 @@
 		So(fault, ShouldBeNil)
 		So(encoded(s), ShouldEqual, good)
 	})
-	Convey("Malformed and oversize bodies are declined by number and place", t, func() {
+	Convey("Malformed and oversize bodies are refused by number and place", t, func() {
 		for _, c := range []struct {
 			body   string
 			code   kernel.Code
@@ -169,7 +169,7 @@
 			"- weights.chat.abeokuta = 40",
 		})
 	})
-	Convey("A change that names no cell or has no fit value is declined, and nothing is kept", t, func() {
+	Convey("A change that names no cell or has no fit value is refused, and nothing is kept", t, func() {
 		for _, c := range []struct{ path, value, detail string }{
 			{"weights", "1", "no such cell"},
 			{"weight.chat.lagos", "1", "no such table"},
--- a/internal/core/sheet/state_test.go
+++ b/internal/core/sheet/state_test.go
@@ -95,7 +95,7 @@
 				t.Fatalf("%s: an epoch went back", command.Verb())
 			}
 			if result.Code != kernel.OK && unmoved(next) != unmoved(base) {
-				t.Fatalf("%s was declined with %v and left a trace", command.Verb(), result.Code)
+				t.Fatalf("%s was refused with %v and left a trace", command.Verb(), result.Code)
 			}
 			if next.Sheet != base.Sheet && next.Sheet.Check() != nil {
 				t.Fatalf("%s: an unsound sheet was kept", command.Verb())
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -117,7 +117,7 @@
 }
 
 // Admit decides one request of so many tokens at fleet time now. A passed
-// request's tokens are added at once; a declined one adds nothing.
+// request's tokens are added at once; a refused one adds nothing.
 func (b *Book) Admit(tenant string, tokens float64, terms Terms, now kernel.Time) Decision {
 	now = b.steady(now)
 	a := b.open(tenant, now)
--- a/internal/core/tally/book_test.go
+++ b/internal/core/tally/book_test.go
@@ -43,7 +43,7 @@
 		So(d.Cur, ShouldEqual, 18)
 		So(d.Blend, ShouldAlmostEqual, 42*0.75+18)
 		So(d.Pass, ShouldBeTrue)
-		Convey("and a limit that is reached declines, adds nothing and marks until the window's end", func() {
+		Convey("and a limit that is reached refuses, adds nothing and marks until the window's end", func() {
 			d := b.Admit("t", 1, terms, after(10))
 			So(d.Pass, ShouldBeFalse)
 			So(d.Marked, ShouldBeTrue)
@@ -83,7 +83,7 @@
 			}
 		}
 	})
-	Convey("A tenant below its limit passes although its early window makes the blend decline", t, func() {
+	Convey("A tenant below its limit passes although its early window makes the blend refuse", t, func() {
 		for _, without := range []Exception{Ordinary &^ (MarkEnds | Bound), Ordinary &^ (MarkEnds | Bound | Room)} {
 			b := NewBook("a", Config{Without: without})
 			So(b.Admit("t", 700, terms, after(0)).Pass, ShouldBeTrue)
@@ -345,7 +345,7 @@
 		for _, kind := range []struct {
 			name string
 			rate float64
-		}{{"passed", 1e9}, {"declined", 1e-3}} {
+		}{{"passed", 1e9}, {"refused", 1e-3}} {
 			b.Run(kind.name+"/tenants="+strconv.Itoa(tenants), func(b *testing.B) {
 				random := rand.New(rand.NewPCG(1, 1))
 				b.ReportAllocs()
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -21,7 +21,7 @@
 const (
 	MarkEnds Exception = 1 << iota // a mark ends when the blend falls below the limit
 	Bound                          // nothing passes once the spend of the last window's span is over the limit by the band
-	Room                           // a request that the blend declines passes while that spend is below the limit
+	Room                           // a request that the blend refuses passes while that spend is below the limit
 	Share                          // a front spends no more than its share of the room it is sure of
 	Hold                           // a request over that share waits for the next exchange, well below the limit
 
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -44,7 +44,7 @@
 		}
 		stream.Emit(PeerBack, "peer", "n4")
 		stream.Emit(PeerSilent, "peer", "n5")
-		stream.Emit(RequestDeclined, "code", 2001)
+		stream.Emit(RequestRefused, "code", 2001)
 		<-time.After(1100 * time.Millisecond)
 		synctest.Wait()
 		atOnce := out.String()
@@ -58,7 +58,7 @@
 			So(err, ShouldBeNil)
 			So(strings.Count(atOnce, "event_name=peer_silent"), ShouldEqual, Burst)
 			So(atOnce, ShouldContainSubstring, "event_name=peer_back peer=n4")
-			So(atOnce, ShouldNotContainSubstring, "request_declined")
+			So(atOnce, ShouldNotContainSubstring, "request_refused")
 			So(atOnce, ShouldContainSubstring, "event_name=events_suppressed of=2012 of_name=peer_silent count=81")
 			rest := strings.TrimPrefix(out.String(), atOnce)
 			So(strings.Count(rest, "event_name=peer_silent"), ShouldEqual, PerSec)
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -375,7 +375,7 @@
 			return answer{resp: resp}
 		}
 		if !resp.Granted {
-			c.log.Emit(events.GrantDeclined, "member", name, "code", kernel.Code(resp.Decline), "epoch", req.Epoch, "learned", resp.Learned)
+			c.log.Emit(events.GrantRefused, "member", name, "code", kernel.Code(resp.Refusal), "epoch", req.Epoch, "learned", resp.Learned)
 		}
 		c.look(name, c.clock.Now())
 		c.answerViewers()
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -135,7 +135,7 @@
 			s.order("c1", "ada", "remove", `{"order_id":"off","names":["f5","f6","f7","f8","f9"]}`, 0)
 			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
 		},
-		"declined": func(s *script) {
+		"refused": func(s *script) {
 			before := s.agreed.Load().state.Epoch
 			s.order("c1", "", "put", put(0, "first"), 0)
 			s.order("c1", "ada", "put", `{"base":0`, 0)
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -76,7 +76,7 @@
 		fault = kernel.Refuse(kernel.OperatorUnknown, "the order names no operator")
 	}
 	if fault != nil {
-		c.log.Emit(events.OrderDeclined, "verb", req.Verb, "operator", req.Operator, "code", fault.Code)
+		c.log.Emit(events.OrderRefused, "verb", req.Verb, "operator", req.Operator, "code", fault.Code)
 		return faulty(fault, c.agreement.Current().Epoch, ""), nil
 	}
 	return c.carry(ctx, req, command), nil
@@ -112,7 +112,7 @@
 		c.log.Emit(events.OrderRepeated, "order", id, "epoch", result.Epoch)
 		return c.await(ctx, result, id)
 	} else if sure {
-		return c.declined(req, result, id)
+		return c.refused(req, result, id)
 	}
 	c.log.Emit(events.OrderTaken, "order", id, "verb", req.Verb, "operator", req.Operator)
 	_, result, err := c.agreement.Propose(ctx, sheet.Encode(command))
@@ -125,14 +125,14 @@
 		return faulty(fault, 0, id)
 	}
 	if result.Code != kernel.OK {
-		return c.declined(req, result, id)
+		return c.refused(req, result, id)
 	}
 	c.log.Emit(events.OrderChosen, "order", id, "epoch", result.Epoch)
 	return c.await(ctx, result, id)
 }
 
 // foretell returns the result that needs no ballot: what the learned state
-// settles, and what a state read from a majority declines. What can't be
+// settles, and what a state read from a majority refuses. What can't be
 // accepted leaves nothing behind.
 func (c *Core) foretell(ctx kernel.Context, command sheet.Command) (result sheet.Result, sure bool) {
 	state := c.agreement.Current()
@@ -153,8 +153,8 @@
 	return result, result.Code != kernel.OK
 }
 
-func (c *Core) declined(req *wire.OrderRequest, result sheet.Result, id string) *wire.OrderResponse {
-	event := events.OrderDeclined
+func (c *Core) refused(req *wire.OrderRequest, result sheet.Result, id string) *wire.OrderResponse {
+	event := events.OrderRefused
 	if result.Code == kernel.BaseMoved {
 		event = events.OrderLost
 	}
--- a/internal/node/core/runtime_test.go
+++ b/internal/node/core/runtime_test.go
@@ -189,7 +189,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		f := newFleet(ctx, 3)
 		f.pass(6 * time.Second)
-		Convey("A core that restarted without a majority declines renewals with a fault, until it has read", t, func() {
+		Convey("A core that restarted without a majority refuses renewals with a fault, until it has read", t, func() {
 			f.split.Store(true)
 			f.stop["c1"]()
 			f.pass(time.Second)
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -375,7 +375,7 @@
 			f.expect("code", []any{got.code, got.clean, time.Since(began)}, []any{kernel.StreamCut, false, 5 * time.Second})
 		})
 	})
-	Convey("When every server fails, the prompt is declined with when to come back", t, func() {
+	Convey("When every server fails, the prompt is refused with when to come back", t, func() {
 		within(t, func(t *testing.T) {
 			f := newFleet(t, "model", 8, &server{refuse: true}, &server{refuse: true})
 			defer f.stop()
@@ -674,7 +674,7 @@
 
 func TestHome(t *testing.T) {
 	for kind, target := range map[string]string{"model": "/v1/prompt", "web": "/v1/call/orders/"} {
-		Convey("A request to a "+kind+" service that is bound to a home goes there, or is declined at once", t, func() {
+		Convey("A request to a "+kind+" service that is bound to a home goes there, or is refused at once", t, func() {
 			within(t, func(t *testing.T) {
 				near, far := streaming(1, 0), streaming(1, 0)
 				if kind == "web" {
@@ -743,7 +743,7 @@
 			f.expect("next request", idle.answer().code, kernel.UnknownKey)
 		})
 	})
-	Convey("A node that stops ruling declines at once, lets its streams run on for 2 s and then cuts them", t, func() {
+	Convey("A node that stops ruling refuses at once, lets its streams run on for 2 s and then cuts them", t, func() {
 		within(t, func(t *testing.T) {
 			f := newFleet(t, "model", 8, streaming(100, time.Second))
 			defer f.stop()
@@ -774,7 +774,7 @@
 			if took := time.Since(began); took < 1700*time.Millisecond || took > 2500*time.Millisecond {
 				f.t.Errorf("the stream ran on for %s", took)
 			}
-			f.expect("runs of the declined one", f.runs("r2"), 0)
+			f.expect("runs of the refused one", f.runs("r2"), 0)
 		})
 	})
 	Convey("A process that was frozen, and thaws without ruling, passes no event on", t, func() {
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -40,8 +40,8 @@
 	return nil
 }
 
-// Declined counts a request that never became a call.
-func (f *Front) Declined(fault *kernel.Fault) {
+// Refused counts a request that never became a call.
+func (f *Front) Refused(fault *kernel.Fault) {
 	f.metrics.ended(unknownService, fault)
 	if fault.Code == kernel.SlowBody {
 		f.log.Emit(events.SlowCaller, "detail", fault.Detail)
@@ -116,7 +116,7 @@
 	}
 	event, own := reports[fault.Code]
 	if !own {
-		event = events.RequestDeclined
+		event = events.RequestRefused
 	}
 	c.front.log.Emit(event, "request", c.id, "service", c.service, "tenant", c.tenant, "server", c.server, "code", uint32(fault.Code), "detail", fault.Detail)
 }
@@ -379,7 +379,7 @@
 }
 
 // notRun says of a one-shot of which nothing was sent that it has not run. A
-// first decline keeps its own code, which says so too.
+// first refusal keeps its own code, which says so too.
 func (c *call) notRun(fault *kernel.Fault) *kernel.Fault {
 	if len(c.request.Tried) == 0 && fault.Code != kernel.DeadlinePassed {
 		return fault
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -87,7 +87,7 @@
 	if fault.Code == kernel.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
-	q.gateway.log.Emit(events.RequestDeclined, "request", q.call.ID, "service", q.service, "tenant", q.tenant,
+	q.gateway.log.Emit(events.RequestRefused, "request", q.call.ID, "service", q.service, "tenant", q.tenant,
 		"code", uint32(fault.Code), "detail", fault.Detail)
 	q.gateway.dialect.Refuse(q.writer, q.call.ID, fault)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -385,7 +385,7 @@
 }
 
 // run serves until the context ends, then hands over: new requests are
-// declined, running ones finish within the grace, the spend is sent on, the
+// refused, running ones finish within the grace, the spend is sent on, the
 // grants are released.
 func (p *process) run(ctx kernel.Context) error {
 	serving, stop := kernel.WithCancel(kernel.Background())
--- a/internal/node/replica/keep.go
+++ b/internal/node/replica/keep.go
@@ -125,7 +125,7 @@
 		return call(ctx, r, core, req, r.Read, wireconnect.PeerClient.Read)
 	})
 	for core, resp := range answers {
-		if resp.Decline != 0 {
+		if resp.Refusal != 0 {
 			continue
 		}
 		heard++
@@ -432,7 +432,7 @@
 	}
 	first, fault := sheet.ParseSheet(r.cfg.FirstSheet, r.cfg.SheetMax)
 	if fault != nil {
-		r.events.Emit(events.OrderDeclined, "order", firstSheet, "code", fault.Code, "detail", fault.Detail)
+		r.events.Emit(events.OrderRefused, "order", firstSheet, "code", fault.Code, "detail", fault.Detail)
 		return true
 	}
 	order := sheet.Order{OrderID: firstSheet, Operator: firstSheet, AtMS: r.clock.Now().UnixMilli()}
--- a/internal/node/replica/owner.go
+++ b/internal/node/replica/owner.go
@@ -168,14 +168,14 @@
 }
 
 // decided commits records and answers once they are synced; without room for
-// them, or any other reason not to keep them, it declines.
-func decided[T any](o *owner, records []ballot.Record, use use, resp T, decline func(kernel.Code) T, reply func(T, error)) {
+// them, or any other reason not to keep them, it refuses.
+func decided[T any](o *owner, records []ballot.Record, use use, resp T, refuse func(kernel.Code) T, reply func(T, error)) {
 	if err := o.commit(records, use); err != nil {
-		if decline == nil {
+		if refuse == nil {
 			reply(resp, err)
 			return
 		}
-		reply(decline(kernel.AsFault(err).Code), nil)
+		reply(refuse(kernel.AsFault(err).Code), nil)
 		return
 	}
 	o.whenSynced(func(err error) { reply(resp, err) })
@@ -372,8 +372,8 @@
 	}
 }
 
-func (o *owner) noteFormation(from string, decline uint32) {
-	if kernel.Code(decline) == kernel.WrongFormation {
+func (o *owner) noteFormation(from string, refusal uint32) {
+	if kernel.Code(refusal) == kernel.WrongFormation {
 		o.r.events.Emit(events.WrongFormation, "core", o.r.cfg.Self, "from", from, "formation", o.state.Formation)
 	}
 }
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -271,13 +271,13 @@
 func (r *Replica) Prepare(ctx kernel.Context, req *wire.PrepareRequest) (*wire.PrepareResponse, error) {
 	return ask(ctx, r, func(o *owner, reply func(*wire.PrepareResponse, error)) {
 		records, resp := o.state.Prepare(req)
-		o.noteFormation(req.From, resp.Decline)
+		o.noteFormation(req.From, resp.Refusal)
 		if !resp.Promised {
 			reply(resp, nil)
 			return
 		}
 		decided(o, records, toVote, resp, func(code kernel.Code) *wire.PrepareResponse {
-			return &wire.PrepareResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Decline: uint32(code)}
+			return &wire.PrepareResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Refusal: uint32(code)}
 		}, reply)
 	})
 }
@@ -286,13 +286,13 @@
 func (r *Replica) Accept(ctx kernel.Context, req *wire.AcceptRequest) (*wire.AcceptResponse, error) {
 	return ask(ctx, r, func(o *owner, reply func(*wire.AcceptResponse, error)) {
 		records, resp := o.state.Accept(req)
-		o.noteFormation(req.From, resp.Decline)
+		o.noteFormation(req.From, resp.Refusal)
 		if !resp.Accepted {
 			reply(resp, nil)
 			return
 		}
 		decided(o, records, toVote, resp, func(code kernel.Code) *wire.AcceptResponse {
-			return &wire.AcceptResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Decline: uint32(code)}
+			return &wire.AcceptResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Refusal: uint32(code)}
 		}, reply)
 	})
 }
@@ -321,7 +321,7 @@
 			r.events.Emit(events.LifeRaised, "core", req.Core, "life", req.Life)
 		}
 		decided(o, records, toLive, resp, func(code kernel.Code) *wire.RecoverResponse {
-			return &wire.RecoverResponse{Core: resp.Core, Formation: resp.Formation, Voters: resp.Voters, Decline: uint32(code)}
+			return &wire.RecoverResponse{Core: resp.Core, Formation: resp.Formation, Voters: resp.Voters, Refusal: uint32(code)}
 		}, reply)
 	})
 }
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -400,7 +400,7 @@
 		f.start("b")
 		So(f.until(5*time.Second, f.at(uint64(count), "b")), ShouldBeTrue)
 	})
-	inBubble(t, "A full disk declines to vote, says so, and the others carry on", func(f *fleet) {
+	inBubble(t, "A full disk refuses to vote, says so, and the others carry on", func(f *fleet) {
 		small := f.disk["b"]
 		small.Quota = 64 << 10
 		f.disk["b"] = small
--- a/internal/node/spend/keeper.go
+++ b/internal/node/spend/keeper.go
@@ -75,10 +75,10 @@
 	}
 	m := &metrics{
 		passed:     counter("stepwick_tally_passed_total", "Requests passed by the tally."),
-		quota:      counter("stepwick_tally_quota_declined_total", "Requests declined as the tenant's allowance is spent."),
-		share:      counter("stepwick_tally_share_declined_total", "Requests declined as the count is out of reach and this node's share is spent."),
+		quota:      counter("stepwick_tally_quota_refused_total", "Requests refused as the tenant's allowance is spent."),
+		share:      counter("stepwick_tally_share_refused_total", "Requests refused as the count is out of reach and this node's share is spent."),
 		heldPassed: counter("stepwick_tally_held_passed_total", "Requests held for an exchange and then passed."),
-		heldBack:   counter("stepwick_tally_held_declined_total", "Requests held for an exchange and then declined."),
+		heldBack:   counter("stepwick_tally_held_refused_total", "Requests held for an exchange and then refused."),
 		exchanges:  counter("stepwick_tally_exchanges_total", "Answered exchanges with holders."),
 		failures:   counter("stepwick_tally_exchange_failures_total", "Exchanges that failed: a holder out of reach."),
 		tenants:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "stepwick_tally_active_tenants", Help: "Tenants active on this front."}, []string{"owner"}),
--- a/internal/node/spend/spend.go
+++ b/internal/node/spend/spend.go
@@ -105,7 +105,7 @@
 
 // Admit decides one request of so many tokens. It may hold a tenant that is
 // well below its limit for an exchange with the holder, HoldFor at the longest.
-// When ctx ends first the request is declined and adds nothing.
+// When ctx ends first the request is refused and adds nothing.
 func (s *Spend) Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision {
 	ask := s.asks.Get().(*ask)
 	ask.ended, ask.tenant, ask.tokens, ask.terms = ctx.Done(), tenant, tokens, terms
--- a/internal/node/spend/spend_test.go
+++ b/internal/node/spend/spend_test.go
@@ -177,7 +177,7 @@
 			So(err, ShouldBeNil)
 			So(views[0].Recent, ShouldAlmostEqual, 8, 0.01)
 		})
-		Convey("A caller whose deadline passed is declined as such", t, func() {
+		Convey("A caller whose deadline passed is refused as such", t, func() {
 			gone, stop := kernel.WithCancel(ctx)
 			stop()
 			So(f.spends["a"].Admit(gone, "press", 1e9, terms).Pass, ShouldBeFalse)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -129,7 +129,7 @@
 		So(kernel.AsFault(err).Code, ShouldEqual, kernel.BadSetting)
 	})
 
-	Convey("A region that no sheet could name is declined", t, func() {
+	Convey("A region that no sheet could name is refused", t, func() {
 		_, problems := Read("s.yaml", []byte("region: eu.west\nzone: a/b\n"), nil, "")
 		So(problems, ShouldHaveLength, 2)
 		_, problems = Read("s.yaml", []byte("region: concepción\nzone: b-1\n"), nil, "")
--- a/sim/ballots/model.go
+++ b/sim/ballots/model.go
@@ -386,7 +386,7 @@
 	case LivesHidden:
 		resp.Lives = firstLives
 	case PromiseTwice:
-		if vote := s.Votes[req.Slot]; !resp.Promised && resp.Decline == 0 && !resp.Chosen && vote.Promised == ballot.Of(req.Ballot) {
+		if vote := s.Votes[req.Slot]; !resp.Promised && resp.Refusal == 0 && !resp.Chosen && vote.Promised == ballot.Of(req.Ballot) {
 			resp.Promised, resp.AcceptedBallot, resp.AcceptedValue = true, vote.Accepted.Wire(), vote.Value
 		}
 	}
@@ -543,14 +543,14 @@
 		to = binary.AppendUvarint(append(to, 1), l.prepare.Ballot.Number)
 	case l.prepared != nil:
 		m := l.prepared
-		to = appendBallots(append(to, 2, bit(m.Promised), bit(m.Chosen), byte(m.Decline)), m.PromisedBallot, m.AcceptedBallot)
+		to = appendBallots(append(to, 2, bit(m.Promised), bit(m.Chosen), byte(m.Refusal)), m.PromisedBallot, m.AcceptedBallot)
 		to = appendLives(append(append(to, m.AcceptedValue...), m.ChosenValue...), m.Lives)
 	case l.accept != nil:
 		to = append(binary.AppendUvarint(append(to, 3), l.accept.Ballot.Number), l.accept.Value...)
 		to = appendLives(to, l.accept.PromisedLives)
 	case l.accepted != nil:
 		m := l.accepted
-		to = appendBallots(append(to, 4, bit(m.Accepted), bit(m.Chosen), byte(m.Decline)), m.PromisedBallot)
+		to = appendBallots(append(to, 4, bit(m.Accepted), bit(m.Chosen), byte(m.Refusal)), m.PromisedBallot)
 		to = appendLives(append(to, m.ChosenValue...), m.Lives)
 	case l.recover != nil:
 		to = append(to, 5, byte(l.recover.Life))
--- a/sim/route/sim.go
+++ b/sim/route/sim.go
@@ -68,11 +68,11 @@
 	What   string // crash, cold (comes back cold), drain, undrain
 }
 
-// Result is what callers and servers saw. Declined counts the answers that told
+// Result is what callers and servers saw. Refused counts the answers that told
 // the caller to come back, Cut streams that ended early, Late those that the
 // deadline ended. TTFT are times to the first token, in order.
 type Result struct {
-	Offered, Served, Declined, Cut, Late, Refused int
+	Offered, Served, Refused, Cut, Late, Rejected int
 	Codes                                         map[string]int
 	TTFT                                          []kernel.Duration
 	Hits, Misses                                  int
@@ -93,7 +93,7 @@
 
 // String is the result in one line.
 func (r Result) String() string {
-	return fmt.Sprintf("offered %d served %d declined %d cut %d late %d ttft p50 %dms p95 %dms hits %.3f", r.Offered, r.Served, r.Declined,
+	return fmt.Sprintf("offered %d served %d refused %d cut %d late %d ttft p50 %dms p95 %dms hits %.3f", r.Offered, r.Served, r.Refused,
 		r.Cut, r.Late, r.Quantile(0.5).Milliseconds(), r.Quantile(0.95).Milliseconds(), r.HitShare())
 }
 
@@ -330,7 +330,7 @@
 	choice := c.front.table.Choose(req, s.clock())
 	if choice.Pending {
 		if fault := c.front.table.Enqueue(req, s.clock()); fault != nil {
-			s.declined(c, fault)
+			s.refused(c, fault)
 			return
 		}
 		c.front.calls[c.id] = c
@@ -341,7 +341,7 @@
 
 func (s *sim) follow(c *call, choice route.Choice) {
 	if choice.Fault != nil {
-		s.declined(c, choice.Fault)
+		s.refused(c, choice.Fault)
 		return
 	}
 	c.front.table.Started(choice.Server)
@@ -358,9 +358,9 @@
 	s.at(s.now+hop, func() { v.arrive(c) })
 }
 
-func (s *sim) declined(c *call, fault *kernel.Fault) {
+func (s *sim) refused(c *call, fault *kernel.Fault) {
 	c.over = true
-	s.result.Declined++
+	s.result.Refused++
 	s.result.Codes[fault.Code.String()]++
 }
 
@@ -403,7 +403,7 @@
 			s.result.Cut++
 		case len(c.tried)+1 >= mostTries:
 			c.over = true
-			s.result.Refused++
+			s.result.Rejected++
 		default:
 			c.tried = append(c.tried, name)
 			s.try(c)
--- a/sim/tally/fleet_test.go
+++ b/sim/tally/fleet_test.go
@@ -51,7 +51,7 @@
 			for _, broken := range scenario.Broken(found, exact) {
 				t.Errorf("%s, seed %d: %s", scenario.Name, seed, broken)
 			}
-			worst.High, worst.Declined, worst.Wait = max(worst.High, found.High), max(worst.Declined, found.Declined), max(worst.Wait, found.Wait)
+			worst.High, worst.Refused, worst.Wait = max(worst.High, found.High), max(worst.Refused, found.Refused), max(worst.Wait, found.Wait)
 			if found.Low >= 0 {
 				worst.Low, mean, runs = min(worst.Low, found.Low), mean+found.Mean, runs+1
 				worst.ByRegion[0], worst.ByRegion[1] = min(worst.ByRegion[0], found.ByRegion[0]), min(worst.ByRegion[1], found.ByRegion[1])
@@ -73,8 +73,8 @@
 		if scenario.Beside > 0 {
 			line += fmt.Sprintf("  least of one exact log %.3f", least)
 		}
-		if scenario.Decline >= 0 {
-			line += fmt.Sprintf("  declined %.5f", worst.Declined)
+		if scenario.Refusal >= 0 {
+			line += fmt.Sprintf("  refused %.5f", worst.Refused)
 		}
 		fmt.Printf("%s  longest hold %v\n", line, worst.Wait.Round(kernel.Millisecond))
 	}
@@ -96,17 +96,17 @@
 	for at := kernel.Duration(0); at < 40*second; at += 80 * kernel.Millisecond {
 		even = append(even, pass(at, 0.01))
 	}
-	scenario := Scenario{High: high, Low: low, Decline: 0}
+	scenario := Scenario{High: high, Low: low, Refusal: 0}
 	Convey("The judge finds nothing in an even stream at the limit", t, func() {
 		So(scenario.Broken(Judge(even, 6, 0, 40*second), Finding{}), ShouldBeEmpty)
 	})
-	Convey("It finds a span with too much, too little, a decline below 0.8, and a starved side", t, func() {
+	Convey("It finds a span with too much, too little, a refusal below 0.8, and a starved side", t, func() {
 		much := append(append([]Request(nil), even...), pass(40*second, 0.3))
 		So(scenario.Broken(Judge(much, 6, 0, 0), Finding{}), ShouldHaveLength, 1)
 		little := append(append([]Request(nil), even[:200]...), even[250:]...)
 		So(scenario.Broken(Judge(little, 6, 0, 40*second), Finding{}), ShouldHaveLength, 1)
-		declined := []Request{pass(0, 0.1), {At: second, Answered: second, Tokens: 0.1, Decision: tally.Decision{Code: kernel.ShareExceeded}}}
-		So(scenario.Broken(Judge(declined, 6, 0, 0), Finding{}), ShouldHaveLength, 1)
-		So(Scenario{High: high, Side: 0.2, Decline: -1}.Broken(Judge(even, 6, 0, 40*second), Finding{}), ShouldHaveLength, 1)
+		refused := []Request{pass(0, 0.1), {At: second, Answered: second, Tokens: 0.1, Decision: tally.Decision{Code: kernel.ShareExceeded}}}
+		So(scenario.Broken(Judge(refused, 6, 0, 0), Finding{}), ShouldHaveLength, 1)
+		So(Scenario{High: high, Side: 0.2, Refusal: -1}.Broken(Judge(even, 6, 0, 40*second), Finding{}), ShouldHaveLength, 1)
 	})
 }
--- a/sim/tally/judge.go
+++ b/sim/tally/judge.go
@@ -12,7 +12,7 @@
 	HighAt    kernel.Duration // its start
 	Low       float64         // least that passed in a span of steady excess demand; -1 when there was none
 	LowAt     kernel.Duration
-	Declined  float64 // part of the tokens declined although the offer was under 0.8
+	Refused   float64 // part of the tokens refused although the offer was under 0.8
 	Offered   float64 // tokens so offered
 	Wait      kernel.Duration
 	ByRegion  [2]float64 // least of each region in a span of steady excess demand
@@ -31,11 +31,11 @@
 // Judge looks at every span of 8 s. from and until bound the time of steady
 // excess demand: only spans within it count for Low, ByRegion and Mean. Tokens
 // that were offered while the offer of the 8 s before and of the 8 s after was at
-// most 0.8 of the limit must not be declined.
+// most 0.8 of the limit must not be refused.
 func Judge(requests []Request, split int, from, until kernel.Duration) Finding {
 	var passes []passed
 	f := Finding{Low: -1, ByRegion: [2]float64{-1, -1}}
-	before, after, oldest, newest, declined := 0.0, 0.0, 0, 0, 0.0
+	before, after, oldest, newest, refused := 0.0, 0.0, 0, 0, 0.0
 	for _, r := range requests {
 		for before += r.Tokens; requests[oldest].At <= r.At-span; oldest++ {
 			before -= requests[oldest].Tokens
@@ -56,12 +56,12 @@
 		if under {
 			f.Offered += r.Tokens
 			if !r.Decision.Pass && r.Decision.Code != 0 {
-				declined += r.Tokens
+				refused += r.Tokens
 			}
 		}
 	}
 	if f.Offered > 0 {
-		f.Declined = declined / f.Offered
+		f.Refused = refused / f.Offered
 	}
 	sort.SliceStable(passes, func(i, j int) bool { return passes[i].at < passes[j].at })
 	inSpan, last := 0.0, 0
--- a/sim/tally/scenario.go
+++ b/sim/tally/scenario.go
@@ -14,7 +14,7 @@
 	High    float64 // most in any span
 	Low     float64 // least in a span of steady excess demand
 	Side    float64 // least of each region in such a span
-	Decline float64 // most declined of what is offered under 0.8; negative: not asked
+	Refusal float64 // most refused of what is offered under 0.8; negative: not asked
 	Beside  float64 // where one exact log in one place gives less than Low, how far below it the least may be
 }
 
@@ -35,8 +35,8 @@
 	if side := min(found.ByRegion[0], found.ByRegion[1]); s.Side > 0 && side < s.Side {
 		broken = append(broken, fmt.Sprintf("one side of the cut got %.3f of the limit, under %.2f", side, s.Side))
 	}
-	if s.Decline >= 0 && found.Declined > s.Decline {
-		broken = append(broken, fmt.Sprintf("%.5f of what was offered under 0.8 was declined", found.Declined))
+	if s.Refusal >= 0 && found.Refused > s.Refusal {
+		broken = append(broken, fmt.Sprintf("%.5f of what was offered under 0.8 was refused", found.Refused))
 	}
 	return broken
 }
