Send whole tokens of the tally as short numbers

Ruled out: sending only the slices that changed (the holder would have to keep what each front knows), longer intervals (a tenant's jump is bound later). Change: slices that are whole numbers, as tokens are, go as varints; others as before.

--- a/internal/node/spend/spend.go
+++ b/internal/node/spend/spend.go
@@ -134,7 +134,12 @@
 
 // Add answers another front's counts for tenants whose count is held here.
 func (s *Spend) Add(ctx kernel.Context, req *wire.AddRequest) (*wire.AddResponse, error) {
-	return s.keeper.add(ctx, req)
+	wire.UnpackCounts(req.Counts)
+	resp, err := s.keeper.add(ctx, req)
+	if err == nil {
+		wire.PackTotals(resp.Totals)
+	}
+	return resp, err
 }
 
 // Inspect returns what this front knows of its active tenants, by owner and
@@ -201,10 +206,12 @@
 	if !known {
 		return nil, errors.Errorf("no address of holder %s is known", holder)
 	}
+	wire.PackCounts(req.Counts)
 	resp, err := s.peers.Client(process.Address).Add(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, errors.Wrapf(err, "send counts to holder %s", holder)
 	}
+	wire.UnpackTotals(resp.Msg.Totals)
 	if resp.Msg.Holder != holder {
 		return nil, errors.Errorf("%s answered in place of holder %s", resp.Msg.Holder, holder)
 	}
