--- a/internal/core/merge/merge.go
+++ b/internal/core/merge/merge.go
@@ -61,10 +61,10 @@
 	Fresh, Keep, Skew kernel.Duration
 }
 
-// KeepAlive returns how often a watcher repeats an unchanged sight when the
-// fleet has n servers: each second, and more seldom beyond 100 servers, so that
-// repeats stay at some hundreds a second. Changes are reported at once whatever
-// the size.
+// KeepAlive returns how often a watcher repeats an unchanged sight, or says that
+// what it reported of the platform's list still stands, when the fleet has n
+// servers: each second, and more seldom beyond 100 servers, so that repeats stay
+// at some hundreds a second. Changes are reported at once whatever the size.
 func KeepAlive(n int) kernel.Duration {
 	return max(kernel.Second, kernel.Duration(n)*10*kernel.Millisecond)
 }
@@ -126,11 +126,7 @@
 	if held, ok := e.sightings[report.Watcher]; ok && !newer(report, held.report) {
 		return false
 	}
-	at := report.AtMs
-	if nowMS := now.UnixMilli(); at > nowMS+r.cfg.Skew.Milliseconds() {
-		at = nowMS
-	}
-	e.sightings[report.Watcher] = sighting{report, at}
+	e.sightings[report.Watcher] = sighting{report, r.believed(report.AtMs, now)}
 	r.dirty[report.Server] = true
 	return true
 }
--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -59,6 +59,16 @@
 	return true
 }
 
+// refresh takes the word of a watcher that its reports stand; it is false where
+// others are held.
+func (r *reports) refresh(unchanged *wire.Unchanged, now kernel.Time) bool {
+	servers, known := r.merged.Refresh(unchanged, now)
+	for _, server := range servers {
+		r.unfed[server] = true
+	}
+	return known
+}
+
 // snapshot returns the folds that were fed, with the newest load.
 func (r *reports) snapshot() []*wire.Report {
 	all := make([]*wire.Report, 0, len(r.fed))
@@ -156,15 +166,16 @@
 // outbox keeps what another core has not taken yet: the newest report of each
 // watcher and server, and the newest plan.
 type outbox struct {
-	reports map[string]map[string]*wire.Report
-	plan    *wire.Plan
-	busy    bool
+	reports   map[string]map[string]*wire.Report
+	unchanged map[string]*wire.Unchanged // the newest of each watcher
+	plan      *wire.Plan
+	busy      bool
 }
 
 func (c *Core) outbox(core string) *outbox {
 	box, ok := c.outboxes[core]
 	if !ok {
-		box = &outbox{reports: map[string]map[string]*wire.Report{}, plan: c.plan}
+		box = &outbox{reports: map[string]map[string]*wire.Report{}, unchanged: map[string]*wire.Unchanged{}, plan: c.plan}
 		for _, row := range c.reports.latest {
 			for _, report := range row {
 				put(box.reports, report)
@@ -175,17 +186,16 @@
 	return box
 }
 
-// Submit takes reports and a plan. What came from a watcher goes on to the
-// other cores; what another core relayed goes no further.
+// Submit takes reports and a plan, and the word that earlier reports stand.
+// What came from a watcher goes on to the other cores; what another core relayed
+// goes no further.
 func (c *Core) Submit(ctx kernel.Context, req *wire.SubmitRequest) (*wire.SubmitResponse, error) {
-	_, err := ask(ctx, c, func() bool {
-		c.submit(req)
-		return true
-	})
-	return &wire.SubmitResponse{}, err
+	unknown, err := ask(ctx, c, func() []string { return c.submit(req) })
+	return &wire.SubmitResponse{Unknown: unknown}, err
 }
 
-func (c *Core) submit(req *wire.SubmitRequest) {
+// submit returns the watchers whose unchanged reports are not held here.
+func (c *Core) submit(req *wire.SubmitRequest) (unknown []string) {
 	now := c.config.FleetNow()
 	for _, report := range req.Reports {
 		if !c.reports.merge(report, now) || req.Relayed {
@@ -195,12 +205,25 @@
 			put(c.outbox(p.Name).reports, report)
 		}
 	}
+	for _, unchanged := range req.Unchanged {
+		if !c.reports.refresh(unchanged, now) {
+			unknown = append(unknown, unchanged.Watcher)
+			continue
+		}
+		if req.Relayed {
+			continue
+		}
+		for _, p := range c.others() {
+			c.outbox(p.Name).unchanged[unchanged.Watcher] = unchanged
+		}
+	}
 	if c.takePlan(req.Plan) && !req.Relayed {
 		for _, p := range c.others() {
 			c.outbox(p.Name).plan = req.Plan
 		}
 	}
 	c.feedReports(false)
+	return unknown
 }
 
 // foldReports lets old reports go and feeds mere load at its pace.
@@ -271,7 +294,7 @@
 
 func (c *Core) flush(p *wire.Process) {
 	box := c.outbox(p.Name)
-	if box.busy || (len(box.reports) == 0 && box.plan == nil) {
+	if box.busy || (len(box.reports) == 0 && len(box.unchanged) == 0 && box.plan == nil) {
 		return
 	}
 	sent := box.reports
@@ -281,15 +304,20 @@
 			req.Reports = append(req.Reports, report)
 		}
 	}
+	for _, watcher := range slices.Sorted(maps.Keys(box.unchanged)) {
+		req.Unchanged = append(req.Unchanged, box.unchanged[watcher])
+	}
+	clear(box.unchanged)
 	box.reports, box.plan, box.busy = map[string]map[string]*wire.Report{}, nil, true
 	parent := c.ctx
 	go func() {
 		ctx, cancel := kernel.WithTimeout(parent, 2*viewTimeout)
 		defer cancel()
-		_, err := c.peers.Client(p.Address).Submit(ctx, connect.NewRequest(req))
+		resp, err := c.peers.Client(p.Address).Submit(ctx, connect.NewRequest(req))
 		c.post(parent, func() {
 			box.busy = false
 			if err == nil {
+				c.sendWhole(box, resp.Msg.Unknown)
 				return
 			}
 			for server, row := range sent {
@@ -305,3 +333,14 @@
 		})
 	}()
 }
+
+// sendWhole puts all reports of some watchers into an outbox.
+func (c *Core) sendWhole(box *outbox, watchers []string) {
+	for _, row := range c.reports.latest {
+		for watcher, report := range row {
+			if slices.Contains(watchers, watcher) && box.reports[report.Server][watcher] == nil {
+				put(box.reports, report)
+			}
+		}
+	}
+}
--- a/internal/node/core/runtime_test.go
+++ b/internal/node/core/runtime_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"stepwick/internal/core/duty"
+	"stepwick/internal/core/merge"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -121,6 +122,41 @@
 	})
 }
 
+func TestReportsThatStand(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fleet) {
+		Convey("A watcher's word that its reports stand outlives another's older word at every core, and is asked about where it isn't known", t, func() {
+			ready, draining := wire.ServerState_SERVER_STATE_READY, wire.ServerState_SERVER_STATE_DRAINING
+			f.report("f1/list", 1, &wire.ServerStatus{Name: "m1", State: ready})
+			f.report("f2/list", 1, &wire.ServerStatus{Name: "m1", State: draining})
+			last := f.follow("c3", nil, time.Second)
+			f.pass(time.Second)
+			var digest merge.Digest
+			digest.Add(&wire.Report{Server: "m1", Counter: 1})
+			stand := func(digest uint64) []string {
+				resp, err := f.cores["c1"].Submit(f.ctx, &wire.SubmitRequest{From: "f1", Unchanged: []*wire.Unchanged{
+					{Watcher: "f1/list", Incarnation: 1, Digest: digest, AtMs: time.Now().UnixMilli()}}})
+				So(err, ShouldBeNil)
+				return resp.Unknown
+			}
+			So(stand(uint64(digest)+1), ShouldResemble, []string{"f1/list"})
+			for range 5 {
+				So(stand(uint64(digest)), ShouldBeEmpty)
+				f.pass(time.Second)
+			}
+			state := wire.ServerState_SERVER_STATE_UNSPECIFIED
+			for state != ready {
+				last = f.follow("c3", last, time.Second)
+				So(last.Changes, ShouldNotBeEmpty)
+				for _, change := range last.Changes {
+					if report := change.GetReport(); report != nil {
+						state = report.Status.State
+					}
+				}
+			}
+		})
+	})
+}
+
 func TestPlannerTerms(t *testing.T) {
 	inFleet(t, 5, func(t *testing.T, f *fleet) {
 		Convey("The planner's duty passes to another core when its holder is killed, and its plans carry the new term", t, func() {
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -90,6 +90,8 @@
 	waiting  []string
 	outbox   map[string]*outbox
 	listAt   kernel.Time
+	listedAt kernel.Time // fleet time of the list that they were last told of
+	stoodAt  kernel.Time // when the cores were last told that the listed sights stand
 	pollAt   kernel.Time
 	size     int
 }
@@ -100,11 +102,14 @@
 }
 
 type sight struct {
-	status *wire.ServerStatus
+	report *wire.Report
 	sent   kernel.Time
 	since  kernel.Time
 }
 
+// status is what was reported last, or nil.
+func (s *sight) status() *wire.ServerStatus { return s.report.GetStatus() }
+
 type poll struct {
 	running bool
 	silent  int
@@ -112,11 +117,15 @@
 }
 
 type outbox struct {
-	reports map[string]*wire.Report
-	sending bool
-	retryAt kernel.Time
+	reports   map[string]*wire.Report
+	unchanged *wire.Unchanged // to say once no report waits any more
+	sending   bool
+	retryAt   kernel.Time
 }
 
+// waitingKey names a report among those that wait for a core.
+func waitingKey(report *wire.Report) string { return report.Watcher + " " + report.Server }
+
 const (
 	tick       = 100 * kernel.Millisecond
 	goneFor    = 10 * kernel.Second
@@ -260,6 +269,42 @@
 			delete(w.missing, name)
 		}
 	}
+	w.stand(at)
+}
+
+// stand tells the cores, at the pace of keep-alives, that what was reported of
+// the list still stands.
+func (w *Watcher) stand(at kernel.Time) {
+	now := w.clock.Now()
+	if now.Sub(w.stoodAt) < merge.KeepAlive(w.size) {
+		return
+	}
+	w.stoodAt, w.listedAt = now, at
+	var digest merge.Digest
+	for key, s := range w.sights {
+		if key.kind == merge.Listed {
+			digest.Add(s.report)
+		}
+	}
+	unchanged := &wire.Unchanged{Watcher: merge.Watcher(w.cfg.Self, merge.Listed), Incarnation: w.cfg.Incarnation,
+		Digest: uint64(digest), AtMs: at.UnixMilli()}
+	for _, p := range w.peers.Processes() {
+		if p.Core {
+			w.box(p.Name).unchanged = unchanged
+		}
+	}
+}
+
+// sendWhole has all listed sights reported to a core that does not hold them.
+func (w *Watcher) sendWhole(box *outbox) {
+	for key, s := range w.sights {
+		if !stands(key.kind, s.status()) || box.reports[waitingKey(s.report)] != nil {
+			continue
+		}
+		report := proto.Clone(s.report).(*wire.Report)
+		report.AtMs = max(report.AtMs, w.listedAt.UnixMilli())
+		box.reports[waitingKey(report)] = report
+	}
 }
 
 // unlisted takes a server as gone once two lists in a row lack it, and says so
@@ -271,7 +316,7 @@
 	}
 	gone := &wire.ServerStatus{Name: name, Address: status.Address, Kind: status.Kind, Services: status.Services,
 		Region: status.Region, Zone: status.Zone, State: wire.ServerState_SERVER_STATE_GONE}
-	if s := w.sights[sightKey{name, merge.Listed}]; s != nil && proto.Equal(s.status, gone) && w.clock.Now().Sub(s.since) > goneFor {
+	if s := w.sights[sightKey{name, merge.Listed}]; s != nil && proto.Equal(s.status(), gone) && w.clock.Now().Sub(s.since) > goneFor {
 		return
 	}
 	w.see(merge.Listed, gone, at)
@@ -287,7 +332,7 @@
 func (w *Watcher) duePolls(v View) {
 	for _, name := range slices.Sorted(maps.Keys(v.Servers)) {
 		status := v.Servers[name]
-		if s := w.sights[sightKey{name, merge.Listed}]; s != nil && s.status.State == wire.ServerState_SERVER_STATE_GONE {
+		if s := w.sights[sightKey{name, merge.Listed}]; s != nil && s.status().GetState() == wire.ServerState_SERVER_STATE_GONE {
 			continue
 		}
 		if !w.mine(v.Fronts, name, status.Region, status.Zone, w.cfg.ServerFronts) {
@@ -389,25 +434,32 @@
 	if s == nil {
 		s = &sight{since: now}
 		w.sights[key] = s
-	} else if !urgent(s.status, status) && now.Sub(s.sent) < merge.KeepAlive(w.size) {
+	} else if !urgent(s.status(), status) && (stands(kind, status) || now.Sub(s.sent) < merge.KeepAlive(w.size)) {
 		return
 	}
-	w.tell(kind, s.status, status)
-	if s.status == nil || s.status.State != status.State {
+	w.tell(kind, s.status(), status)
+	if s.report == nil || s.status().State != status.State {
 		s.since = now
 	}
-	s.status, s.sent = status, now
+	s.sent = now
 	w.counter++
 	report := &wire.Report{Watcher: merge.Watcher(w.cfg.Self, kind), Server: status.Name, Incarnation: w.cfg.Incarnation,
 		Counter: w.counter, Status: status, AtMs: at.UnixMilli()}
+	s.report = report
 	w.report(report)
 	for _, p := range w.peers.Processes() {
 		if p.Core {
-			w.box(p.Name).reports[report.Watcher+" "+report.Server] = report
+			w.box(p.Name).reports[waitingKey(report)] = report
 		}
 	}
 }
 
+// stands tells whether a sight that has not changed is covered by what the
+// cores are told of all of its kind at once.
+func stands(kind merge.Sight, status *wire.ServerStatus) bool {
+	return kind == merge.Listed && status.State != wire.ServerState_SERVER_STATE_GONE
+}
+
 // urgent tells whether a sight differs in more than load. While a server ramps
 // its answers count as more, since its cap grows with them.
 func urgent(a, b *wire.ServerStatus) bool {
@@ -442,7 +494,7 @@
 			continue
 		}
 		box := w.box(p.Name)
-		if box.sending || len(box.reports) == 0 || now.Before(box.retryAt) {
+		if box.sending || len(box.reports) == 0 && box.unchanged == nil || now.Before(box.retryAt) {
 			continue
 		}
 		batch := map[string]*wire.Report{}
@@ -453,13 +505,20 @@
 			batch[key] = report
 			delete(box.reports, key)
 		}
+		var unchanged *wire.Unchanged
+		if len(box.reports) == 0 {
+			unchanged, box.unchanged = box.unchanged, nil
+		}
 		box.sending = true
 		client := w.peers.Client(p.Address)
 		w.work(ctx, func() func() {
-			err := w.submit(ctx, client, batch)
+			unknown, err := w.submit(ctx, client, batch, unchanged)
 			return func() {
 				box.sending = false
 				if err == nil {
+					if len(unknown) > 0 {
+						w.sendWhole(box)
+					}
 					return
 				}
 				box.retryAt = w.clock.Now().Add(retryAfter)
@@ -477,13 +536,20 @@
 	Submit(kernel.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 }
 
-func (w *Watcher) submit(ctx kernel.Context, client submitter, batch map[string]*wire.Report) error {
+// submit returns the names of watchers whose unchanged reports the core asks for.
+func (w *Watcher) submit(ctx kernel.Context, client submitter, batch map[string]*wire.Report, unchanged *wire.Unchanged) (unknown []string, err error) {
 	ctx, cancel := kernel.WithTimeout(ctx, w.cfg.SendTimeout)
 	defer cancel()
 	request := &wire.SubmitRequest{From: w.cfg.Self}
 	for _, key := range slices.Sorted(maps.Keys(batch)) {
 		request.Reports = append(request.Reports, batch[key])
 	}
-	_, err := client.Submit(ctx, connect.NewRequest(request))
-	return err
+	if unchanged != nil {
+		request.Unchanged = append(request.Unchanged, unchanged)
+	}
+	resp, err := client.Submit(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg.Unknown, nil
 }
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -38,13 +38,14 @@
 	down    map[string]bool // cores and fronts
 	asked   map[string]int
 	told    map[string]bool // events by name and server
+	reports map[string]int  // sent, by watcher
 	cores   map[string]*merge.Reports
 	fronts  []*wire.Process
 }
 
 func newWorld() *world {
 	w := &world{token: make(chan struct{}, 1), servers: map[string]*wire.ServerStatus{}, dark: map[string]platform.Reach{},
-		down: map[string]bool{}, asked: map[string]int{}, told: map[string]bool{}, cores: map[string]*merge.Reports{}}
+		down: map[string]bool{}, asked: map[string]int{}, told: map[string]bool{}, reports: map[string]int{}, cores: map[string]*merge.Reports{}}
 	for i := range 6 {
 		region, zone := []string{"lagos", "lagos", "abeokuta"}[i%3], []string{"a", "b", "a"}[i%3]
 		name := fmt.Sprintf("m%d", i)
@@ -104,16 +105,23 @@
 
 func (c coreClient) Submit(_ context.Context, req *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error) {
 	err := error(nil)
+	resp := &wire.SubmitResponse{}
 	c.w.with(func() {
 		if c.w.down[c.name] {
 			err = errors.New("down")
 			return
 		}
 		for _, report := range req.Msg.Reports {
+			c.w.reports[report.Watcher]++
 			c.w.cores[c.name].Merge(report, time.Now())
 		}
+		for _, unchanged := range req.Msg.Unchanged {
+			if _, known := c.w.cores[c.name].Refresh(unchanged, time.Now()); !known {
+				resp.Unknown = append(resp.Unknown, unchanged.Watcher)
+			}
+		}
 	})
-	return connect.NewResponse(&wire.SubmitResponse{}), err
+	return connect.NewResponse(resp), err
 }
 
 type peers struct{ w *world }
@@ -234,6 +242,29 @@
 			So(asked[name], ShouldBeBetweenOrEqual, 2*18, 2*22)
 		}
 	})
+	bubble(t, "say of a list that stands only that it does, and tell it whole to a core that lost it", func(f fleet) {
+		f.with(func() { clear(f.reports) })
+		pass(10 * time.Second)
+		for i := range 9 {
+			So(f.reports[fmt.Sprintf("n%d/list", i)], ShouldEqual, 0)
+		}
+		f.with(func() { f.cores["n1"] = merge.New(merge.Config{}) })
+		pass(1500 * time.Millisecond)
+		for name := range f.servers {
+			So(f.status("n1", name).GetState(), ShouldEqual, ready)
+		}
+	})
+	bubble(t, "outlive by a list that stands the word of a watcher that died", func(f fleet) {
+		f.with(func() {
+			for _, core := range f.cores {
+				core.Merge(&wire.Report{Watcher: "n99/list", Server: "m3", Incarnation: 1, Counter: 1, AtMs: time.Now().UnixMilli(),
+					Status: &wire.ServerStatus{Name: "m3", Address: "m3", State: draining}}, time.Now())
+			}
+		})
+		So(f.status("n0", "m3").State, ShouldEqual, draining)
+		pass(5 * time.Second)
+		So(f.status("n0", "m3").State, ShouldEqual, ready)
+	})
 	bubble(t, "make a drain known within a second", func(f fleet) {
 		f.news()
 		f.set("m2", func(s *wire.ServerStatus) { s.State = draining })
