--- /dev/null
+++ b/cmd/rig/judge/orders.go
@@ -0,0 +1,213 @@
+package judge
+
+import (
+	"fmt"
+	"sort"
+
+	"stepwick/internal/kernel"
+
+	"stepwick/cmd/rig/ledger"
+)
+
+func isSheet(o ledger.Order) bool { return o.Verb == "put" || o.Verb == "patch" }
+
+func lostSheet(l *ledger.Ledger) (found []string) {
+	epochs := map[string]uint64{}
+	for _, o := range l.Orders {
+		if o.Won() && isSheet(o) && o.Mark != "" {
+			epochs[o.Mark] = o.Epoch
+		}
+	}
+	for _, back := range l.ReadBacks {
+		if back.Status != 200 {
+			continue
+		}
+		var best ledger.Order
+		for _, o := range l.Orders {
+			if o.Won() && isSheet(o) && o.Told < back.Sent && o.Epoch > best.Epoch {
+				best = o
+			}
+		}
+		marked, known := epochs[back.Mark]
+		switch {
+		case back.Epoch < best.Epoch:
+			say(&found, "read back through %s at %s: sheet epoch %d, but %d (order %s) was acknowledged at %s", back.Front, sec(back.Sent), back.Epoch, best.Epoch, best.ID, sec(best.Told))
+		case back.Epoch == best.Epoch && best.Mark != "" && back.Mark != best.Mark:
+			say(&found, "read back through %s at %s: sheet epoch %d has mark %q, order %s put %q there", back.Front, sec(back.Sent), back.Epoch, back.Mark, best.ID, best.Mark)
+		case known && marked != back.Epoch && marked < best.Epoch:
+			say(&found, "read back through %s at %s: sheet epoch %d holds mark %s of epoch %d", back.Front, sec(back.Sent), back.Epoch, back.Mark, marked)
+		}
+	}
+	return found
+}
+
+// marks are the keys of acknowledged sheets.
+func marks(l *ledger.Ledger) map[int]ledger.KeyMark {
+	out := map[int]ledger.KeyMark{}
+	for _, m := range l.KeyMarks {
+		if m.Acked > 0 {
+			out[m.Key] = m
+		}
+	}
+	return out
+}
+
+// outdated is the earliest instant at which a sheet newer than that of a key
+// was acknowledged.
+func outdated(l *ledger.Ledger, own ledger.KeyMark) (at ledger.At, by ledger.KeyMark, ok bool) {
+	for _, m := range l.KeyMarks {
+		if m.Acked > 0 && m.Epoch > own.Epoch && (!ok || m.Acked < at) {
+			at, by, ok = m.Acked, m, true
+		}
+	}
+	return
+}
+
+func oldSheet(l *ledger.Ledger) (found []string) {
+	acked := marks(l)
+	ends := map[int]ledger.At{}
+	for key, m := range acked {
+		if at, _, ok := outdated(l, m); ok {
+			ends[key] = at
+		}
+	}
+	for _, p := range l.Probes {
+		m, ok := acked[p.Key]
+		if !ok {
+			continue
+		}
+		if at, over := ends[p.Key]; over && p.Passed() && p.Sent >= at+OldAfter {
+			say(&found, "%s passed probe key %d (epoch %d) at %s; a newer sheet was acknowledged at %s, %s before", p.Front, p.Key, m.Epoch, sec(p.Sent), sec(at), sec(p.Sent-at))
+		}
+		if p.Unknown() && p.Sent >= m.Acked+OldAfter && !laterSent(l, m, p.Done) {
+			say(&found, "%s did not know probe key %d (epoch %d) at %s; its sheet was acknowledged at %s, %s before", p.Front, p.Key, m.Epoch, sec(p.Sent), sec(m.Acked), sec(p.Sent-m.Acked))
+		}
+	}
+	return found
+}
+
+// laterSent tells whether any other sheet that may be newer was sent by an instant.
+func laterSent(l *ledger.Ledger, m ledger.KeyMark, by ledger.At) bool {
+	for _, other := range l.KeyMarks {
+		if other.Key != m.Key && other.Sent <= by && (other.Acked == 0 || other.Epoch > m.Epoch) {
+			return true
+		}
+	}
+	return false
+}
+
+func stepBack(l *ledger.Ledger) (found []string) {
+	acked := marks(l)
+	type seen struct {
+		epoch uint64
+		done  ledger.At
+	}
+	highest := map[string][]seen{}
+	probes := append([]ledger.Probe(nil), l.Probes...)
+	sort.Slice(probes, func(i, j int) bool { return probes[i].Sent < probes[j].Sent })
+	for _, p := range probes {
+		m, ok := acked[p.Key]
+		if !ok || !p.Passed() {
+			continue
+		}
+		for _, before := range highest[p.Front] {
+			if before.epoch > m.Epoch && before.done <= p.Sent {
+				say(&found, "%s ruled by epoch %d at %s and by epoch %d again at %s", p.Front, before.epoch, sec(before.done), m.Epoch, sec(p.Sent))
+				break
+			}
+		}
+		if last := highest[p.Front]; len(last) == 0 || last[len(last)-1].epoch < m.Epoch {
+			highest[p.Front] = append(last, seen{m.Epoch, p.Done})
+		}
+	}
+	return found
+}
+
+func invalidSheet(l *ledger.Ledger) (found []string) {
+	for _, o := range l.Orders {
+		if o.Invalid && o.Won() {
+			say(&found, "order %s has an invalid sheet and was acknowledged at %s as epoch %d", o.ID, sec(o.Told), o.Epoch)
+		}
+	}
+	return found
+}
+
+func race(l *ledger.Ledger) (found []string) {
+	winner := map[string]ledger.Order{}
+	lost := map[string]map[string]bool{}
+	for _, o := range l.Orders {
+		if !isSheet(o) {
+			continue
+		}
+		group := fmt.Sprint("base ", o.Base)
+		if o.Won() {
+			if first, ok := winner[group]; ok && first.ID != o.ID {
+				say(&found, "orders %s and %s, both on %s, were told that they won (epochs %d and %d)", first.ID, o.ID, group, first.Epoch, o.Epoch)
+			} else {
+				winner[group] = o
+			}
+		}
+		if o.Race != "" {
+			if lost[o.Race] == nil {
+				lost[o.Race] = map[string]bool{}
+			}
+			if _, ok := lost[o.Race][o.ID]; !ok || o.Code == int(kernel.BaseMoved) && !o.Lost {
+				lost[o.Race][o.ID] = o.Code == int(kernel.BaseMoved) && !o.Lost
+			}
+		}
+	}
+	for name, ids := range lost {
+		all := true
+		for _, beaten := range ids {
+			all = all && beaten
+		}
+		if all {
+			say(&found, "all %d operators of %s were told that another won", len(ids), name)
+		}
+	}
+	sort.Strings(found)
+	return found
+}
+
+func resent(l *ledger.Ledger) (found []string) {
+	won := map[string]ledger.Order{}
+	for _, o := range l.Orders {
+		if o.Won() {
+			if first, ok := won[o.ID]; ok && first.Epoch != o.Epoch {
+				say(&found, "order %s was accepted as epoch %d and again as epoch %d", o.ID, first.Epoch, o.Epoch)
+			}
+			won[o.ID] = o
+		}
+	}
+	for _, o := range l.Orders {
+		if w, ok := won[o.ID]; ok && !o.Lost && o.Status >= 400 && o.Status < 500 {
+			say(&found, "order %s was accepted as epoch %d and, sent again at %s through %s, refused with code %d", o.ID, w.Epoch, sec(o.Sent), o.Front, o.Code)
+		}
+	}
+	applied := map[string]bool{}
+	for _, back := range l.ReadBacks {
+		if back.Status == 200 && back.Mark != "" {
+			applied[back.Mark] = true
+		}
+	}
+	for _, o := range l.Orders {
+		if !o.Lost && o.Status >= 400 && o.Status < 500 && o.Mark != "" && applied[o.Mark] {
+			say(&found, "order %s was refused with code %d at %s, but its sheet was read back", o.ID, o.Code, sec(o.Told))
+		}
+	}
+	return found
+}
+
+func revoked(l *ledger.Ledger) (found []string) {
+	acked := marks(l)
+	for _, p := range l.Probes {
+		m, ok := acked[p.Key]
+		if !ok || !p.Passed() {
+			continue
+		}
+		if at, by, over := outdated(l, m); over && p.Sent >= at+RevokedAfter {
+			say(&found, "%s passed probe key %d at %s; epoch %d that revoked it was acknowledged at %s", p.Front, p.Key, sec(p.Sent), by.Epoch, sec(at))
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/cmd/rig/load/call.go
@@ -0,0 +1,269 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+
+	"stepwick/cmd/rig/fleet"
+	"stepwick/cmd/rig/ledger"
+	"stepwick/cmd/rig/own"
+	"stepwick/cmd/rig/standin"
+)
+
+// Call is one wish of a caller; it may take several attempts.
+type Call struct {
+	Tenant Tenant
+	Place  fleet.Place
+	Prefix int
+	Draw   float64
+	Pick   uint64
+	Front  string // set to send to this address only
+}
+
+// Call makes attempts until one ran or may have run.
+func (c *Crowd) Call(ctx kernel.Context, call Call) ledger.Attempt {
+	tried := map[string]bool{}
+	until := c.Book.Now() + call.Tenant.Deadline
+	for try := 0; ; try++ {
+		address := call.Front
+		if address == "" {
+			address = c.front(call.Place, call.Pick+uint64(try), tried)
+		}
+		a := c.attempt(call, address, until)
+		c.Book.Attempt(a)
+		c.tally.Tell(func(t *Tally) { t.count(a) })
+		again := false
+		switch {
+		case a.End == ledger.Unsent:
+			c.shun(address, 2*kernel.Second)
+			again = true
+		case a.End == ledger.TimedOut, a.End == ledger.CutAbort:
+			c.shun(address, kernel.Second)
+		case a.Code == int(kernel.NotRuling), a.Code == int(kernel.FrontLeaving):
+			c.shun(address, kernel.Second)
+			again = true
+		}
+		if !again || try >= c.Mood.Retries || call.Front != "" || ctx.Err() != nil {
+			return a
+		}
+		tried[address] = true
+	}
+}
+
+func (t *Tally) count(a ledger.Attempt) {
+	switch a.End {
+	case ledger.Served, ledger.GaveUp:
+		t.Served++
+	case ledger.Refused:
+		t.Refused++
+	case ledger.Unsent:
+		t.Unsent++
+	default:
+		t.Failed++
+	}
+}
+
+func (c *Crowd) nodeAt(address string) string {
+	for _, n := range c.Fleet.Nodes {
+		if n.Caller == address {
+			return n.Name
+		}
+	}
+	return address
+}
+
+func (c *Crowd) attempt(call Call, address string, until ledger.At) ledger.Attempt {
+	t := call.Tenant
+	token := fmt.Sprintf("t%d-%d", c.seed, c.serial.Add(1))
+	a := ledger.Attempt{Token: token, Kind: t.Kind, Tenant: t.Name, Service: t.Service, Front: c.nodeAt(address), Region: call.Place.Region,
+		Tokens: t.Tokens(), Sent: c.Book.Now(), Deadline: until}
+	left := max(until-a.Sent, 50*kernel.Millisecond)
+	var req *http.Request
+	switch t.Kind {
+	case "stream":
+		fields := map[string]any{"service": t.Service, "prefix": fmt.Sprintf("%s prefix %d", t.Name, call.Prefix), "session": "token=" + token,
+			"prefix_tokens": t.PrefixTokens, "session_tokens": t.SessionTokens, "max_tokens": t.MaxTokens, "deadline_ms": left.Milliseconds(), "region": call.Place.Region}
+		if t.Home != "" {
+			fields["home"] = t.Home
+		}
+		body, _ := json.Marshal(fields)
+		req, _ = http.NewRequest(http.MethodPost, "http://"+address+"/v1/prompt", bytes.NewReader(body))
+		req.Header.Set("Content-Type", "application/json")
+	case "post":
+		req, _ = http.NewRequest(http.MethodPost, "http://"+address+"/v1/call/"+t.Service+"/orders", strings.NewReader(`{"order":"token=`+token+`"}`))
+		req.Header.Set("Content-Type", "application/json")
+	default:
+		req, _ = http.NewRequest(http.MethodGet, "http://"+address+"/v1/call/"+t.Service+"/map?token="+token, nil)
+	}
+	req.Header.Set("Authorization", "Bearer "+t.Key)
+	req.Header.Set("Stepwick-Request-Id", token)
+	req.Header.Set("Stepwick-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	c.perform(&a, req, address, left+1500*kernel.Millisecond, call.Draw)
+	a.Done = c.Book.Now()
+	return a
+}
+
+// Direct sends a call to a server itself, by the servers' protocol and over
+// kept-alive connections, and leaves it out of the ledger's attempts.
+func (c *Crowd) Direct(call Call, address string) ledger.Attempt {
+	t := call.Tenant
+	a := ledger.Attempt{Token: fmt.Sprintf("d%d-%d", c.seed, c.serial.Add(1)), Kind: t.Kind, Tenant: t.Name, Service: t.Service, Sent: c.Book.Now()}
+	a.Deadline = a.Sent + t.Deadline
+	req, _ := http.NewRequest(http.MethodGet, "http://"+address+"/map?token="+a.Token, nil)
+	if t.Kind == "stream" {
+		body, _ := json.Marshal(map[string]any{"id": a.Token, "service": t.Service, "prefix": fmt.Sprintf("%s prefix %d", t.Name, call.Prefix), "session": "token=" + a.Token,
+			"prefix_tokens": t.PrefixTokens, "session_tokens": t.SessionTokens, "max_tokens": t.MaxTokens})
+		req, _ = http.NewRequest(http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body))
+	}
+	req.Header.Set("Stepwick-Request-Id", a.Token)
+	c.perform(&a, req, address, t.Deadline, 0.5)
+	a.Done = c.Book.Now()
+	return a
+}
+
+func (c *Crowd) perform(a *ledger.Attempt, req *http.Request, address string, most kernel.Duration, draw float64) {
+	l, err := c.lines.take(address)
+	if err != nil {
+		a.End = ledger.Unsent
+		return
+	}
+	clean := false
+	defer func() {
+		if clean {
+			c.lines.give(address, l)
+		} else {
+			l.conn.Close()
+		}
+	}()
+	resp, err := l.send(req, kernel.System().Now().Add(most))
+	if err != nil {
+		a.End = ledger.CutAbort
+		if timedOut(err) {
+			a.End = ledger.TimedOut
+		}
+		return
+	}
+	a.Status, a.AnswerID = resp.StatusCode, resp.Header.Get("Stepwick-Request-Id")
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.StatusCode == http.StatusOK {
+		clean = c.stream(a, resp.Body, draw) && !resp.Close
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	a.First = c.Book.Now()
+	if err != nil {
+		a.End = ledger.CutAbort
+		if timedOut(err) {
+			a.End = ledger.TimedOut
+		}
+		return
+	}
+	clean = !resp.Close
+	fault := resp.Header.Get("Stepwick-Code")
+	if a.Kind != "stream" && fault == "" && resp.StatusCode/100 == 2 {
+		a.End = ledger.Served
+		a.Body, a.Whole = standin.CheckBody(string(data))
+		return
+	}
+	var body kernel.FaultBody
+	_ = json.Unmarshal(data, &body)
+	a.Code, a.Retry, a.End = int(body.Code), string(body.Retry), ledger.Refused
+	if body.Code == kernel.OutcomeUnknown || body.Code == kernel.BadAnswer {
+		a.End = ledger.CutError
+	}
+	if a.Code == 0 {
+		a.End = ledger.Malformed
+	}
+}
+
+// stream reads events; true when the connection may be used again.
+func (c *Crowd) stream(a *ledger.Attempt, in io.Reader, draw float64) bool {
+	scan := bufio.NewScanner(in)
+	scan.Buffer(make([]byte, 4096), 1<<20)
+	isError := false
+	for scan.Scan() {
+		text := scan.Text()
+		if strings.HasPrefix(text, "event: error") {
+			isError = true
+			continue
+		}
+		data, ok := strings.CutPrefix(text, "data: ")
+		if !ok {
+			continue
+		}
+		if a.First == 0 {
+			a.First = c.Book.Now()
+		}
+		if isError {
+			var body kernel.FaultBody
+			_ = json.Unmarshal([]byte(data), &body)
+			a.Code, a.Retry, a.End = int(body.Code), string(body.Retry), ledger.CutError
+			continue
+		}
+		var event struct {
+			ID    string `json:"id"`
+			Seq   int    `json:"seq"`
+			Text  string `json:"text"`
+			Final bool   `json:"final"`
+			Count int    `json:"count"`
+		}
+		if json.Unmarshal([]byte(data), &event) != nil {
+			a.End = ledger.Malformed
+			return false
+		}
+		if event.Final {
+			a.Final, a.Count = true, event.Count
+			continue
+		}
+		e := ledger.Event{ID: event.ID, Seq: event.Seq}
+		_, _ = fmt.Sscanf(event.Text, "%s %s %d", &e.Token, &e.Run, &e.Index)
+		a.Events = append(a.Events, e)
+		if draw < c.Mood.GoneOdds {
+			a.End = ledger.GaveUp
+			return false
+		}
+		if draw > 1-c.Mood.SlowOdds {
+			own.Wait(kernel.Background(), 60*kernel.Millisecond)
+		}
+	}
+	switch err := scan.Err(); {
+	case a.End == ledger.CutError:
+		return false
+	case err != nil && timedOut(err):
+		a.End = ledger.TimedOut
+	case err != nil:
+		a.End = ledger.CutAbort
+	case a.Final:
+		a.End = ledger.Served
+		return true
+	default:
+		a.End = ledger.CleanEnd
+	}
+	return false
+}
+
+// Ask sends one request on a connection of its own and reads the whole answer.
+func Ask(req *http.Request, address string, most kernel.Duration) (int, []byte, error) {
+	l := &lines{own.New(map[string][]*line{}), 0}
+	defer l.idle.End()
+	c, err := l.take(address)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer c.conn.Close()
+	resp, err := c.send(req, kernel.System().Now().Add(most))
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "read answer")
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	return resp.StatusCode, data, errors.Wrap(err, "read body")
+}
--- /dev/null
+++ b/cmd/rig/prove/shots.go
@@ -0,0 +1,97 @@
+package prove
+
+import (
+	"stepwick/internal/kernel"
+
+	"stepwick/cmd/rig/standin"
+)
+
+func shotsReset(s *Stage) error {
+	s.shotLoad()
+	s.webOdds(standin.Odds{standin.ResetEarly: .05, standin.ResetRead: .05, standin.ResetRan: .05, standin.Truncated: .03, standin.WrongID: .03,
+		standin.CrossBody: .03, standin.Busy: .05, standin.Slow: .02})
+	s.rest(s.Book.Now())
+	return nil
+}
+
+func (s *Stage) shotLoad() {
+	s.Crowd.Scale("", 0.3)
+	s.Crowd.Scale("grid", 1.9)
+	s.Crowd.Scale("crews", 1.9)
+}
+
+func shotsFronts(s *Stage) error {
+	began := s.Book.Now()
+	s.shotLoad()
+	s.webOdds(standin.Odds{standin.Slow: .2, standin.ResetRan: .02, standin.ResetRead: .02})
+	for s.left(began) {
+		killed, frozen := s.frontOnly(), s.node()
+		killed.Kill()
+		if frozen != killed {
+			frozen.Freeze()
+		}
+		s.Wait(5 * kernel.Second)
+		frozen.Thaw()
+		if err := killed.Start(); err != nil {
+			return err
+		}
+		s.Wait(2 * kernel.Second)
+	}
+	return nil
+}
+
+func shotsDeadline(s *Stage) error {
+	began := s.Book.Now()
+	s.shotLoad()
+	for s.left(began) {
+		s.Book.Mark("web servers dark", false)
+		for _, w := range s.Fleet.Webs {
+			w.Dark(true)
+		}
+		s.Wait(4 * kernel.Second)
+		for _, w := range s.Fleet.Webs {
+			w.Dark(false)
+		}
+		s.webOdds(standin.Odds{standin.Slow: .6})
+		s.Wait(3 * kernel.Second)
+		s.webOdds(nil)
+		name := s.Fleet.Webs[s.Random.IntN(3)].Name
+		s.crash(name)
+		s.Wait(2 * kernel.Second)
+		if err := s.back(name); err != nil {
+			return err
+		}
+		s.Wait(kernel.Second)
+	}
+	return nil
+}
+
+func streamsFaults(s *Stage) error {
+	s.Crowd.Mood.GoneOdds, s.Crowd.Mood.SlowOdds = .03, .05
+	s.modelOdds(standin.Odds{standin.EarlyEnd: .02, standin.TooLittle: .02, standin.Repeat: .02, standin.Cross: .03, standin.WrongID: .02, standin.Abort: .02, standin.Busy: .05, standin.Stall: .01})
+	s.rest(s.Book.Now())
+	return nil
+}
+
+func streamsCrash(s *Stage) error {
+	began := s.Book.Now()
+	s.Crowd.Mood.GoneOdds, s.Crowd.Mood.SlowOdds = .03, .05
+	for s.left(began) {
+		crashed, dark, killed := s.model(), s.model(), s.frontOnly()
+		s.Fleet.CrashModel(crashed.Name)
+		s.Book.Mark("dark "+dark.Name, false)
+		dark.Dark(true)
+		s.Wait(2 * kernel.Second)
+		killed.Kill()
+		s.Wait(2 * kernel.Second)
+		dark.Dark(false)
+		if err := s.Fleet.ReturnModel(crashed.Name); err != nil {
+			return err
+		}
+		if err := killed.Start(); err != nil {
+			return err
+		}
+		s.Wait(2 * kernel.Second)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rig/prove/tallies.go
@@ -0,0 +1,62 @@
+package prove
+
+import (
+	"stepwick/internal/kernel"
+)
+
+func tallyTenfold(s *Stage) error {
+	began := s.Book.Now()
+	s.Wait(5 * kernel.Second)
+	s.Book.Mark("crews and grid ask tenfold", false)
+	s.Crowd.Scale("crews", 10)
+	s.Crowd.Scale("grid", 6)
+	for i := 0; s.left(began); i++ {
+		s.Wait(12 * kernel.Second)
+		home := []string{"lagos/a", "abeokuta/a", "lagos/b"}[i%3]
+		s.Book.Mark("callers move to "+home, false)
+		s.Crowd.From(map[string]float64{home: 1})
+	}
+	return nil
+}
+
+func tallyClock(o *Options) {
+	for i := range o.Spec.Nodes {
+		if o.Spec.Nodes[i].Name == "front4" {
+			o.Spec.Nodes[i].Settings = map[string]string{"clock.step": "37s"}
+		}
+	}
+}
+
+func tallyRestart(s *Stage) error {
+	began := s.Book.Now()
+	s.Crowd.Scale("crews", 6)
+	s.Crowd.Scale("grid", 4)
+	s.Wait(18 * kernel.Second)
+	for i := 0; s.left(began); i++ {
+		n := s.Fleet.Nodes[(i*2)%9]
+		if i%2 == 0 {
+			if err := s.bounce(n, seconds(s.Random.Float64()*3)); err != nil {
+				return err
+			}
+		} else {
+			n.Term(12 * kernel.Second)
+			if err := n.Start(); err != nil {
+				return err
+			}
+		}
+		s.Wait(4 * kernel.Second)
+	}
+	return nil
+}
+
+func tallyCut(s *Stage) error {
+	began := s.Book.Now()
+	s.Crowd.Scale("crews", 6)
+	s.Crowd.Scale("grid", 4)
+	s.Wait(18 * kernel.Second)
+	s.Cut(s.region("abeokuta"), s.region("lagos"))
+	s.Wait(16 * kernel.Second)
+	s.Heal()
+	s.rest(began)
+	return nil
+}
--- /dev/null
+++ b/internal/core/sheet/seal.go
@@ -0,0 +1,60 @@
+package sheet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+func (c PutSheet) seal() Order {
+	return c.Order.sealed(VerbPut, func() any { return c.Sheet })
+}
+
+func (c PatchSheet) seal() Order {
+	return c.Order.sealed(VerbPatch, func() any { return c.Changes })
+}
+
+func (c MergeSheet) seal() Order {
+	return c.Order.sealed(VerbMerge, func() any {
+		return struct {
+			Upsert *Sheet
+			Remove Removal
+		}{c.Upsert, c.Remove}
+	})
+}
+
+func (c Evacuate) seal() Order {
+	return c.Order.sealed(VerbEvacuate, func() any { return c.Locality })
+}
+
+func (c Restore) seal() Order {
+	return c.Order.sealed(VerbRestore, func() any { return c.Locality })
+}
+
+func (c RemoveMembers) seal() Order {
+	if c.Operator == "" {
+		return c.Order
+	}
+	return c.Order.sealed(VerbRemove, func() any { return c.Names })
+}
+
+func (o Order) sealed(verb string, content func() any) Order {
+	if o.Digest == "" {
+		body, err := json.Marshal(content())
+		if err != nil {
+			body = []byte(err.Error())
+		}
+		h := sha256.New()
+		fmt.Fprintf(h, "%q %q %d ", o.Operator, verb, o.Base)
+		if o.Revision > 0 {
+			fmt.Fprintf(h, "%d on %d ", o.Revision, o.BaseRevision)
+		}
+		h.Write(body)
+		o.Digest = hex.EncodeToString(h.Sum(nil))
+	}
+	if o.OrderID == "" && (verb == VerbPut || verb == VerbPatch || verb == VerbMerge) {
+		o.OrderID = o.Digest
+	}
+	return o
+}
--- /dev/null
+++ b/internal/node/follow/state.go
@@ -0,0 +1,104 @@
+package follow
+
+import (
+	"connectrpc.com/connect"
+
+	"stepwick/internal/core/grant"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Fetch answers a process that is behind with the whole state.
+func (f *Follower) Fetch(ctx kernel.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	state := f.View().State
+	if state.Epoch <= req.After {
+		return &wire.FetchResponse{Learned: state.Epoch}, nil
+	}
+	return &wire.FetchResponse{SnapshotEpoch: state.Epoch, Snapshot: state.Encode(), Learned: state.Epoch}, nil
+}
+
+// judge publishes until when the node rules.
+func (f *Follower) judge() {
+	f.settleTime()
+	verdict := f.holder.Ruling(f.clock.Now())
+	if f.left || !f.timed.Load() {
+		verdict = grant.Verdict{By: f.ruledBy}
+	}
+	until := kernel.Time{}
+	if verdict.Ruling {
+		until = verdict.Until
+	}
+	f.lapse.Store(&until)
+	f.pinged.Store(&standing{epoch: f.state.Epoch, unconfirmed: f.holder.Unconfirmed()})
+	f.noticeVerdict(verdict)
+	if verdict.Ruling != f.ruling {
+		f.ruling = verdict.Ruling
+		f.publish()
+	}
+}
+
+// fetch closes a gap: changes after the held epoch, or a snapshot.
+func (f *Follower) fetch(address string) {
+	if f.fetching {
+		return
+	}
+	f.fetching = true
+	after := f.state.Epoch
+	if !f.held {
+		after = 0
+	}
+	go func() {
+		ctx, cancel := kernel.WithTimeout(f.ctx, largeTimeout)
+		defer cancel()
+		resp, err := f.peers.Client(address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{After: after}))
+		f.post(func() {
+			f.fetching = false
+			if err != nil {
+				return
+			}
+			f.takeSnapshot(resp.Msg.SnapshotEpoch, resp.Msg.Snapshot)
+			for _, chosen := range resp.Msg.Chosen {
+				f.takeChosen(chosen)
+			}
+		})
+	}()
+}
+
+// takeSnapshot takes a whole state if it is newer than the held one.
+func (f *Follower) takeSnapshot(epoch uint64, data []byte) {
+	if len(data) == 0 || (f.held && epoch <= f.state.Epoch) {
+		return
+	}
+	state, err := sheet.DecodeState(data)
+	if err != nil {
+		f.log.Emit(events.SnapshotBad, "epoch", epoch, "error", err)
+		return
+	}
+	f.rule(state)
+}
+
+// takeChosen applies the next command; one that leaves a gap is fetched.
+func (f *Follower) takeChosen(chosen *wire.Chosen) {
+	if chosen.Epoch != f.state.Epoch+1 {
+		return
+	}
+	state, _ := f.state.Step(chosen.Epoch, chosen.Command)
+	f.rule(state)
+}
+
+// rule takes up a newer state: it is published before it is confirmed.
+func (f *Follower) rule(state sheet.State) {
+	old := f.state
+	f.state, f.held = state, true
+	f.holder.SetRoster(state.Roster, state.PriorRoster)
+	f.publish()
+	f.holder.Confirm(state.Epoch)
+	f.noticeState(old, state)
+	f.judge()
+	for _, core := range f.cores() {
+		f.renew(core)
+	}
+	f.spread()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,25 +6,13 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/thejerf/suture/v4"
 
-	"stepwick/internal/adapter/backend"
-	"stepwick/internal/adapter/clientapi"
-	"stepwick/internal/adapter/controlapi"
-	"stepwick/internal/adapter/disklog"
 	"stepwick/internal/adapter/internalrpc"
-	"stepwick/internal/core/plan"
-	"stepwick/internal/core/route"
 	"stepwick/internal/core/sheet"
-	"stepwick/internal/core/tally"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/node/core"
@@ -140,155 +128,6 @@
 	return fallback
 }
 
-func build(world World, role, name string, values *settings.Values, log events.Log) (*process, error) {
-	clock := kernel.Steady(world.Clock)
-	p := &process{role: role, values: values, clock: clock, log: log, edge: world.Edge, listen: world.Listen, replaced: make(chan struct{}, 1)}
-	p.base = &wire.Process{
-		Name: name, Region: values.String("region"), Zone: values.String("zone"),
-		Address:       or(values.String("advertise.internal"), values.String("listen.internal")),
-		CallerAddress: or(values.String("advertise.caller"), values.String("listen.caller")),
-		Core:          role == RoleCore, Front: role == RoleFront || values.Bool("core.front"),
-		Incarnation: uint64(clock.Now().UnixNano()),
-	}
-	p.pool = internalrpc.NewPool(world.Dial, p.base.Address, values.String("fleet.secret"))
-	p.directory = internalrpc.NewDirectory(p.pool, clock, log, values.Strings("seeds"), p.self)
-	p.follower = follow.New(follow.Config{
-		Self: p.self, GrantTTL: values.Duration("grant.ttl"), RenewEvery: values.Duration("grant.renew"),
-		PingEvery: values.Duration("ping.interval"), FeedWait: values.Duration("feed.wait"),
-		Sighted: p.sighted, CoreStaleFor: coreStaleFor, Attest: p.directory.Attest,
-	}, p.directory, clock, log)
-
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	var err error
-	p.spend, err = spend.New(spend.Config{
-		Self: p.base.Name, Incarnation: p.base.Incarnation, Metrics: registry, HoldFor: values.Duration("tally.hold"),
-		Silent: func() []string { return p.follower.View().Silent },
-		Tally:  tally.Config{Window: values.Duration("quota_window"), Slices: values.Int("quota_slices"), Interval: values.Duration("tally.interval")},
-	}, p.directory, clock, p.follower.FleetNow, func() []string { return p.follower.View().Live }, log)
-	if err != nil {
-		return nil, err
-	}
-	if role == RoleCore {
-		if err := p.buildCore(); err != nil {
-			return nil, err
-		}
-	}
-	if err := p.buildFront(world, registry); err != nil {
-		return nil, err
-	}
-	if err := p.buildGateway(world, registry); err != nil {
-		return nil, err
-	}
-	p.watcher = watch.New(watch.Config{
-		Self: p.base.Name, Region: p.base.Region, Zone: p.base.Zone, Incarnation: p.base.Incarnation,
-		ListEvery: values.Duration("platform.interval"), StatusEvery: values.Duration("watch.interval"),
-		ListFronts: values.Int("platform.readers"), ListOnly: world.Edge != nil,
-	}, p.servers(world), p.directory, clock, func() watch.View {
-		view := p.follower.View()
-		return watch.View{Servers: view.Servers, Fronts: view.Fronts}
-	}, p.follower.Report, p.follower.FleetNow, log)
-	p.pool.Bind(p.peer)
-
-	if p.internal, err = world.Listen(values.String("listen.internal")); err != nil {
-		return nil, errors.Wrap(err, "listen.internal")
-	}
-	if !p.carries() && world.Edge != nil {
-		return p, nil
-	}
-	if p.caller, err = world.Listen(values.String("listen.caller")); err != nil {
-		return nil, errors.Wrap(err, "listen.caller")
-	}
-	return p, nil
-}
-
-func (p *process) buildCore() error {
-	var first []byte
-	if file := p.values.String("first_sheet"); file != "" {
-		var err error
-		if first, err = os.ReadFile(file); err != nil {
-			return errors.Wrap(err, "first_sheet")
-		}
-		if _, fault := sheet.ParseSheet(first, p.values.Int("sheet.max")); fault != nil {
-			return errors.Wrap(fault, "first_sheet")
-		}
-	}
-	var replaced func()
-	if p.values.Bool("core.join") {
-		replaced = p.wasReplaced
-	}
-	disk := disklog.Config{
-		Folder: p.values.String("data"), SegmentBytes: int64(p.values.Int("disk.segment")),
-		Quota: int64(p.values.Int("disk.quota")), SyncDelay: p.values.Duration("disk.sync_delay"), Clock: p.clock,
-	}
-	p.replica = replica.New(replica.Config{
-		Self: p.base.Name, Voters: p.values.Int("core.voters"), FirstSheet: first,
-		SnapshotRecords: p.values.Int("snapshot.records"), Replaced: replaced,
-	}, replica.OnDisk(disk), p.directory, p.clock, p.log)
-	p.core = core.New(core.Config{
-		Self: p.base.Name, Incarnation: p.base.Incarnation, GrantTTL: p.values.Duration("grant.ttl"),
-		PingEvery: p.values.Duration("ping.interval"), PlanPeriod: p.values.Duration("plan.period"), Policy: p.policy(),
-		SheetMax: p.values.Int("sheet.max"), FleetNow: p.follower.FleetNow,
-	}, p.replica, p.directory, p.clock, p.log)
-	return nil
-}
-
-func (p *process) policy() plan.Policy {
-	return plan.Policy{RampStart: p.values.Int("route.ramp_start")}
-}
-
-func (p *process) buildFront(world World, registry *prometheus.Registry) error {
-	orders := &relay{name: p.base.Name, peers: p.directory}
-	p.orders = orders
-	inspect := &inspector{name: p.base.Name, peers: p.directory, own: map[string]func(string) (any, bool){
-		"status":  func(string) (any, bool) { return p.status(), true },
-		"plan":    func(string) (any, bool) { plan := p.follower.View().Plan; return plan, plan != nil },
-		"tally":   p.tally,
-		"explain": func(id string) (any, bool) { return p.front.Inspect("explain", id) },
-	}}
-	p.peer = &peer{directory: p.directory, follower: p.follower, spend: p.spend, inspector: inspect, replica: p.replica, core: p.core}
-	control := controlapi.New(controlapi.Config{
-		Operators: p.values.Strings("operator.keys"), SheetMax: int64(p.values.Int("sheet.max")),
-		BodyTimeout: p.values.Duration("body.timeout"), From: p.base.Name,
-		Setting: settings.CheckRuntime,
-	}, orders, inspect, p.clock, p.log)
-	var err error
-	var standing func() string
-	if p.replica != nil {
-		standing = func() string { return standingName(p.replica.Standing()) }
-	}
-	p.front, err = front.New(front.Config{
-		Standing: standing,
-		Name:     p.base.Name, Address: p.base.CallerAddress, Region: p.base.Region, Zone: p.base.Zone,
-		Limits: clientapi.Limits{
-			BodyMax: int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
-			BodyTimeout: p.values.Duration("body.timeout"), HeaderTimeout: p.values.Duration("body.timeout"),
-			DeadlineMax: p.values.Duration("deadline.max"), DeadlineDefault: p.values.Duration("deadline.default"),
-		},
-		Backend:     backend.Config{Bind: p.values.String("bind"), Dial: world.Dial},
-		PlainTokens: p.values.Float("plain_tokens"),
-		Route: route.Config{
-			Strategy: route.Strategy(p.values.String("route.strategy")), PendingBound: p.values.Int("route.pending"), Policy: p.policy(),
-			RetryBudget: p.values.Float("retry.budget"),
-		},
-		Tune:    p.tuned,
-		Control: control, Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-	}, p.follower, p.spend, p.clock, p.log, registry)
-	return err
-}
-
-// tuned reads what the sheet sets over the settings file.
-func (p *process) tuned(settings map[string]string) front.Tuned {
-	v := p.values.With(settings)
-	return front.Tuned{
-		DeadlineMax: v.Duration("deadline.max"), DeadlineDefault: v.Duration("deadline.default"),
-		Route: &route.Knobs{
-			Strategy: route.Strategy(v.String("route.strategy")), PendingBound: v.Int("route.pending"),
-			RampStart: v.Int("route.ramp_start"), RetryBudget: v.Float("retry.budget"),
-		},
-	}
-}
-
 // self returns this process's record as of now.
 func (p *process) self() *wire.Process {
 	own := &wire.Process{
@@ -325,65 +164,6 @@
 	return out
 }
 
-type processStatus struct {
-	follow.Status
-	Ready     bool            `json:"ready"`
-	Cause     string          `json:"cause,omitempty"`
-	Role      string          `json:"role"`
-	Standing  string          `json:"standing,omitempty"`
-	Formation string          `json:"formation,omitempty"`
-	Processes []processRecord `json:"processes"`
-}
-
-type processRecord struct {
-	Name     string `json:"name"`
-	Locality string `json:"locality"`
-	Address  string `json:"address"`
-	Caller   string `json:"caller"`
-	Core     bool   `json:"core"`
-	Standing string `json:"standing,omitempty"`
-	Ready    bool   `json:"ready"`   // as it last said
-	SeenMS   int64  `json:"seen_ms"` // since it was last seen to live
-}
-
-func standingName(s wire.Standing) string {
-	return strings.ToLower(strings.TrimPrefix(s.String(), "STANDING_"))
-}
-
-func (p *process) status() processStatus {
-	s := processStatus{Role: p.role, Status: p.follower.View().Status(p.base.Name,
-		sheet.Locality(p.base.Region, p.base.Zone), p.follower.Ruling(), p.follower.FleetNow())}
-	if fault := p.ready(); fault != nil {
-		s.Cause = fault.Error()
-	} else {
-		s.Ready = true
-	}
-	if p.replica != nil {
-		s.Standing, s.Formation = standingName(p.replica.Standing()), p.replica.Formation()
-	}
-	ready := map[string]bool{}
-	for _, live := range p.follower.View().Fronts {
-		ready[live.Name] = live.Ready
-	}
-	for _, sight := range p.directory.Sights() {
-		known := sight.Process
-		record := processRecord{Name: known.Name, Locality: sheet.Locality(known.Region, known.Zone), Address: known.Address,
-			Caller: known.CallerAddress, Core: known.Core, Ready: ready[known.Name], SeenMS: p.clock.Now().Sub(sight.Seen).Milliseconds()}
-		if known.Core {
-			record.Standing = standingName(known.Standing)
-		}
-		s.Processes = append(s.Processes, record)
-	}
-	return s
-}
-
-func (p *process) tally(tenant string) (any, bool) {
-	ctx, cancel := kernel.WithTimeout(kernel.Background(), kernel.Second)
-	defer cancel()
-	views, err := p.spend.Inspect(ctx, tenant)
-	return views, err == nil
-}
-
 // run serves until the context ends, then hands over: new requests are
 // refused, running ones finish within the grace, the spend is sent on, the
 // grants are released.
--- /dev/null
+++ b/internal/node/replica/calls.go
@@ -0,0 +1,95 @@
+package replica
+
+import (
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire/wireconnect"
+)
+
+// ask puts a question to the owner and waits for the answer.
+func ask[T any](ctx kernel.Context, r *Replica, question func(o *owner, reply func(T, error))) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	var none T
+	o := r.owner.Load()
+	if o == nil {
+		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
+	}
+	answers := make(chan answer, 1)
+	asked := func(o *owner) { question(o, func(value T, err error) { answers <- answer{value, err} }) }
+	select {
+	case o.inbox <- asked:
+	case <-o.gone:
+		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case a := <-answers:
+		return a.value, a.err
+	case <-o.gone:
+		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// call reaches a voter: this core directly, others through the peers.
+func call[Q, A any](ctx kernel.Context, r *Replica, to string, req *Q, local func(kernel.Context, *Q) (*A, error),
+	far func(wireconnect.PeerClient, kernel.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
+	if to == r.cfg.Self {
+		return local(ctx, req)
+	}
+	process, known := r.peers.Process(to)
+	if !known {
+		return nil, errors.Errorf("core %s is not known here", to)
+	}
+	resp, err := far(r.peers.Client(process.Address), ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// gather calls several cores at once. Enough answers end the wait early, after
+// a grace in which the others may still come; enough of zero waits for all.
+func gather[T any](ctx kernel.Context, r *Replica, cores []string, timeout kernel.Duration, enough int, ask func(kernel.Context, string) (*T, error)) map[string]*T {
+	type reply struct {
+		core string
+		resp *T
+	}
+	bound, cancel := kernel.WithTimeout(ctx, timeout)
+	defer cancel()
+	replies := make(chan reply, len(cores))
+	for _, core := range cores {
+		go func() {
+			resp, err := ask(bound, core)
+			if err != nil {
+				resp = nil
+			}
+			replies <- reply{core, resp}
+		}()
+	}
+	answers := make(map[string]*T, len(cores))
+	var grace <-chan kernel.Time
+	for range cores {
+		select {
+		case a := <-replies:
+			if a.resp != nil {
+				answers[a.core] = a.resp
+			}
+		case <-grace:
+			return answers
+		case <-bound.Done():
+			return answers
+		}
+		if enough > 0 && len(answers) >= enough && grace == nil {
+			grace = r.clock.After(timeout / 20)
+		}
+	}
+	return answers
+}
--- /dev/null
+++ b/internal/node/replica/entry.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"fmt"
+
+	"stepwick/internal/core/ballot"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+func (r *Replica) probe(ctx kernel.Context, cores []string) map[string]*wire.RecoverResponse {
+	req := &wire.RecoverRequest{Core: r.cfg.Self, Probe: true}
+	return gather(ctx, r, cores, r.cfg.CallTimeout, 0, func(ctx kernel.Context, core string) (*wire.RecoverResponse, error) {
+		return call(ctx, r, core, req, r.Recover, wireconnect.PeerClient.Recover)
+	})
+}
+
+// enter rebuilds the core from the other voters, or from those that can be
+// reached where they suffice: it learns which disk life is next, announces it,
+// and merges what each of them syncs and answers.
+func (r *Replica) enter(ctx kernel.Context, state ballot.State) {
+	others := state.Others()
+	probes := r.probe(ctx, others)
+	for _, resp := range probes {
+		if record, ok := state.Rejoin(resp); ok {
+			r.join(ctx, record, fmt.Sprintf("joins the formation %s", resp.Formation))
+			return
+		}
+	}
+	life, waiting := state.NextLife(probes, r.salt)
+	event := events.FormationWaits
+	for _, resp := range probes {
+		if resp.Lives[r.cfg.Self] > 0 {
+			event = events.RecoveryWaits
+		}
+	}
+	if waiting != "" {
+		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once enough others answer; it waits for %s", waiting))
+		return
+	}
+	if life != state.Announced && !r.join(ctx, ballot.Lived{Core: r.cfg.Self, Life: life}, "announces its disk life") {
+		return
+	}
+	if life > 1 && life != state.Announced {
+		r.events.Emit(events.RecoveryBegun, "core", r.cfg.Self, "life", life)
+	}
+	req := &wire.RecoverRequest{Formation: state.Formation, Core: r.cfg.Self, Life: life}
+	intact, enough := entryQuorum(state, probes)
+	answers := gather(ctx, r, intact, r.cfg.EntryTimeout, enough, func(ctx kernel.Context, core string) (*wire.RecoverResponse, error) {
+		return call(ctx, r, core, req, r.Recover, wireconnect.PeerClient.Recover)
+	})
+	entered, err := ask(ctx, r, func(o *owner, reply func(string, error)) {
+		if o.state.Formation != state.Formation || o.state.Life() != 0 {
+			reply("", nil)
+			return
+		}
+		record, waiting := o.state.Enter(life, answers)
+		if waiting != "" {
+			reply(waiting, nil)
+			return
+		}
+		decided(o, []ballot.Record{record}, toVote, "", nil, reply)
+	})
+	switch {
+	case err != nil && kernel.AsFault(err).Code == kernel.DiskFull:
+		r.waits(ctx, events.DiskFull, "the rebuilt state does not fit on the disk")
+	case err != nil:
+	case entered != "":
+		r.waits(ctx, event, fmt.Sprintf("the core enters its formation once enough others answer; it waits for %s", entered))
+	case life > 1:
+		r.events.Emit(events.RecoveryComplete, "core", r.cfg.Self, "life", life)
+	default:
+		r.events.Emit(events.FormationComplete, "core", r.cfg.Self, "formation", state.Formation)
+	}
+}
+
+// entryQuorum returns the cores to rebuild from, and how many of them suffice;
+// zero is all.
+func entryQuorum(state ballot.State, probes map[string]*wire.RecoverResponse) (cores []string, enough int) {
+	var voting []string
+	for _, core := range state.Others() {
+		if probe := probes[core]; probe != nil && probe.Voting {
+			voting = append(voting, core)
+		}
+	}
+	if len(voting) < state.RebuildQuorum() {
+		return state.Others(), 0
+	}
+	return voting, state.RebuildQuorum()
+}
--- /dev/null
+++ b/internal/node/replica/formation.go
@@ -0,0 +1,177 @@
+package replica
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"stepwick/internal/core/ballot"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+	"stepwick/internal/wire/wireconnect"
+)
+
+const (
+	soon       = 100 * kernel.Millisecond
+	fetchLimit = 1500 * kernel.Millisecond
+	staleLooks = 4
+
+	foundingGap = 1000
+	patience    = 2 * kernel.Second
+)
+
+// seekFormation joins the formation that other cores are in or, with all
+// present and blank, founds the first one.
+func (r *Replica) seekFormation(ctx kernel.Context, state ballot.State) {
+	present := map[string]*wire.RecoverResponse{}
+	var cores []string
+	for _, process := range r.peers.Processes() {
+		if process.Core && process.Name != r.cfg.Self {
+			cores = append(cores, process.Name)
+			present[process.Name] = nil
+		}
+	}
+	for core, resp := range r.probe(ctx, cores) {
+		present[core] = resp
+		if record, ok := state.Rejoin(resp); ok {
+			r.join(ctx, record, fmt.Sprintf("joins the formation %s", resp.Formation))
+			return
+		}
+		if r.cfg.Replaced != nil && resp.Ok && len(resp.Voters) > 0 && !slices.Contains(resp.Voters, r.cfg.Self) && state.Formation == "" {
+			r.replaced("the formation " + resp.Formation + " has other cores")
+			return
+		}
+	}
+	if _, ok := state.Establish("", r.cfg.Voters, present, 0, nil); !ok {
+		r.waits(ctx, events.FormationWaits, fmt.Sprintf("a first formation of %d blank cores; %d others are known", r.cfg.Voters, len(cores)))
+		return
+	}
+	epoch, snapshot, missing := r.survivors(ctx)
+	if missing != "" {
+		r.waits(ctx, events.FormationWaits, missing)
+		return
+	}
+	id := fmt.Sprintf("%s-%s", r.cfg.Self, r.formationID())
+	record, ok := state.Establish(id, r.cfg.Voters, present, epoch, snapshot)
+	if !ok || !r.join(ctx, record, "waits for the other cores to join") {
+		return
+	}
+	joined := record.(ballot.Joined)
+	r.events.Emit(events.FormationBegun, "formation", id, "voters", fmt.Sprint(joined.Voters), "epoch", epoch)
+	invite := &wire.FoundRequest{Formation: id, Voters: joined.Voters, Founder: r.cfg.Self}
+	gather(ctx, r, cores, r.cfg.CallTimeout, 0, func(ctx kernel.Context, core string) (*wire.FoundResponse, error) {
+		return call(ctx, r, core, invite, r.Found, wireconnect.PeerClient.Found)
+	})
+}
+
+func (r *Replica) formationID() string {
+	now := uint64(r.clock.Now().UnixNano())
+	return hex.EncodeToString([]byte{byte(now >> 56), byte(now >> 48), byte(now >> 40), byte(now >> 32), byte(now >> 24), byte(now >> 16), byte(now >> 8), byte(now)})
+}
+
+// survivors finds the highest agreed state that any process still holds after
+// the loss of every core's disk. An acknowledged epoch was confirmed by more
+// than half of its roster, so more than half must answer and hold a state. The
+// new formation leaves a gap of epochs, so that none of the old one, which a
+// process out of reach may hold though it never was acknowledged, is given out
+// again with another content.
+func (r *Replica) survivors(ctx kernel.Context) (epoch uint64, snapshot []byte, missing string) {
+	var names []string
+	for _, process := range r.peers.Processes() {
+		if process.Front && process.Name != r.cfg.Self {
+			names = append(names, process.Name)
+		}
+	}
+	answers := gather(ctx, r, names, r.cfg.CallTimeout, 0, func(ctx kernel.Context, name string) (*wire.FetchResponse, error) {
+		return call(ctx, r, name, &wire.FetchRequest{}, r.Fetch, wireconnect.PeerClient.Fetch)
+	})
+	var highest sheet.State
+	for _, resp := range answers {
+		if len(resp.Snapshot) == 0 || resp.SnapshotEpoch <= highest.Epoch {
+			continue
+		}
+		if state, err := sheet.DecodeState(resp.Snapshot); err == nil && state.Epoch == resp.SnapshotEpoch {
+			highest = state
+		}
+	}
+	present := 0
+	for name := range highest.Roster {
+		if answer := answers[name]; answer != nil && answer.SnapshotEpoch > 0 {
+			present++
+		}
+	}
+	if count := len(highest.Roster); count > 0 && present <= count/2 {
+		return 0, nil, fmt.Sprintf("all cores are blank, though epoch %d is still held: %d of the %d members of its roster must answer from memory", highest.Epoch, count/2+1, count)
+	}
+	if highest.Epoch == 0 {
+		return 0, nil, ""
+	}
+	noop := sheet.Encode(sheet.Noop{})
+	for range foundingGap {
+		highest, _ = highest.Step(highest.Epoch+1, noop)
+	}
+	return highest.Epoch, highest.Encode(), ""
+}
+
+func (r *Replica) join(ctx kernel.Context, record ballot.Record, waiting string) bool {
+	joined, err := ask(ctx, r, func(o *owner, reply func(bool, error)) {
+		if o.state.Life() != 0 {
+			reply(false, nil)
+			return
+		}
+		o.waiting = waiting
+		decided(o, []ballot.Record{record}, toVote, true, nil, reply)
+	})
+	return err == nil && joined
+}
+
+// waits keeps what the core waits for; when it takes long, it is logged.
+func (r *Replica) waits(ctx kernel.Context, event events.Event, what string) {
+	tell, err := ask(ctx, r, func(o *owner, reply func(bool, error)) {
+		if o.waiting != what {
+			o.waiting = what
+			o.republish()
+		}
+		if o.waitingSince.IsZero() {
+			o.waitingSince = r.clock.Now()
+		}
+		tell := o.told != what && r.clock.Now().Sub(o.waitingSince) >= patience
+		if tell {
+			o.told = what
+		}
+		reply(tell, nil)
+	})
+	if err == nil && tell {
+		r.events.Emit(event, "core", r.cfg.Self, "waiting", what)
+	}
+}
+
+// offerFirstSheet proposes the configured sheet to a formation that never had
+// one; it tells whether the offer is settled, either way.
+func (r *Replica) offerFirstSheet(ctx kernel.Context) bool {
+	now, err := r.sheetNow(ctx)
+	if err != nil {
+		return false
+	}
+	if now.SheetEpoch > 0 {
+		return true
+	}
+	first, fault := sheet.ParseSheet(r.cfg.FirstSheet, r.cfg.SheetMax)
+	if fault != nil {
+		r.events.Emit(events.OrderRefused, "order", firstSheet, "code", fault.Code, "detail", fault.Detail)
+		return true
+	}
+	order := sheet.Order{OrderID: firstSheet, Operator: firstSheet, AtMS: r.clock.Now().UnixMilli()}
+	bound, cancel := kernel.WithTimeout(ctx, 5*kernel.Second)
+	defer cancel()
+	_, result, err := r.Propose(bound, sheet.Encode(sheet.PutSheet{Order: order, Sheet: first}))
+	if err != nil {
+		return false
+	}
+	r.events.Emit(events.FirstSheetOffered, "core", r.cfg.Self, "epoch", result.Epoch, "code", result.Code)
+	return true
+}
+
+const firstSheet = "first-sheet"
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -8,9 +8,7 @@
 	"math/rand/v2"
 	"sync/atomic"
 
-	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"stepwick/internal/adapter/disklog"
 	"stepwick/internal/core/sheet"
@@ -18,7 +16,6 @@
 	"stepwick/internal/kernel"
 	"stepwick/internal/port"
 	"stepwick/internal/wire"
-	"stepwick/internal/wire/wireconnect"
 )
 
 // Config of a replica; zero fields take the defaults named.
@@ -110,18 +107,6 @@
 	salt      uint64      // of the disk lives that this process announces
 }
 
-// view is what is published: it is synced here, and never steps back.
-type view struct {
-	state     sheet.State
-	recent    []*wire.Chosen
-	standing  wire.Standing
-	formation string
-	voters    []string
-	life      uint64
-	waiting   string
-	changed   chan struct{}
-}
-
 // saltBound bounds the salt of disk lives, which then still grow for ever.
 const saltBound = 1 << 32
 
@@ -184,166 +169,6 @@
 	r.publish(next)
 }
 
-func (r *Replica) publish(next view) {
-	old := r.view.Load()
-	next.changed = make(chan struct{})
-	if next.state.Epoch < old.state.Epoch {
-		next.state, next.recent = old.state, old.recent
-	}
-	r.view.Store(&next)
-	close(old.changed)
-	if next.standing != old.standing {
-		r.events.Emit(events.StandingChanged, "core", r.cfg.Self, "standing", next.standing.String(), "waiting", next.waiting)
-	}
-}
-
-// Current returns the newest state that is applied and synced here.
-func (r *Replica) Current() sheet.State { return r.view.Load().state }
-
-// Changed returns a channel that is closed when a newer state or standing is
-// published. Take it before Current.
-func (r *Replica) Changed() <-chan struct{} { return r.view.Load().changed }
-
-// Learned returns the commands that Current holds after an epoch, oldest first;
-// whole is false when some of them are no longer kept, or the epoch is beyond
-// Current's.
-func (r *Replica) Learned(after uint64) (chosen []*wire.Chosen, whole bool) {
-	v := r.view.Load()
-	if after > v.state.Epoch {
-		return nil, false
-	}
-	missing := v.state.Epoch - after
-	if missing > uint64(len(v.recent)) {
-		return nil, false
-	}
-	return v.recent[uint64(len(v.recent))-missing:], true
-}
-
-// Standing is the core's place in the agreement; unspecified while its log is
-// closed.
-func (r *Replica) Standing() wire.Standing { return r.view.Load().standing }
-
-// Formation is the id of the formation that the core is in, or empty.
-func (r *Replica) Formation() string { return r.view.Load().formation }
-
-// Voters are the sorted names of the formation's cores.
-func (r *Replica) Voters() []string { return r.view.Load().voters }
-
-// Life is the core's disk life while it votes, zero otherwise.
-func (r *Replica) Life() uint64 { return r.view.Load().life }
-
-// Ready returns nil when the core votes, and else why it does not, as a fault
-// with CoreBlank, CoreAmnesiac, DiskFull or Internal.
-func (r *Replica) Ready() *kernel.Fault {
-	v := r.view.Load()
-	if v.standing == wire.Standing_STANDING_VOTING {
-		return nil
-	}
-	return kernel.Refuse(standingCode(v.standing), "%s", v.waiting)
-}
-
-func standingCode(standing wire.Standing) kernel.Code {
-	switch standing {
-	case wire.Standing_STANDING_VOTING:
-		return kernel.OK
-	case wire.Standing_STANDING_BLANK:
-		return kernel.CoreBlank
-	case wire.Standing_STANDING_AMNESIAC:
-		return kernel.CoreAmnesiac
-	case wire.Standing_STANDING_DISK_FULL:
-		return kernel.DiskFull
-	}
-	return kernel.Internal
-}
-
-// Found answers an invitation into a first formation.
-func (r *Replica) Found(ctx kernel.Context, req *wire.FoundRequest) (*wire.FoundResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.FoundResponse, error)) {
-		records, resp := o.state.Found(req)
-		if len(records) > 0 {
-			o.waiting = "joins the formation " + req.Formation
-		}
-		decided(o, records, toVote, resp, nil, reply)
-	})
-}
-
-// Prepare answers the opening of a ballot.
-func (r *Replica) Prepare(ctx kernel.Context, req *wire.PrepareRequest) (*wire.PrepareResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.PrepareResponse, error)) {
-		records, resp := o.state.Prepare(req)
-		o.noteFormation(req.From, resp.Refusal)
-		if !resp.Promised {
-			reply(resp, nil)
-			return
-		}
-		decided(o, records, toVote, resp, func(code kernel.Code) *wire.PrepareResponse {
-			return &wire.PrepareResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Refusal: uint32(code)}
-		}, reply)
-	})
-}
-
-// Accept answers a ballot's value.
-func (r *Replica) Accept(ctx kernel.Context, req *wire.AcceptRequest) (*wire.AcceptResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.AcceptResponse, error)) {
-		records, resp := o.state.Accept(req)
-		o.noteFormation(req.From, resp.Refusal)
-		if !resp.Accepted {
-			reply(resp, nil)
-			return
-		}
-		decided(o, records, toVote, resp, func(code kernel.Code) *wire.AcceptResponse {
-			return &wire.AcceptResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Refusal: uint32(code)}
-		}, reply)
-	})
-}
-
-// Learn takes chosen epochs in.
-func (r *Replica) Learn(ctx kernel.Context, req *wire.LearnRequest) (*wire.LearnResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.LearnResponse, error)) {
-		records, resp, behind := o.state.Learn(req)
-		if behind {
-			r.fallenBehind(req.From)
-		}
-		before := o.state.Learned()
-		decided(o, records, toLearn, resp, func(kernel.Code) *wire.LearnResponse { return &wire.LearnResponse{Learned: before} }, reply)
-	})
-}
-
-// Recover answers a core that rebuilds from an empty disk.
-func (r *Replica) Recover(ctx kernel.Context, req *wire.RecoverRequest) (*wire.RecoverResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.RecoverResponse, error)) {
-		records, resp := o.state.Recover(req)
-		if o.state.Life() != 0 && (req.Probe || !resp.Ok) {
-			reply(resp, nil)
-			return
-		}
-		if len(records) > 0 {
-			r.events.Emit(events.LifeRaised, "core", req.Core, "life", req.Life)
-		}
-		decided(o, records, toLive, resp, func(code kernel.Code) *wire.RecoverResponse {
-			return &wire.RecoverResponse{Core: resp.Core, Formation: resp.Formation, Voters: resp.Voters, Refusal: uint32(code)}
-		}, reply)
-	})
-}
-
-// Read tells how far the core has learned and accepted.
-func (r *Replica) Read(ctx kernel.Context, req *wire.ReadRequest) (*wire.ReadResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.ReadResponse, error)) { reply(o.state.Read(req), nil) })
-}
-
-// Fetch gives the epochs after a place, after a snapshot where those are no
-// longer kept.
-func (r *Replica) Fetch(ctx kernel.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
-	return ask(ctx, r, func(o *owner, reply func(*wire.FetchResponse, error)) {
-		resp, fault := o.state.Fetch(req)
-		if fault != nil {
-			reply(nil, fault)
-			return
-		}
-		reply(resp, nil)
-	})
-}
-
 // Propose has a command agreed. It returns once the command, or the same bytes
 // proposed through another core, is chosen; Current holds it then, unless this
 // core's disk is slow. Until then it tries slot after slot. When the context ends first, the fault's code says
@@ -427,51 +252,4 @@
 	}
 }
 
-// ask puts a question to the owner and waits for the answer.
-func ask[T any](ctx kernel.Context, r *Replica, question func(o *owner, reply func(T, error))) (T, error) {
-	type answer struct {
-		value T
-		err   error
-	}
-	var none T
-	o := r.owner.Load()
-	if o == nil {
-		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
-	}
-	answers := make(chan answer, 1)
-	asked := func(o *owner) { question(o, func(value T, err error) { answers <- answer{value, err} }) }
-	select {
-	case o.inbox <- asked:
-	case <-o.gone:
-		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
-	case <-ctx.Done():
-		return none, ctx.Err()
-	}
-	select {
-	case a := <-answers:
-		return a.value, a.err
-	case <-o.gone:
-		return none, kernel.Refuse(kernel.CoreUnreachable, "the core's log is closed")
-	case <-ctx.Done():
-		return none, ctx.Err()
-	}
-}
-
-// call reaches a voter: this core directly, others through the peers.
-func call[Q, A any](ctx kernel.Context, r *Replica, to string, req *Q, local func(kernel.Context, *Q) (*A, error),
-	far func(wireconnect.PeerClient, kernel.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
-	if to == r.cfg.Self {
-		return local(ctx, req)
-	}
-	process, known := r.peers.Process(to)
-	if !known {
-		return nil, errors.Errorf("core %s is not known here", to)
-	}
-	resp, err := far(r.peers.Client(process.Address), ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, err
-	}
-	return resp.Msg, nil
-}
-
 func (r *Replica) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(r.cfg.Seed, stream)) }
--- /dev/null
+++ b/internal/node/replica/votes.go
@@ -0,0 +1,95 @@
+package replica
+
+import (
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// Found answers an invitation into a first formation.
+func (r *Replica) Found(ctx kernel.Context, req *wire.FoundRequest) (*wire.FoundResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.FoundResponse, error)) {
+		records, resp := o.state.Found(req)
+		if len(records) > 0 {
+			o.waiting = "joins the formation " + req.Formation
+		}
+		decided(o, records, toVote, resp, nil, reply)
+	})
+}
+
+// Prepare answers the opening of a ballot.
+func (r *Replica) Prepare(ctx kernel.Context, req *wire.PrepareRequest) (*wire.PrepareResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.PrepareResponse, error)) {
+		records, resp := o.state.Prepare(req)
+		o.noteFormation(req.From, resp.Refusal)
+		if !resp.Promised {
+			reply(resp, nil)
+			return
+		}
+		decided(o, records, toVote, resp, func(code kernel.Code) *wire.PrepareResponse {
+			return &wire.PrepareResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Refusal: uint32(code)}
+		}, reply)
+	})
+}
+
+// Accept answers a ballot's value.
+func (r *Replica) Accept(ctx kernel.Context, req *wire.AcceptRequest) (*wire.AcceptResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.AcceptResponse, error)) {
+		records, resp := o.state.Accept(req)
+		o.noteFormation(req.From, resp.Refusal)
+		if !resp.Accepted {
+			reply(resp, nil)
+			return
+		}
+		decided(o, records, toVote, resp, func(code kernel.Code) *wire.AcceptResponse {
+			return &wire.AcceptResponse{Core: resp.Core, Learned: resp.Learned, Lives: resp.Lives, Refusal: uint32(code)}
+		}, reply)
+	})
+}
+
+// Learn takes chosen epochs in.
+func (r *Replica) Learn(ctx kernel.Context, req *wire.LearnRequest) (*wire.LearnResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.LearnResponse, error)) {
+		records, resp, behind := o.state.Learn(req)
+		if behind {
+			r.fallenBehind(req.From)
+		}
+		before := o.state.Learned()
+		decided(o, records, toLearn, resp, func(kernel.Code) *wire.LearnResponse { return &wire.LearnResponse{Learned: before} }, reply)
+	})
+}
+
+// Recover answers a core that rebuilds from an empty disk.
+func (r *Replica) Recover(ctx kernel.Context, req *wire.RecoverRequest) (*wire.RecoverResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.RecoverResponse, error)) {
+		records, resp := o.state.Recover(req)
+		if o.state.Life() != 0 && (req.Probe || !resp.Ok) {
+			reply(resp, nil)
+			return
+		}
+		if len(records) > 0 {
+			r.events.Emit(events.LifeRaised, "core", req.Core, "life", req.Life)
+		}
+		decided(o, records, toLive, resp, func(code kernel.Code) *wire.RecoverResponse {
+			return &wire.RecoverResponse{Core: resp.Core, Formation: resp.Formation, Voters: resp.Voters, Refusal: uint32(code)}
+		}, reply)
+	})
+}
+
+// Read tells how far the core has learned and accepted.
+func (r *Replica) Read(ctx kernel.Context, req *wire.ReadRequest) (*wire.ReadResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.ReadResponse, error)) { reply(o.state.Read(req), nil) })
+}
+
+// Fetch gives the epochs after a place, after a snapshot where those are no
+// longer kept.
+func (r *Replica) Fetch(ctx kernel.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	return ask(ctx, r, func(o *owner, reply func(*wire.FetchResponse, error)) {
+		resp, fault := o.state.Fetch(req)
+		if fault != nil {
+			reply(nil, fault)
+			return
+		}
+		reply(resp, nil)
+	})
+}
--- /dev/null
+++ b/internal/node/watch/list.go
@@ -0,0 +1,122 @@
+package watch
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"stepwick/internal/core/merge"
+	"stepwick/internal/events"
+	"stepwick/internal/kernel"
+	"stepwick/internal/port"
+	"stepwick/internal/wire"
+)
+
+func (w *Watcher) pollList(ctx kernel.Context) {
+	w.listing = true
+	at := w.fleetNow()
+	w.work(ctx, func() func() {
+		listing, err := w.source.List(ctx)
+		return func() {
+			w.listing = false
+			w.takeList(listing, err, at)
+		}
+	})
+}
+
+func (w *Watcher) takeList(listing port.Listing, err error, at kernel.Time) {
+	known := w.view().Servers
+	if err == nil && len(listing.Servers) == 0 && len(known) > 0 {
+		w.failed("the list is empty although servers are known")
+		return
+	}
+	if err != nil {
+		w.failed(err.Error())
+		return
+	}
+	if w.failing {
+		w.failing = false
+		w.log.Emit(events.PlatformBack)
+	}
+	for _, name := range slices.Sorted(maps.Keys(listing.Bad)) {
+		w.log.Emit(events.PlatformBadList, "server", name, "why", listing.Bad[name])
+	}
+	listed := map[string]bool{}
+	for _, status := range listing.Servers {
+		listed[status.Name] = true
+		delete(w.missing, status.Name)
+		if left := listing.Cold[status.Name]; left > 0 {
+			status.ColdUntilMs = at.Add(left).UnixMilli()
+		}
+		w.see(merge.Listed, status, at)
+	}
+	for name, status := range known {
+		if !listed[name] && listing.Bad[name] == "" {
+			w.unlisted(name, status, at)
+		}
+	}
+	for name := range w.missing {
+		if known[name] == nil {
+			delete(w.missing, name)
+		}
+	}
+	w.stand(at)
+}
+
+// stand tells the cores, at the pace of keep-alives, that what was reported of
+// the list still stands.
+func (w *Watcher) stand(at kernel.Time) {
+	now := w.clock.Now()
+	if now.Sub(w.stoodAt) < merge.KeepAlive(w.size) {
+		return
+	}
+	w.stoodAt, w.listedAt = now, at
+	var digest merge.Digest
+	for key, s := range w.sights {
+		if key.kind == merge.Listed {
+			digest.Add(s.report)
+		}
+	}
+	unchanged := &wire.Unchanged{Watcher: merge.Watcher(w.cfg.Self, merge.Listed), Incarnation: w.cfg.Incarnation,
+		Digest: uint64(digest), AtMs: at.UnixMilli()}
+	for _, p := range w.peers.Processes() {
+		if p.Core {
+			w.box(p.Name).unchanged = unchanged
+		}
+	}
+}
+
+// sendWhole has all listed sights reported to a core that does not hold them.
+func (w *Watcher) sendWhole(box *outbox) {
+	for key, s := range w.sights {
+		if !stands(key.kind, s.status()) || box.reports[waitingKey(s.report)] != nil {
+			continue
+		}
+		report := proto.Clone(s.report).(*wire.Report)
+		report.AtMs = max(report.AtMs, w.listedAt.UnixMilli())
+		box.reports[waitingKey(report)] = report
+	}
+}
+
+// unlisted takes a server as gone once two lists in a row lack it, and says so
+// for a while only, so that every process can forget it.
+func (w *Watcher) unlisted(name string, status *wire.ServerStatus, at kernel.Time) {
+	w.missing[name]++
+	if w.missing[name] < 2 {
+		return
+	}
+	gone := &wire.ServerStatus{Name: name, Address: status.Address, Kind: status.Kind, Services: status.Services,
+		Region: status.Region, Zone: status.Zone, State: wire.ServerState_SERVER_STATE_GONE}
+	if s := w.sights[sightKey{name, merge.Listed}]; s != nil && proto.Equal(s.status(), gone) && w.clock.Now().Sub(s.since) > goneFor {
+		return
+	}
+	w.see(merge.Listed, gone, at)
+}
+
+func (w *Watcher) failed(why string) {
+	if !w.failing {
+		w.failing = true
+		w.log.Emit(events.PlatformSilent, "why", why)
+	}
+}
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -4,19 +4,12 @@
 package settings
 
 import (
-	"encoding/hex"
 	"math"
-	"net"
-	"net/netip"
-	"net/url"
-	"sort"
 	"strconv"
 	"strings"
-	"unicode"
 
 	"github.com/pkg/errors"
 
-	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 )
 
@@ -276,164 +269,6 @@
 	return int(n << shift), nil
 }
 
-func checkName(value any) error {
-	name := value.(string)
-	if name == "" || len(name) > 64 {
-		return errors.New("must have 1 to 64 characters")
-	}
-	for _, r := range name {
-		if r > unicode.MaxASCII || !(unicode.IsLetter(r) || unicode.IsDigit(r) || strings.ContainsRune("-_.", r)) {
-			return errors.Errorf("%q is not a letter, digit, '-', '_' or '.'", r)
-		}
-	}
-	return nil
-}
-
-func checkPlace(value any) error {
-	if !sheet.ValidName(value.(string)) {
-		return errors.Errorf("%q is not a name of letters, digits, '-' and '_' as sheets have them", value)
-	}
-	return nil
-}
-
-func checkAddress(value any) error {
-	if _, err := netip.ParseAddrPort(value.(string)); err != nil {
-		return errors.Errorf("%q is not an address IP:PORT", value)
-	}
-	return nil
-}
-
-func checkAdvertised(value any) error {
-	if err := checkAddress(value); err != nil {
-		return err
-	}
-	if netip.MustParseAddrPort(value.(string)).Addr().IsUnspecified() {
-		return errors.Errorf("%q is a wildcard: others can't dial it", value)
-	}
-	return nil
-}
-
-func checkAddresses(value any) error {
-	for _, address := range value.([]string) {
-		if err := checkAdvertised(address); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func checkIP(value any) error {
-	if net.ParseIP(value.(string)) == nil {
-		return errors.Errorf("%q is not an IP address", value)
-	}
-	return nil
-}
-
-func checkURL(value any) error {
-	u, err := url.Parse(value.(string))
-	if err != nil || u.Scheme != "http" || u.Host == "" {
-		return errors.Errorf("%q is not a URL such as http://10.0.0.9:8500/servers", value)
-	}
-	return nil
-}
-
-func checkOperatorKeys(value any) error {
-	seen := map[string]bool{}
-	for i, entry := range value.([]string) {
-		name, hash, ok := strings.Cut(entry, ":")
-		sum, err := hex.DecodeString(hash)
-		if !ok || err != nil || len(sum) != 32 {
-			return errors.Errorf("entry %d is not NAME:SHA256HEX", i+1)
-		}
-		if err := checkName(name); err != nil {
-			return errors.Wrapf(err, "entry %d", i+1)
-		}
-		if seen[hash] {
-			return errors.Errorf("entry %d has the key of another operator", i+1)
-		}
-		seen[hash] = true
-	}
-	return nil
-}
-
-func atLeastLong(n int) func(any) error {
-	return func(value any) error {
-		if text := value.(string); len(text) < n && !strings.HasPrefix(text, "@") {
-			return errors.Errorf("must have at least %d characters", n)
-		}
-		return nil
-	}
-}
-
-func atLeast(low int) func(any) error {
-	return func(value any) error {
-		if value.(int) < low {
-			return errors.Errorf("%d is under %d", value, low)
-		}
-		return nil
-	}
-}
-
-func counted(low, high int) func(any) error {
-	return func(value any) error {
-		if n := value.(int); n < low || n > high {
-			return errors.Errorf("%d is not within %d to %d", n, low, high)
-		}
-		return nil
-	}
-}
-
-func sized(low, high int) func(any) error {
-	return func(value any) error {
-		if n := value.(int); n < low || n > high {
-			return errors.Errorf("%s is not within %s to %s", FormatSize(n), FormatSize(low), FormatSize(high))
-		}
-		return nil
-	}
-}
-
-func between(low, high float64) func(any) error {
-	return func(value any) error {
-		if f := value.(float64); !(f >= low && f <= high) {
-			if low == math.SmallestNonzeroFloat64 {
-				return errors.Errorf("%g is not above 0 and at most %g", f, high)
-			}
-			return errors.Errorf("%g is not within %g to %g", f, low, high)
-		}
-		return nil
-	}
-}
-
-func within(low, high kernel.Duration) func(any) error {
-	return func(value any) error {
-		if d := value.(kernel.Duration); d < low || d > high {
-			return errors.Errorf("%s is not within %s to %s", d, low, high)
-		}
-		return nil
-	}
-}
-
-func oneOf(words ...string) func(any) error {
-	return func(value any) error {
-		for _, word := range words {
-			if value == word {
-				return nil
-			}
-		}
-		return errors.Errorf("%q is none of %s", value, strings.Join(words, ", "))
-	}
-}
-
-func oneOfInts(numbers ...int) func(any) error {
-	return func(value any) error {
-		i := sort.SearchInts(numbers, value.(int))
-		if i == len(numbers) || numbers[i] != value {
-			return errors.Errorf("%d is none of %v", value, numbers)
-		}
-		return nil
-	}
-}
-
 // FormatSize writes a number of bytes with the largest unit that divides it.
 func FormatSize(n int) string {
 	for _, unit := range []struct {
