--- a/internal/adapter/disklog/log_test.go
+++ b/internal/adapter/disklog/log_test.go
@@ -489,6 +489,17 @@
 	})
 }
 
+func TestSnapshotRightAfterAnother(t *testing.T) {
+	Convey("A snapshot is taken at once after another whose end was told, and not beside one", t, func() {
+		l, _ := open(t, Config{Folder: t.TempDir(), Disk: unsynced{System()}})
+		defer shutdown(l)
+		put(t, l, 0, 1)
+		for next := range 2000 {
+			So(<-l.Snapshot(fmt.Appendf(nil, "%d", next)), ShouldBeNil)
+		}
+	})
+}
+
 func TestAnyHistoryReplays(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		folder, err := os.MkdirTemp(t.TempDir(), "log")
--- a/internal/adapter/disklog/writer.go
+++ b/internal/adapter/disklog/writer.go
@@ -60,9 +60,7 @@
 			w.room()
 		case left := <-w.snapping:
 			snapping = false
-			w.closed = append(left.segments, w.closed...)
-			w.kept = left.snapshots
-			w.room()
+			w.snapped(left)
 		case e := <-w.in:
 			batch, marker := w.gather(e)
 			if len(batch) > 0 {
@@ -74,6 +72,12 @@
 			if marker == nil {
 				continue
 			}
+			select {
+			case left := <-w.snapping: // its end was told before it was taken in
+				snapping = false
+				w.snapped(left)
+			default:
+			}
 			if snapping {
 				marker.done <- kernel.Refuse(kernel.CoreUnreachable, "another snapshot is being written")
 				continue
@@ -88,6 +92,13 @@
 	}
 }
 
+// snapped takes in what a snapshot that has ended left in the folder.
+func (w *writer) snapped(left covered) {
+	w.closed = append(left.segments, w.closed...)
+	w.kept = left.snapshots
+	w.room()
+}
+
 // gather takes what else has arrived, up to a snapshot or about 1 MiB.
 func (w *writer) gather(e entry) (batch []entry, marker *entry) {
 	size := 0
@@ -200,9 +211,9 @@
 	}
 	size := snapshotHead + int64(len(marker.snapshot))
 	if w.cfg.Quota > 0 && w.used.Load()+size > w.cfg.Quota {
-		marker.done <- kernel.Refuse(kernel.DiskFull, "a snapshot of %d bytes beside %d bytes used", size, w.used.Load())
 		w.snapping <- covered{segments: w.closed, snapshots: w.kept}
 		w.closed = nil
+		marker.done <- kernel.Refuse(kernel.DiskFull, "a snapshot of %d bytes beside %d bytes used", size, w.used.Load())
 		return nil
 	}
 	if w.full.Load() {
