--- a/cmd/rig/prove/mix.go
+++ b/cmd/rig/prove/mix.go
@@ -15,8 +15,6 @@
 	do   func(s *Stage) (mend func() error)
 }
 
-func nothing() error { return nil }
-
 var troubles = []trouble{
 	{"kill a front", func(s *Stage) func() error { n := s.frontOnly(); n.Kill(); return n.Start }},
 	{"kill a core", func(s *Stage) func() error { n := s.core(); n.Kill(); return n.Start }},
--- a/cmd/rig/relay/relay.go
+++ b/cmd/rig/relay/relay.go
@@ -216,7 +216,11 @@
 	ends := make(chan bool, 2)
 	go r.pump(ctx, near, far, from, r.Name, ends)
 	go r.pump(ctx, far, near, r.Name, from, ends)
-	if !<-ends || !<-ends {
+	whole := <-ends
+	if whole {
+		whole = <-ends
+	}
+	if !whole {
 		cancel()
 		reset(near)
 		reset(far)
--- a/cmd/rig/standin/model.go
+++ b/cmd/rig/standin/model.go
@@ -62,19 +62,18 @@
 }
 
 type job struct {
-	run      ledger.Run
-	request  string
-	prefix   string
-	weight   int
-	prefill  float64
-	left     int
-	sent     int
-	credit   float64
-	out      chan frame
-	gone     <-chan struct{}
-	fault    string
-	faultAt  int
-	admitted bool
+	run     ledger.Run
+	request string
+	prefix  string
+	weight  int
+	prefill float64
+	left    int
+	sent    int
+	credit  float64
+	out     chan frame
+	gone    <-chan struct{}
+	fault   string
+	faultAt int
 }
 
 type cached struct {
--- a/internal/adapter/backend/backend_test.go
+++ b/internal/adapter/backend/backend_test.go
@@ -255,7 +255,7 @@
 			server := newStandIn(t, func(conn *net.TCPConn, _ *http.Request) {
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(row.events), row.events)
 			})
-			passed, failure := generate(newClient(t, Config{EventMax: 2000}), context.Background(), attemptAt(server.address))
+			passed, failure := generate(context.Background(), newClient(t, Config{EventMax: 2000}), attemptAt(server.address))
 			So(len(passed), ShouldEqual, row.passed)
 			if row.kind == "" {
 				So(failure, ShouldBeNil)
@@ -280,14 +280,14 @@
 	for _, row := range heads {
 		Convey("A server that answers a prompt with "+row.name, t, func() {
 			server := newStandIn(t, raw(row.answer))
-			passed, failure := generate(newClient(t, Config{}), context.Background(), attemptAt(server.address))
+			passed, failure := generate(context.Background(), newClient(t, Config{}), attemptAt(server.address))
 			So(passed, ShouldBeEmpty)
 			So(failure.Kind, ShouldEqual, row.kind)
 		})
 	}
 }
 
-func generate(client *Client, ctx context.Context, attempt *Attempt) (passed []Event, failure *Failure) {
+func generate(ctx context.Context, client *Client, attempt *Attempt) (passed []Event, failure *Failure) {
 	queue := stage.NewQueue[Event](2)
 	go client.Generate(ctx, attempt, &Prompt{Service: "chat", MaxTokens: 5}, queue)
 	for event := range queue.Items() {
@@ -333,7 +333,7 @@
 					hold(conn)
 				})})
 				began := time.Now()
-				passed, failure := generate(client, context.Background(), attemptAt("server:1"))
+				passed, failure := generate(context.Background(), client, attemptAt("server:1"))
 				if len(passed) != row.passed || failure == nil || failure.Kind != Dark || time.Since(began) != row.after {
 					t.Errorf("passed %d events, then %v after %s", len(passed), failure, time.Since(began))
 				}
--- a/internal/core/sheet/command.go
+++ b/internal/core/sheet/command.go
@@ -72,14 +72,14 @@
 	AtMS int64 `json:"at_ms,omitempty"`
 }
 
-// The commands. PutSheet replaces the sheet; PatchSheet changes some cells.
-// Evacuate empties a region or locality and Restore takes it back; both are
-// harmless when repeated.
+// The commands.
 type (
+	// PutSheet replaces the sheet.
 	PutSheet struct {
 		Order
 		Sheet *Sheet `json:"sheet"`
 	}
+	// PatchSheet changes some cells of the sheet.
 	PatchSheet struct {
 		Order
 		Changes []Change `json:"changes"`
@@ -91,10 +91,14 @@
 		Upsert *Sheet  `json:"upsert,omitempty"`
 		Remove Removal `json:"remove"`
 	}
+	// Evacuate empties a region, or a zone as region/zone. It is harmless when
+	// repeated.
 	Evacuate struct {
 		Order
 		Locality string `json:"locality"`
 	}
+	// Restore takes a region or zone back that was evacuated. It is harmless
+	// when repeated.
 	Restore struct {
 		Order
 		Locality string `json:"locality"`
@@ -129,16 +133,35 @@
 	Noop struct{}
 )
 
-func (PutSheet) Verb() string      { return VerbPut }
-func (PatchSheet) Verb() string    { return VerbPatch }
-func (MergeSheet) Verb() string    { return VerbMerge }
-func (Evacuate) Verb() string      { return VerbEvacuate }
-func (Restore) Verb() string       { return VerbRestore }
-func (AddMembers) Verb() string    { return VerbAdd }
+// Verb implements Command.
+func (PutSheet) Verb() string { return VerbPut }
+
+// Verb implements Command.
+func (PatchSheet) Verb() string { return VerbPatch }
+
+// Verb implements Command.
+func (MergeSheet) Verb() string { return VerbMerge }
+
+// Verb implements Command.
+func (Evacuate) Verb() string { return VerbEvacuate }
+
+// Verb implements Command.
+func (Restore) Verb() string { return VerbRestore }
+
+// Verb implements Command.
+func (AddMembers) Verb() string { return VerbAdd }
+
+// Verb implements Command.
 func (RemoveMembers) Verb() string { return VerbRemove }
-func (SettleRoster) Verb() string  { return VerbSettle }
-func (TakeDuty) Verb() string      { return VerbDuty }
-func (Noop) Verb() string          { return VerbNoop }
+
+// Verb implements Command.
+func (SettleRoster) Verb() string { return VerbSettle }
+
+// Verb implements Command.
+func (TakeDuty) Verb() string { return VerbDuty }
+
+// Verb implements Command.
+func (Noop) Verb() string { return VerbNoop }
 
 // Apply replaces the sheet if the base still stands.
 func (c PutSheet) Apply(s State, epoch uint64) (State, Result) {
--- a/internal/kernel/context.go
+++ b/internal/kernel/context.go
@@ -2,10 +2,11 @@
 
 import "context"
 
-// Context is the standard library's context; Cancel its cancel function.
 type (
+	// Context is the standard library's context.
 	Context = context.Context
-	Cancel  = context.CancelFunc
+	// Cancel ends a context.
+	Cancel = context.CancelFunc
 )
 
 // Background returns the root context.
--- a/internal/kernel/time.go
+++ b/internal/kernel/time.go
@@ -5,9 +5,10 @@
 
 import "time"
 
-// Time is the standard library's instant; Duration its span.
 type (
-	Time     = time.Time
+	// Time is the standard library's instant.
+	Time = time.Time
+	// Duration is the standard library's span of time.
 	Duration = time.Duration
 )
 
--- a/internal/node/core/plan_test.go
+++ b/internal/node/core/plan_test.go
@@ -9,8 +9,8 @@
 )
 
 func TestPlansThatRepeat(t *testing.T) {
-	plan := func(term, number uint64, cap uint32) *wire.Plan {
-		return &wire.Plan{Term: term, Number: number, Caps: []*wire.Cap{{Server: "m1", InFlight: cap}}}
+	plan := func(term, number uint64, inFlight uint32) *wire.Plan {
+		return &wire.Plan{Term: term, Number: number, Caps: []*wire.Cap{{Server: "m1", InFlight: inFlight}}}
 	}
 	Convey("A plan with the shares and caps of the one before is fed without them, and names the first that had them", t, func() {
 		first, fed := repeating(nil, plan(1, 1, 4))
--- a/internal/node/follow/time_test.go
+++ b/internal/node/follow/time_test.go
@@ -57,7 +57,7 @@
 			t.Error("one clock, which is wrong, is decided by")
 		}
 		<-time.After(300 * time.Millisecond)
-		if off := f.FleetNow().Sub(time.Now()); !f.Timed() || off > time.Second || off < -time.Second {
+		if off := time.Until(f.FleetNow()); !f.Timed() || off > time.Second || off < -time.Second {
 			t.Errorf("with every clock known: timed %v, off by %s", f.Timed(), off)
 		}
 		cancel()
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -43,7 +43,6 @@
 	first   bool // not asked for before, so that it counts as a client's request
 	given   chan assignment
 	attempt *balance.Attempt
-	left    bool
 }
 
 // assignment is a server for one attempt, or the fault that there is none.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -151,10 +151,9 @@
 // inspector answers questions about this process, or finds the process that
 // can.
 type inspector struct {
-	name   string
-	peers  port.Peers
-	orders *relay
-	own    map[string]func(argument string) (any, bool)
+	name  string
+	peers port.Peers
+	own   map[string]func(argument string) (any, bool)
 }
 
 // local answers from this process alone.
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -142,7 +142,7 @@
 	from, to string
 }
 
-func reach[Q, A any](c client, ctx context.Context, req *connect.Request[Q], handler func(*Replica) func(kernel.Context, *Q) (*A, error)) (*connect.Response[A], error) {
+func reach[Q, A any](ctx context.Context, c client, req *connect.Request[Q], handler func(*Replica) func(kernel.Context, *Q) (*A, error)) (*connect.Response[A], error) {
 	if c.f.cut[c.from].Load() || c.f.cut[c.to].Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -159,34 +159,34 @@
 }
 
 func (c client) Found(ctx context.Context, q *connect.Request[wire.FoundRequest]) (*connect.Response[wire.FoundResponse], error) {
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.FoundRequest) (*wire.FoundResponse, error) { return r.Found })
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.FoundRequest) (*wire.FoundResponse, error) { return r.Found })
 }
 func (c client) Prepare(ctx context.Context, q *connect.Request[wire.PrepareRequest]) (*connect.Response[wire.PrepareResponse], error) {
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.PrepareRequest) (*wire.PrepareResponse, error) {
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.PrepareRequest) (*wire.PrepareResponse, error) {
 		return r.Prepare
 	})
 }
 func (c client) Accept(ctx context.Context, q *connect.Request[wire.AcceptRequest]) (*connect.Response[wire.AcceptResponse], error) {
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.AcceptRequest) (*wire.AcceptResponse, error) {
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.AcceptRequest) (*wire.AcceptResponse, error) {
 		return r.Accept
 	})
 }
 func (c client) Learn(ctx context.Context, q *connect.Request[wire.LearnRequest]) (*connect.Response[wire.LearnResponse], error) {
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.LearnRequest) (*wire.LearnResponse, error) { return r.Learn })
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.LearnRequest) (*wire.LearnResponse, error) { return r.Learn })
 }
 func (c client) Recover(ctx context.Context, q *connect.Request[wire.RecoverRequest]) (*connect.Response[wire.RecoverResponse], error) {
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.RecoverRequest) (*wire.RecoverResponse, error) {
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.RecoverRequest) (*wire.RecoverResponse, error) {
 		return r.Recover
 	})
 }
 func (c client) Read(ctx context.Context, q *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error) {
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.ReadRequest) (*wire.ReadResponse, error) { return r.Read })
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.ReadRequest) (*wire.ReadResponse, error) { return r.Read })
 }
 func (c client) Fetch(ctx context.Context, q *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
 	if c.to == "front" {
 		return connect.NewResponse(c.f.front), nil
 	}
-	return reach(c, ctx, q, func(r *Replica) func(kernel.Context, *wire.FetchRequest) (*wire.FetchResponse, error) { return r.Fetch })
+	return reach(ctx, c, q, func(r *Replica) func(kernel.Context, *wire.FetchRequest) (*wire.FetchResponse, error) { return r.Fetch })
 }
 
 func evacuate(id string) []byte {
--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -1,3 +1,5 @@
+// Package wire holds the messages that stepwick's processes say to each other,
+// generated from wire.proto, and the shorter form of some on their way.
 package wire
 
 import "math"
--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -45,7 +45,6 @@
 	folder string
 	nodes  []*member
 	client *http.Client
-	served map[string]string
 }
 
 type member struct {
--- a/sim/tally/fleet.go
+++ b/sim/tally/fleet.go
@@ -78,15 +78,15 @@
 
 type run struct {
 	Fleet
-	random           *rand.Rand
-	now              kernel.Duration
-	queue            queue
-	order            int
-	fronts           []*front
-	names            []string
-	limit            float64
-	requests         []Request
-	exchanges, bytes int
+	random    *rand.Rand
+	now       kernel.Duration
+	queue     queue
+	order     int
+	fronts    []*front
+	names     []string
+	limit     float64
+	requests  []Request
+	exchanges int
 }
 
 const tenant = "press"
