Follow the feed of a core of the own region first, and let a standby look less often

Change: a front that starts waits 150 ms for a core of its region to answer; a core whose feed failed goes last. A standby looks each 0.5 s while all cores of the formation answer. Tests: follow (own region first though others answer sooner; another when that one is down or feeds nothing).

--- a/internal/node/follow/feed.go
+++ b/internal/node/follow/feed.go
@@ -44,7 +44,7 @@
 		f.post(func() {
 			f.feed.open = false
 			if err != nil {
-				f.feed = place{}
+				f.feed, f.unfed = place{}, core.Name
 				f.log.Emit(events.FeedBehind, "core", core.Name, "error", err)
 				return
 			}
@@ -58,14 +58,44 @@
 
 // choose stays with the core that is followed; otherwise one of those that
 // renew, or at the start at least answer, comes next, in an order of this
-// front's own so that fronts spread.
+// front's own so that fronts spread. Cores of the own region go first, as the
+// feed's bytes are many, and the one whose feed has just failed goes last.
 func (f *Follower) choose(now kernel.Time) (*wire.Process, bool) {
 	if f.feed.core != "" {
 		if p, ok := f.peers.Process(f.feed.core); ok {
 			return p, true
 		}
 	}
-	cores := f.cores()
+	others := slices.DeleteFunc(f.cores(), func(core *wire.Process) bool { return core.Name == f.unfed })
+	near := f.near(others, now)
+	if core, ok := f.chooseOf(near, now); ok {
+		return core, true
+	}
+	if len(near) > 0 && now.Sub(f.begun) < nearFirst {
+		return nil, false
+	}
+	if core, ok := f.chooseOf(others, now); ok {
+		return core, true
+	}
+	return f.chooseOf(f.cores(), now)
+}
+
+// nearFirst is how long a process that starts waits for a core of its region.
+const nearFirst = 150 * kernel.Millisecond
+
+// near returns the cores of the own region, without those that have renewed
+// once but not of late.
+func (f *Follower) near(cores []*wire.Process, now kernel.Time) []*wire.Process {
+	region := f.config.Self().Region
+	return slices.DeleteFunc(slices.Clone(cores), func(core *wire.Process) bool {
+		renewed := f.holder.RenewedAt(core.Name)
+		return core.Region != region || !renewed.IsZero() && now.Sub(renewed) > f.config.CoreStaleFor
+	})
+}
+
+// chooseOf returns the core of some that renewed last or, while none has, one
+// that has answered.
+func (f *Follower) chooseOf(cores []*wire.Process, now kernel.Time) (*wire.Process, bool) {
 	if len(cores) == 0 {
 		return nil, false
 	}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -81,6 +81,7 @@
 	again    map[string]bool
 	recorded map[string]*wire.Process // own record as each core last answered it
 	behind   map[string]uint64
+	unfed    string // the core whose feed failed last
 	fetching bool
 	feed     place
 	ruling   bool
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -28,6 +28,7 @@
 const (
 	placeFile  = "place" // in the data folder: the name that this core took
 	placeLook  = 100 * kernel.Millisecond
+	placeRest  = 500 * kernel.Millisecond // between two looks while every core of the formation answers
 	placeCall  = 400 * kernel.Millisecond
 	placeAlone = 2 * kernel.Second // without a word of a formation after which a core starts under its own name
 )
@@ -95,10 +96,14 @@
 			told = true
 			c.log.Emit(events.PlaceSought, "core", c.own, "voters", strings.Join(voters, " "))
 		}
+		wait := placeLook
+		if len(voters) > 0 && len(c.silent) == 0 {
+			wait = placeRest
+		}
 		select {
 		case <-ctx.Done():
 			return "", ctx.Err()
-		case <-c.clock.After(placeLook):
+		case <-c.clock.After(wait):
 		}
 	}
 }
