Check and show a core's data folder without a running core: stepwick data check|show

The running core replays by the same functions. Tests: an approved transcript (whole, torn end twice, a bad record, no folder, unnamed). docs/OPERATING.md says when, and never to start a core on an older copy.

--- /dev/null
+++ b/internal/cli/data_test.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"stepwick/internal/adapter/disklog"
+	"stepwick/internal/core/ballot"
+	"stepwick/internal/core/sheet"
+)
+
+// keep writes a core's data folder as a running core does: a formation of
+// three, a sheet, and a vote without an outcome.
+func keep(t *testing.T, folder string) {
+	t.Helper()
+	first, fault := sheet.ParseSheet([]byte(firstSheet), 1<<20)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	put := sheet.Encode(sheet.PutSheet{Order: sheet.Order{OrderID: "first", Operator: "ada", AtMS: 1}, Sheet: first})
+	records := []ballot.Record{
+		ballot.Joined{Formation: "core-1-f", Voters: []string{"core-1", "core-2", "core-3"}},
+		ballot.Entered{Lives: map[string]uint64{"core-1": 1, "core-2": 1, "core-3": 1}},
+		ballot.Learned{Epoch: 1, Command: put},
+		ballot.Accepted{Slot: 2, Ballot: ballot.Ballot{Number: 4, Core: "core-2"}, Value: []byte("open")},
+	}
+	log, _, err := disklog.Open(disklog.Config{Folder: folder, ReserveBytes: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	for _, record := range records {
+		place, err := log.Append([][]byte{ballot.EncodeRecord(record)}, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for synced := uint64(0); synced < place; {
+			synced = <-log.Synced()
+		}
+	}
+}
+
+// alter changes the bytes of the folder's only segment.
+func alter(t *testing.T, folder string, change func([]byte) []byte) {
+	t.Helper()
+	found, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil || len(found) != 1 {
+		t.Fatalf("%d segments: %v", len(found), err)
+	}
+	data, err := os.ReadFile(found[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(found[0], change(data), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestDataFolder(t *testing.T) {
+	check := approved(t)
+	s := newSession(t, nil, 0)
+	keep(t, "core-1")
+	s.run("data", "check", "core-1", "--name", "core-1")
+	s.run("data", "show", "core-1", "--name", "core-1")
+	s.run("data", "show", "core-1", "--name", "core-1", "-o", "json")
+	s.run("data", "show", "core-1", "--name", "core-1", "--sheet")
+	s.run("data", "check", "core-1")
+	alter(t, "core-1", func(data []byte) []byte { return append(data, 1, 2, 3) })
+	s.run("data", "check", "core-1", "--name", "core-1")
+	s.run("data", "check", "core-1", "--name", "core-1")
+	alter(t, "core-1", func(data []byte) []byte { data[40] ^= 1; return data })
+	s.run("data", "check", "core-1", "--name", "core-1")
+	s.run("data", "check", "core-2")
+	s.run("data", "show", "--help")
+	check("data", s)
+}
--- a/internal/node/replica/owner.go
+++ b/internal/node/replica/owner.go
@@ -74,18 +74,7 @@
 }
 
 func (o *owner) replay(replay Replay) error {
-	o.state = ballot.Blank(o.r.cfg.Self)
-	if replay.Snapshot != nil {
-		state, err := ballot.Decode(replay.Snapshot)
-		if err != nil {
-			return errors.Wrap(err, "the log's snapshot")
-		}
-		if state.Self != o.r.cfg.Self {
-			return kernel.Refuse(kernel.WrongFormation, "the data folder is core %s's", state.Self)
-		}
-		o.state = state
-	}
-	state, err := ballot.Replay(o.state, replay.Records)
+	state, err := stateOf(replay, o.r.cfg.Self)
 	if err != nil {
 		return err
 	}
