--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -40,7 +40,7 @@
 	s.run("sheet", "patch", "--set", "weights.chat.lagos=30", "--set", "weights.chat.abeokuta=70", "--dry-run")
 	s.run("sheet", "patch", "--set", "weights.chat.lagos=30", "--set", "weights.chat.abeokuta=70")
 	s.run("sheet", "patch", "--set", "tenants.press.rate=1200", "--base", "17", "--order-id", "late")
-	s.run("sheet", "patch", "--set", "weights.chat.lagos=-1", "--set", "settings.grant.ttl=1s", "--set", "settings.route.pending=512")
+	s.run("sheet", "patch", "--set", "weights.chat.lagos=-1", "--set", "settings.lease.ttl=1s", "--set", "settings.route.pending=512")
 	s.run("sheet", "patch", "--set", "settings.route.pending=512", "-q")
 	s.run("sheet", "patch", "--delete", "tenants.radio")
 	s.run("sheet", "patch")
@@ -209,15 +209,15 @@
 	})
 }
 
-const statusBody = `{"code":0,"node":{"name":"front-2","locality":"abeokuta/a","epoch":21,"sheet_epoch":20,"ruling":true,"by":"grant",
+const statusBody = `{"code":0,"node":{"name":"front-2","locality":"abeokuta/a","epoch":21,"sheet_epoch":20,"ruling":true,"by":"lease",
 "plan":44,"plan_term":2,"servers":{"m1":"ready","m2":"ready","m3":"draining"},"roster":["core-1","front-2"],"fronts":["core-1"],
 "fleet_time_ms":1790000000000,"ready":true,"role":"front","processes":[
 {"name":"core-1","locality":"lagos/a","address":"10.0.0.1:8081","caller":"10.0.0.1:8080","core":true,"standing":"voting","ready":true},
 {"name":"front-2","locality":"abeokuta/a","address":"10.0.0.2:8081","caller":"10.0.0.2:8080","core":false,"ready":false}]},
-"fleet":{"by":"core-1","epoch":21,"sheet_epoch":20,"in_force":false,"waiting":"grants of front-2","confirmed":1,"roster":2,
+"fleet":{"by":"core-1","epoch":21,"sheet_epoch":20,"in_force":false,"waiting":"leases of front-2","confirmed":1,"roster":2,
 "roster_epoch":3,"roster_settled":true,"evacuated":{"lagos/b":21},"cores":[
-{"name":"core-1","standing":"voting","answered":true,"learned":21,"settled":true,"grants":2},
-{"name":"core-2","standing":"amnesiac","answered":false,"learned":0,"settled":false,"grants":0}],
+{"name":"core-1","standing":"voting","answered":true,"learned":21,"settled":true,"leases":2},
+{"name":"core-2","standing":"amnesiac","answered":false,"learned":0,"settled":false,"leases":0}],
 "members":[{"name":"core-1","locality":"lagos/a","core":true,"front":true,"confirmed":true,"granted":true,"gone":false},
 {"name":"front-2","locality":"abeokuta/a","core":false,"front":true,"confirmed":false,"granted":true,"gone":false}],
 "duties":{"planner":{"term":2,"holder":"core-1"}},
@@ -249,7 +249,7 @@
 	s.run("tally", "radio")
 	s.run("explain", "r1")
 	s.run("explain", "r2")
-	fleet.bodies["status"] = `{"code":0,"node":{"name":"front-2","locality":"abeokuta/a","role":"front","ruling":false,"cause":"2006 not_ruling: no grant",
+	fleet.bodies["status"] = `{"code":0,"node":{"name":"front-2","locality":"abeokuta/a","role":"front","ruling":false,"cause":"2006 not_ruling: no lease",
 "servers":{},"processes":[{"name":"front-2","locality":"abeokuta/a","caller":"10.0.0.2:8080","core":false,"ready":false}]},
 "fleet_fault":{"code":5005,"name":"core_unreachable","detail":"3 of 3 cores known, none could be reached","retry":"same"}}`
 	s.run("status")
--- a/internal/cli/docs.go
+++ b/internal/cli/docs.go
@@ -107,7 +107,7 @@
 keys of the event's own. Numbers never change meaning. Each event is bounded to %d lines at once and %d a second after
 that; what is left out is counted by event 1008. Keys and key hashes are never logged.
 
-1xxx concern the process, 2xxx membership, grants and the feed, 3xxx agreement, cores and disks, 4xxx operators' orders,
+1xxx concern the process, 2xxx membership, leases and the feed, 3xxx agreement, cores and disks, 4xxx operators' orders,
 5xxx servers, watchers and plans, 6xxx calls, 7xxx the tally.
 
 | Event | Name | Level | Meaning | What it asks for |
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -42,7 +42,7 @@
 		Answered bool   `json:"answered"`
 		Learned  uint64 `json:"learned"`
 		Settled  bool   `json:"settled"`
-		Grants   int    `json:"grants"`
+		Leases   int    `json:"leases"`
 	} `json:"cores"`
 	Members []member              `json:"members"`
 	Duties  map[string]sheet.Duty `json:"duties"`
@@ -96,14 +96,14 @@
 	var wait kernel.Duration
 	command := &cobra.Command{
 		Use:   "status",
-		Short: "Show nodes, epochs, grants, roster, servers, plan, evacuations and tenants",
-		Long: `Show the fleet as one core sees it (cores, roster, grants, epochs, duties,
+		Short: "Show nodes, epochs, leases, roster, servers, plan, evacuations and tenants",
+		Long: `Show the fleet as one core sees it (cores, roster, leases, epochs, duties,
 evacuations, plan) and as the asked node sees it (processes, servers, whether it
 rules, the spend of the tenants that it serves). It is no read-back: use "sheet
 get" for that.
 
 With --wait it asks again until the newest epoch is in force, there is a plan,
-every core votes, and every member of the roster has its grant and is ready. If
+every core votes, and every member of the roster has its lease and is ready. If
 that isn't so by then, it prints what it saw and ends with the exit code for "try
 later".`,
 		Example: "  stepwick status\n  stepwick status --wait 30s\n  stepwick status --node 10.0.0.2:8080 -o json",
@@ -245,9 +245,9 @@
 		fmt.Fprintf(a.Out, "evacuated: %s, since epoch %d\n", locality, f.Evacuated[locality])
 	}
 	fmt.Fprintln(a.Out)
-	t := a.table("CORE", "STANDING", "ANSWERS", "LEARNED", "GRANTS")
+	t := a.table("CORE", "STANDING", "ANSWERS", "LEARNED", "LEASES")
 	for _, c := range f.Cores {
-		t.row(c.Name, c.Standing, yes(c.Answered), c.Learned, c.Grants)
+		t.row(c.Name, c.Standing, yes(c.Answered), c.Learned, c.Leases)
 	}
 	if err := t.print(); err != nil {
 		return err
@@ -259,7 +259,7 @@
 			ready[p.Name] = yes(p.Ready)
 		}
 	}
-	t = a.table("MEMBER", "LOCALITY", "ROLE", "GRANT", "CONFIRMED", "READY", "REFUSES")
+	t = a.table("MEMBER", "LOCALITY", "ROLE", "LEASE", "CONFIRMED", "READY", "REFUSES")
 	for _, m := range f.Members {
 		if m.Gone {
 			ready[m.Name] = "no"
--- a/internal/core/duty/duty.go
+++ b/internal/core/duty/duty.go
@@ -16,11 +16,11 @@
 // Sight is what one core knows of the holder of a duty.
 type Sight struct {
 	Core  string
-	Alive bool // its grant stands there, or it answers that core
+	Alive bool // its lease stands there, or it answers that core
 }
 
 // Vacant tells whether a duty may be taken: nobody ever held it, or a majority
-// of the voters finds the holder's grant lapsed or its process gone. Sights of
+// of the voters finds the holder's lease lapsed or its process gone. Sights of
 // unknown cores and of those that did not answer don't count for vacancy.
 func Vacant(duty sheet.Duty, voters []string, sights []Sight) bool {
 	if duty.Holder == "" {
--- a/internal/core/grant/holder.go
+++ b/internal/core/lease/holder.go
@@ -1,8 +1,8 @@
-// Package grant decides who may rule: a front's side (Holder), a core's side
+// Package lease decides who may rule: a front's side (Holder), a core's side
 // (Ledger), the rule by which an order is in force (InForce) and the rules of
 // roster changes. Nothing here reads a clock, starts a goroutine or does I/O;
 // every method takes the instant it is asked at.
-package grant
+package lease
 
 import (
 	"sort"
@@ -17,7 +17,7 @@
 // What a front rules by.
 const (
 	ByNone   By = "none"
-	ByGrant  By = "grant"  // a majority of cores renewed within the TTL
+	ByLease  By = "lease"  // a majority of cores renewed within the TTL
 	ByRoster By = "roster" // more than half of the roster heard, none newer
 )
 
@@ -38,7 +38,7 @@
 	refused     kernel.Time
 }
 
-// Holder is a front's side of grants and confirmation. It has one owner.
+// Holder is a front's side of leases and confirmation. It has one owner.
 type Holder struct {
 	self        string
 	ttl         kernel.Duration
@@ -97,7 +97,7 @@
 
 // Renewed takes a core's granted answer: sentAt is when the request left,
 // asked the epoch it named, learned the core's own epoch in the answer. An
-// answer that knows a newer epoch than was asked grants nothing.
+// answer that knows a newer epoch than was asked gives no lease.
 func (h *Holder) Renewed(core string, sentAt kernel.Time, asked, learned uint64) {
 	h.newest = max(h.newest, learned)
 	if learned > asked || asked == 0 || asked > h.epoch {
@@ -157,10 +157,10 @@
 	if h.unconfirmed || h.epoch == 0 {
 		return none
 	}
-	byGrant, byRoster := h.grantUntil(), h.rosterUntil(now)
+	byLease, byRoster := h.leaseUntil(), h.rosterUntil(now)
 	switch {
-	case now.Before(byGrant):
-		return Verdict{Ruling: true, By: ByGrant, Until: later(byGrant, byRoster)}
+	case now.Before(byLease):
+		return Verdict{Ruling: true, By: ByLease, Until: later(byLease, byRoster)}
 	case now.Before(byRoster):
 		return Verdict{Ruling: true, By: ByRoster, Until: byRoster}
 	}
@@ -189,8 +189,8 @@
 	h.unconfirmed = backed < Majority(len(h.cores))
 }
 
-// grantUntil returns when the grant of a majority of cores lapses.
-func (h *Holder) grantUntil() kernel.Time {
+// leaseUntil returns when the lease of a majority of cores lapses.
+func (h *Holder) leaseUntil() kernel.Time {
 	if len(h.cores) == 0 {
 		return kernel.Time{}
 	}
--- a/internal/core/grant/inforce.go
+++ b/internal/core/lease/inforce.go
@@ -1,4 +1,4 @@
-package grant
+package lease
 
 import (
 	"fmt"
@@ -15,7 +15,7 @@
 type Question struct {
 	Epoch  uint64
 	Voters int
-	Views  []*wire.GrantViewResponse
+	Views  []*wire.LeaseViewResponse
 	Roster map[string]sheet.Member
 	Prior  map[string]sheet.Member
 }
@@ -32,7 +32,7 @@
 func (c Count) Met() bool { return c.Of <= 0 || c.Confirmed*2 > c.Of }
 
 // InForce is the rule of acknowledgement: a majority of cores, up for longer
-// than a TTL, has learned the epoch; every grant known to them is confirmed at
+// than a TTL, has learned the epoch; every lease known to them is confirmed at
 // it or lapsed; and more than half of the roster, and of the prior one while
 // that stands, has confirmed. Why names the first condition that is not met.
 func InForce(q Question) (met bool, why string) {
@@ -41,7 +41,7 @@
 		return false, fmt.Sprintf("learned and settled at %d of %d cores", f.cores, q.Voters)
 	}
 	if len(f.waiting) > 0 {
-		return false, "grants not confirmed and not lapsed: " + strings.Join(f.waiting, ", ")
+		return false, "leases not confirmed and not lapsed: " + strings.Join(f.waiting, ", ")
 	}
 	return rosters(q, f)
 }
@@ -82,7 +82,7 @@
 func fold(q Question) folded {
 	f := folded{newest: map[string]uint64{}, confirmed: map[string]uint64{}, gone: map[string]bool{}}
 	seen := map[string]bool{}
-	var counted []*wire.GrantViewResponse
+	var counted []*wire.LeaseViewResponse
 	for _, view := range q.Views {
 		if view == nil || !view.Settled || view.Learned < q.Epoch || seen[view.Core] {
 			continue
--- a/internal/core/grant/grant_test.go
+++ b/internal/core/lease/lease_test.go
@@ -1,4 +1,4 @@
-package grant
+package lease
 
 import (
 	"testing"
@@ -38,7 +38,7 @@
 	return h
 }
 
-func TestHolderByGrant(t *testing.T) {
+func TestHolderByLease(t *testing.T) {
 	Convey("Given a front that has just started", t, func() {
 		h := NewHolder("a", ttl)
 		h.SetCores(cores)
@@ -50,14 +50,14 @@
 			So(h.Unconfirmed(), ShouldBeTrue)
 			h.Renewed("c2", at(100), 7, 7)
 			So(h.Unconfirmed(), ShouldBeFalse)
-			So(h.Ruling(at(200)), ShouldResemble, Verdict{Ruling: true, By: ByGrant, Until: at(2000)})
+			So(h.Ruling(at(200)), ShouldResemble, Verdict{Ruling: true, By: ByLease, Until: at(2000)})
 		})
 		Convey("peers' words don't confirm it", func() {
 			h.Heard("b", 1, at(0), 7, false)
 			h.Heard("c", 1, at(0), 7, false)
 			So(h.Ruling(at(100)).Ruling, ShouldBeFalse)
 		})
-		Convey("a core that knows a newer epoch, or an answer to a question it never asked, grants nothing", func() {
+		Convey("a core that knows a newer epoch, or an answer to a question it never asked, gives no lease", func() {
 			h.Renewed("c1", at(0), 7, 8)
 			h.Renewed("c2", at(0), 9, 7)
 			h.Renewed("c3", at(0), 9, 7)
@@ -67,7 +67,7 @@
 			So(h.RenewedAt("c1").IsZero(), ShouldBeTrue)
 		})
 	})
-	Convey("A grant counts from when the second newest request was sent", t, func() {
+	Convey("A lease counts from when the second newest request was sent", t, func() {
 		h := confirmed(7, "a", "b", "c")
 		h.Renewed("c1", at(1500), 7, 7)
 		So(h.Ruling(at(1999)).Until, ShouldEqual, at(2000))
@@ -84,7 +84,7 @@
 }
 
 func TestHolderByRoster(t *testing.T) {
-	Convey("Given a confirmed front of five, whose grant lapsed", t, func() {
+	Convey("Given a confirmed front of five, whose lease lapsed", t, func() {
 		h := confirmed(7, "a", "b", "c", "d", "e")
 		now := at(10_000)
 		Convey("more than half heard, none newer, is enough", func() {
@@ -244,13 +244,13 @@
 	Convey("Given a core that learned epoch 5", t, func() {
 		l := NewLedger("c1", ttl, at(0))
 		So(l.Renew(renewal("a", 1, 5), 5, at(100)).Granted, ShouldBeTrue)
-		Convey("it grants only what has confirmed that", func() {
+		Convey("it gives leases only to what has confirmed that", func() {
 			resp := l.Renew(renewal("b", 1, 4), 5, at(100))
 			So(resp.Granted, ShouldBeFalse)
 			So(resp.Learned, ShouldEqual, 5)
 			So(l.Renew(renewal("b", 1, 0), 0, at(100)).Granted, ShouldBeFalse)
 		})
-		Convey("a grant stands unconfirmed until it lapses", func() {
+		Convey("a lease stands unconfirmed until it lapses", func() {
 			So(l.View(6, 6, at(1000)).Waiting, ShouldResemble, []string{"a#1"})
 			So(l.Renew(renewal("a", 1, 5), 6, at(1000)).Granted, ShouldBeFalse)
 			So(l.View(6, 6, at(2099)).Waiting, ShouldResemble, []string{"a#1"})
@@ -265,7 +265,7 @@
 			So(view.Gone, ShouldResemble, []string{"a"})
 			So(l.View(6, 6, at(3000)).Gone, ShouldBeEmpty)
 		})
-		Convey("a later life ends the grant of the one before; an earlier one gets nothing", func() {
+		Convey("a later life ends the lease of the one before; an earlier one gets nothing", func() {
 			l.Heard("a", 2, at(1000))
 			So(l.Live("a", at(1000)), ShouldBeFalse)
 			So(l.Renew(renewal("a", 1, 5), 5, at(1000)).Granted, ShouldBeFalse)
@@ -288,7 +288,7 @@
 			So(l.Renew(brief("a", 2), 5, at(900)).Who, ShouldBeTrue)
 			So(l.Renew(renewal("a", 2, 5), 5, at(900)).Granted, ShouldBeTrue)
 		})
-		Convey("its part of the rule holds once no grant stands below the epoch and more than half of those that don't refuse have one", func() {
+		Convey("its part of the rule holds once no lease stands below the epoch and more than half of those that don't refuse have one", func() {
 			members := roster("a", "b", "c", "d")
 			l.Renew(renewal("b", 1, 5), 5, at(100))
 			So(l.Whole(5, members, at(200)), ShouldBeFalse)
@@ -329,18 +329,18 @@
 }
 
 func TestInForce(t *testing.T) {
-	view := func(core string, confirmed, waiting, gone []string) *wire.GrantViewResponse {
-		return &wire.GrantViewResponse{Core: core, Learned: 9, Settled: true, Confirmed: confirmed, Waiting: waiting, Gone: gone}
+	view := func(core string, confirmed, waiting, gone []string) *wire.LeaseViewResponse {
+		return &wire.LeaseViewResponse{Core: core, Learned: 9, Settled: true, Confirmed: confirmed, Waiting: waiting, Gone: gone}
 	}
 	Convey("Given two of three cores that learned epoch 9, and a roster of five", t, func() {
 		q := Question{Epoch: 9, Voters: 3, Roster: roster("a", "b", "c", "d", "e")}
-		why := func(views ...*wire.GrantViewResponse) string {
+		why := func(views ...*wire.LeaseViewResponse) string {
 			q.Views = views
 			_, why := InForce(q)
 			return why
 		}
 		three := []string{"a#1", "b#1", "c#1"}
-		Convey("confirmed by three, the grants of two lapsed: in force", func() {
+		Convey("confirmed by three, the leases of two lapsed: in force", func() {
 			So(why(view("c1", three, nil, nil), view("c2", three, nil, nil)), ShouldEqual, "")
 		})
 		Convey("one core is not enough, nor twice the same, nor one that is behind or not settled", func() {
@@ -350,11 +350,11 @@
 			behind.Learned, young.Settled = 8, false
 			So(why(view("c1", three, nil, nil), behind, young), ShouldEqual, "learned and settled at 1 of 3 cores")
 		})
-		Convey("a grant that stands unconfirmed is waited for, unless that life confirmed elsewhere or a later one lives", func() {
-			So(why(view("c1", three, []string{"d#1"}, nil), view("c2", three, nil, nil)), ShouldEqual, "grants not confirmed and not lapsed: d")
+		Convey("a lease that stands unconfirmed is waited for, unless that life confirmed elsewhere or a later one lives", func() {
+			So(why(view("c1", three, []string{"d#1"}, nil), view("c2", three, nil, nil)), ShouldEqual, "leases not confirmed and not lapsed: d")
 			So(why(view("c1", three, []string{"d#1"}, nil), view("c2", append(three, "d#1"), nil, nil)), ShouldEqual, "")
 			So(why(view("c1", three, []string{"d#1"}, nil), view("c2", append(three, "d#2"), nil, nil)), ShouldEqual, "")
-			So(why(view("c1", three, []string{"d#2"}, nil), view("c2", append(three, "d#1"), nil, nil)), ShouldEqual, "grants not confirmed and not lapsed: d")
+			So(why(view("c1", three, []string{"d#2"}, nil), view("c2", append(three, "d#1"), nil, nil)), ShouldEqual, "leases not confirmed and not lapsed: d")
 		})
 		Convey("half of the roster is not enough, unless the others refuse", func() {
 			two := three[:2]
@@ -366,7 +366,7 @@
 			So(why(view("c1", three[:2], nil, []string{"c"}), view("c2", three, nil, nil)), ShouldEqual, "confirmed by 2 of 5 of the roster")
 		})
 		Convey("a confirmation of a former life settles no roster change", func() {
-			q.Views = []*wire.GrantViewResponse{view("c1", three[:2], []string{"c#2"}, nil), view("c2", three, nil, nil)}
+			q.Views = []*wire.LeaseViewResponse{view("c1", three[:2], []string{"c#2"}, nil), view("c2", three, nil, nil)}
 			met, why := Settled(q)
 			So(met, ShouldBeFalse)
 			So(why, ShouldEqual, "confirmed by 2 of 5 of the roster")
--- a/internal/core/grant/ledger.go
+++ b/internal/core/lease/ledger.go
@@ -1,4 +1,4 @@
-package grant
+package lease
 
 import (
 	"sort"
@@ -23,7 +23,7 @@
 	since, last kernel.Time
 }
 
-// Ledger is a core's side of grants. It lives in memory alone: a core that
+// Ledger is a core's side of leases. It lives in memory alone: a core that
 // restarted is settled once it has been up for a TTL, when whatever its former
 // life granted has lapsed. It has one owner.
 type Ledger struct {
@@ -54,7 +54,7 @@
 	return &Ledger{core: core, ttl: ttl, begun: now, members: map[string]*entry{}, gone: map[string]refusal{}, left: map[string]release{}}
 }
 
-// Renew grants a member that has confirmed what the core learned; to any
+// Renew renews the lease of a member that has confirmed what the core learned; to any
 // other it answers EpochBehind with its learned epoch. A request without a
 // record that comes from a life unknown here is asked for it. It must only be asked
 // when the core has caught up with a majority since its own start.
@@ -100,8 +100,8 @@
 	return nil
 }
 
-// Release ends the grant of a member that stops of itself. A renewal of that
-// life which comes in later grants nothing.
+// Release ends the lease of a member that stops of itself. A renewal of that
+// life which comes in later gives no lease.
 func (l *Ledger) Release(name string, incarnation uint64, now kernel.Time) {
 	if e, ok := l.members[name]; ok && e.incarnation <= incarnation {
 		delete(l.members, name)
@@ -112,7 +112,7 @@
 }
 
 // Heard takes a member's answer to the core's own ping. A later life ends the
-// grant of the one before.
+// lease of the one before.
 func (l *Ledger) Heard(name string, incarnation uint64, now kernel.Time) {
 	delete(l.gone, name)
 	e, ok := l.members[name]
@@ -143,7 +143,7 @@
 	l.gone[name] = r
 }
 
-// Quiet returns the members, of the roster or holding a grant, that the core
+// Quiet returns the members, of the roster or holding a lease, that the core
 // has not heard for a span: these it pings. Sorted by name.
 func (l *Ledger) Quiet(roster map[string]sheet.Member, span kernel.Duration, now kernel.Time) []Quiet {
 	var quiet []Quiet
@@ -161,7 +161,7 @@
 	return quiet
 }
 
-// Expire forgets members whose grant lapsed and that have been quiet for a
+// Expire forgets members whose lease lapsed and that have been quiet for a
 // TTL and more.
 func (l *Ledger) Expire(now kernel.Time) {
 	for name, e := range l.members {
@@ -181,7 +181,7 @@
 	}
 }
 
-// Live tells whether a member's grant stands here.
+// Live tells whether a member's lease stands here.
 func (l *Ledger) Live(name string, now kernel.Time) bool {
 	e, ok := l.members[name]
 	return ok && now.Before(e.until)
@@ -192,8 +192,8 @@
 
 // View answers what the core knows of the question whether an epoch is in
 // force. Members are named with their incarnation, as MemberID writes them.
-func (l *Ledger) View(epoch, learned uint64, now kernel.Time) *wire.GrantViewResponse {
-	view := &wire.GrantViewResponse{Core: l.core, Learned: learned, Settled: l.Settled(now)}
+func (l *Ledger) View(epoch, learned uint64, now kernel.Time) *wire.LeaseViewResponse {
+	view := &wire.LeaseViewResponse{Core: l.core, Learned: learned, Settled: l.Settled(now)}
 	for name, e := range l.members {
 		switch {
 		case !now.Before(e.until):
@@ -214,16 +214,16 @@
 	return view
 }
 
-// About is View reduced to the grant of one member.
-func (l *Ledger) About(name string, learned uint64, now kernel.Time) *wire.GrantViewResponse {
-	view := &wire.GrantViewResponse{Core: l.core, Learned: learned, Settled: l.Settled(now)}
+// About is View reduced to the lease of one member.
+func (l *Ledger) About(name string, learned uint64, now kernel.Time) *wire.LeaseViewResponse {
+	view := &wire.LeaseViewResponse{Core: l.core, Learned: learned, Settled: l.Settled(now)}
 	if e, ok := l.members[name]; ok && l.Live(name, now) {
 		view.Confirmed = []string{MemberID(name, e.incarnation)}
 	}
 	return view
 }
 
-// Whole tells whether every grant that stands is confirmed at an epoch, and
+// Whole tells whether every lease that stands is confirmed at an epoch, and
 // they are more than half of a roster of which some refuse connections. It is
 // this core's part of InForce, worked out without a view.
 func (l *Ledger) Whole(epoch uint64, roster map[string]sheet.Member, now kernel.Time) bool {
--- a/internal/core/grant/sight.go
+++ b/internal/core/lease/sight.go
@@ -1,4 +1,4 @@
-package grant
+package lease
 
 import (
 	"google.golang.org/protobuf/proto"
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -21,25 +21,26 @@
 var (
 	ProcessStarted   = add(1001, "process_started", Info, "The process runs; its keys give name, role, locality and addresses.", "")
 	ProcessStopping  = add(1002, "process_stopping", Info, "SIGTERM came: not ready from now on, requests finish within drain.grace.", "")
-	ProcessStopped   = add(1003, "process_stopped", Info, "The process ends; its grant is released and its spend is handed on.", "")
+	ProcessStopped   = add(1003, "process_stopped", Info, "The process ends; its lease is released and its spend is handed on.", "")
 	ListenerOpened   = add(1004, "listener_opened", Info, "A listener takes connections.", "")
 	ServiceFailed    = add(1006, "service_failed", Error, "A supervised part ended with an error or panicked; it is started again.", "Keep the log; report the fault when it repeats.")
 	ServiceBackoff   = add(1007, "service_backoff", Warn, "A supervised part failed too often and waits before its next start.", "Look at the service_failed events before it.")
 	EventsSuppressed = add(1008, "events_suppressed", Warn, "An event came faster than its bound; count says how many were left out.", "Look at the event named in its keys.")
+	SettingRenamed   = add(1009, "setting_renamed", Warn, "The settings file uses a name that a setting had before; the next release will not know it.", "Write the name that the keys give.")
 	SettingsChanged  = add(1012, "settings_changed", Info, "The sheet's run-time settings took effect here.", "")
 	GraceOver        = add(1013, "grace_over", Warn, "drain.grace ended before all requests did; the rest were cut.", "Raise drain.grace when it happens on ordinary restarts.")
 	DrainFinished    = add(1014, "drain_finished", Info, "All requests of a stopping process ended within its grace.", "")
 	ProofSetting     = add(1015, "proof_setting", Warn, "A setting made for proving is in use (disk.quota, disk.sync_delay, clock.step).", "Take it out of a fleet that serves.")
 )
 
-// 2xxx: membership, grants and the feed.
+// 2xxx: membership, leases and the feed.
 var (
-	GrantGained      = add(2001, "grant_gained", Info, "A majority of cores renewed this front's grant.", "")
-	GrantLapsed      = add(2002, "grant_lapsed", Warn, "This front's grant lapsed: no majority of cores renewed it within grant.ttl.", "See which cores can't be reached.")
+	LeaseGained      = add(2001, "lease_gained", Info, "A majority of cores renewed this front's lease.", "")
+	LeaseLapsed      = add(2002, "lease_lapsed", Warn, "This front's lease lapsed: no majority of cores renewed it within lease.ttl.", "See which cores can't be reached.")
 	EpochLearned     = add(2003, "epoch_learned", Info, "A newer epoch is known here.", "")
 	RulingLost       = add(2005, "ruling_lost", Warn, "This front can't be sure to hold the newest configuration and refuses requests.", "Look for a cut between this node and the cores and its peers.")
-	RulingRegained   = add(2006, "ruling_regained", Info, "This front rules again; by says whether by grant or by the roster.", "")
-	RulingByRoster   = add(2007, "ruling_by_roster", Warn, "This front goes on without a grant, as more than half of the roster knows nothing newer.", "Bring a majority of cores back.")
+	RulingRegained   = add(2006, "ruling_regained", Info, "This front rules again; by says whether by lease or by the roster.", "")
+	RulingByRoster   = add(2007, "ruling_by_roster", Warn, "This front goes on without a lease, as more than half of the roster knows nothing newer.", "Bring a majority of cores back.")
 	MemberAdded      = add(2008, "member_added", Info, "A member was added to the roster.", "")
 	MemberRemoved    = add(2009, "member_removed", Warn, "A member was taken off the roster; by says who asked.", "Nothing, when the machine is meant to be gone.")
 	RosterSettled    = add(2010, "roster_settled", Info, "A change of the roster is in force.", "")
@@ -50,12 +51,12 @@
 	FeedSnapshot     = add(2015, "feed_snapshot", Info, "The feed began anew from a snapshot.", "")
 	FeedBehind       = add(2016, "feed_behind", Warn, "The feed has brought nothing for some time.", "See which cores can't be reached.")
 	FeedSwitched     = add(2017, "feed_switched", Info, "The feed is now followed at another core.", "")
-	GrantReleased    = add(2019, "grant_released", Info, "A member's grant was released, by itself or as it refuses connections.", "")
-	GrantRefused     = add(2020, "grant_refused", Debug, "A core didn't renew a grant; code says why.", "")
+	LeaseReleased    = add(2019, "lease_released", Info, "A member's lease was released, by itself or as it refuses connections.", "")
+	LeaseRefused     = add(2020, "lease_refused", Debug, "A core didn't renew a lease; code says why.", "")
 	SecretRefused    = add(2021, "secret_refused", Warn, "A process showed another fleet secret.", "Mend fleet.secret of the process at the address.")
 	SeedsUnreachable = add(2022, "seeds_unreachable", Warn, "No seed answers.", "Check seeds and the links.")
 	NameTaken        = add(2023, "name_taken", Error, "Two processes with one name answer at different addresses.", "Give each process a name of its own.")
-	MemberJoined     = add(2025, "member_joined", Info, "A process not on the roster renews a grant; the roster will take it in.", "")
+	MemberJoined     = add(2025, "member_joined", Info, "A process not on the roster renews a lease; the roster will take it in.", "")
 )
 
 // 3xxx: agreement, cores and disks.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -42,7 +42,7 @@
 	p.pool = internalrpc.NewPool(world.Dial, p.base.Address, values.String("fleet.secret"))
 	p.directory = internalrpc.NewDirectory(p.pool, clock, log, values.Strings("seeds"), p.self)
 	p.follower = follow.New(follow.Config{
-		Self: p.self, GrantTTL: values.Duration("grant.ttl"), RenewEvery: values.Duration("grant.renew"),
+		Self: p.self, LeaseTTL: values.Duration("lease.ttl"), RenewEvery: values.Duration("lease.renew"),
 		PingEvery: values.Duration("ping.interval"), FeedWait: values.Duration("feed.wait"),
 		Sighted: p.sighted, CoreStaleFor: coreStaleFor, Attest: p.directory.Attest,
 	}, p.directory, clock, log)
@@ -115,7 +115,7 @@
 		SnapshotRecords: p.values.Int("snapshot.records"), Replaced: replaced,
 	}, replica.OnDisk(disk), p.directory, p.clock, p.log)
 	p.core = core.New(core.Config{
-		Self: p.base.Name, Incarnation: p.base.Incarnation, GrantTTL: p.values.Duration("grant.ttl"),
+		Self: p.base.Name, Incarnation: p.base.Incarnation, LeaseTTL: p.values.Duration("lease.ttl"),
 		PingEvery: p.values.Duration("ping.interval"), PlanPeriod: p.values.Duration("plan.period"), Policy: p.policy(),
 		SheetMax: p.values.Int("sheet.max"), FleetNow: p.follower.FleetNow,
 	}, p.replica, p.directory, p.clock, p.log)
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -1,5 +1,5 @@
 // Package core is the control part of a process with a disk, beside its
-// replica: it grants, feeds the fleet, coordinates orders until they are in
+// replica: it gives leases, feeds the fleet, coordinates orders until they are in
 // force, keeps the roster and carries duties. One goroutine owns all of it;
 // handlers ask it and wait outside.
 package core
@@ -8,7 +8,7 @@
 	"slices"
 
 	"stepwick/internal/core/duty"
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/merge"
 	"stepwick/internal/core/plan"
 	"stepwick/internal/core/sheet"
@@ -22,7 +22,7 @@
 type Config struct {
 	Self        string
 	Incarnation uint64
-	GrantTTL    kernel.Duration // 2 s
+	LeaseTTL    kernel.Duration // 2 s
 	PingEvery   kernel.Duration // 500 ms: pace of pings and of the cores' views
 	QuietAfter  kernel.Duration // 700 ms: silence after which a member is pinged
 	BatchFor    kernel.Duration // 300 ms: how long new members are gathered
@@ -49,7 +49,7 @@
 			*d = fallback
 		}
 	}
-	span(&c.GrantTTL, 2*kernel.Second)
+	span(&c.LeaseTTL, 2*kernel.Second)
 	span(&c.PingEvery, 500*kernel.Millisecond)
 	span(&c.QuietAfter, 700*kernel.Millisecond)
 	span(&c.BatchFor, 300*kernel.Millisecond)
@@ -114,7 +114,7 @@
 	inbox     chan func()
 
 	ctx       kernel.Context
-	ledger    *grant.Ledger
+	ledger    *lease.Ledger
 	opened    bool
 	state     sheet.State
 	feed      *feed
@@ -125,7 +125,7 @@
 	outboxes  map[string]*outbox
 	sights    map[string]sight
 	viewers   []*viewer
-	processes *grant.Sights
+	processes *lease.Sights
 	untold    bool // sights ride the feed that no waiter has been answered with
 	lastLook  kernel.Time
 	pinging   map[string]bool
@@ -136,24 +136,24 @@
 	lastPings kernel.Time
 }
 
-// sight is a core's view of one member's grant.
+// sight is a core's view of one member's lease.
 type sight struct {
 	at    kernel.Time
 	about string
-	view  *wire.GrantViewResponse
+	view  *wire.LeaseViewResponse
 }
 
-// New returns a core whose grants begin now.
+// New returns a core whose leases begin now.
 func New(config Config, agreement Agreement, peers port.Peers, clock kernel.Clock, log events.Log) *Core {
 	config = config.orDefaults(clock)
 	return &Core{
 		config: config, agreement: agreement, peers: peers, clock: clock, log: log,
 		orders: make(chan struct{}, orderBound), inbox: make(chan func(), inboxBound),
-		begun: clock.Now(), ledger: grant.NewLedger(config.Self, config.GrantTTL, clock.Now()),
+		begun: clock.Now(), ledger: lease.NewLedger(config.Self, config.LeaseTTL, clock.Now()),
 		feed:    newFeed(config.Self, config.Incarnation, config.FeedBound),
 		reports: newReports(config.Self, config.Incarnation, config.Merge), outboxes: map[string]*outbox{}, sights: map[string]sight{},
 		pinging: map[string]bool{}, jobs: map[string]bool{}, since: map[string]kernel.Time{},
-		processes: grant.NewSights(),
+		processes: lease.NewSights(),
 	}
 }
 
@@ -306,7 +306,7 @@
 // learned returns the core's learned epoch; it never falls within a life.
 func (c *Core) learned() uint64 { return max(c.state.Epoch, c.agreement.Current().Epoch) }
 
-// open lets grants begin once the core holds whatever a majority had chosen
+// open lets leases begin once the core holds whatever a majority had chosen
 // when it started: what its former life learned and vouched for may not have
 // been synced.
 func (c *Core) open(now kernel.Time) {
--- a/internal/node/core/core_test.go
+++ b/internal/node/core/core_test.go
@@ -99,7 +99,7 @@
 		"resend": func(s *script) {
 			s.order("c1", "ada", "put", put(0, "first"), 0)
 			s.mark(&s.silent, true, "f9")
-			s.say("f9 falls silent; the patience of the next order is shorter than its grant")
+			s.say("f9 falls silent; the patience of the next order is shorter than its lease")
 			s.order("c1", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 400*time.Millisecond)
 			s.say("the same order goes to another core")
 			s.order("c2", "ada", "patch", patch(3, "second", "weights.chat.lagos", "2"), 0)
--- a/internal/node/core/fleet_test.go
+++ b/internal/node/core/fleet_test.go
@@ -36,7 +36,7 @@
 	silent    atomic.Pointer[map[string]bool]
 	dead      atomic.Pointer[map[string]bool]
 	told      sync.Map     // "from>to" -> epoch of the newest ping
-	asked     atomic.Int64 // grant views of whole cores asked for over the network
+	asked     atomic.Int64 // lease views of whole cores asked for over the network
 	split     atomic.Bool  // no majority of cores reaches another
 }
 
@@ -89,7 +89,7 @@
 	if own.Core {
 		f.cores[name] = core.New(core.Config{Self: name, Incarnation: own.Incarnation}, ballots{f}, peers, kernel.System(), events.Discard)
 	}
-	f.fronts[name] = follow.New(follow.Config{Self: f.records[name].Load, GrantTTL: 2 * time.Second,
+	f.fronts[name] = follow.New(follow.Config{Self: f.records[name].Load, LeaseTTL: 2 * time.Second,
 		RenewEvery: 500 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second, CoreStaleFor: time.Second,
 		Sighted: func() []follow.Sight { return nil }}, peers, kernel.System(), events.Discard)
 }
@@ -232,11 +232,11 @@
 	return reach(ctx, c, req, c.f.cores[c.to].Renew)
 }
 
-func (c client) GrantView(ctx context.Context, req *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error) {
+func (c client) LeaseView(ctx context.Context, req *connect.Request[wire.LeaseViewRequest]) (*connect.Response[wire.LeaseViewResponse], error) {
 	if req.Msg.About == "" {
 		c.f.asked.Add(1)
 	}
-	return reach(ctx, c, req, c.f.cores[c.to].GrantView)
+	return reach(ctx, c, req, c.f.cores[c.to].LeaseView)
 }
 
 func (c client) Follow(ctx context.Context, req *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
--- a/internal/node/core/leave_test.go
+++ b/internal/node/core/leave_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/wire"
 )
 
@@ -27,9 +27,9 @@
 			for range 10 {
 				f.pass(100 * time.Millisecond)
 				for _, core := range f.cores {
-					view, err := core.GrantView(f.ctx, &wire.GrantViewRequest{})
+					view, err := core.LeaseView(f.ctx, &wire.LeaseViewRequest{})
 					So(err, ShouldBeNil)
-					So(view.Confirmed, ShouldNotContain, grant.MemberID("f6", 1))
+					So(view.Confirmed, ShouldNotContain, lease.MemberID("f6", 1))
 				}
 			}
 			So(f.ruling(), ShouldEqual, 5)
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -162,24 +162,24 @@
 	return faulty(result.Fault(), result.Epoch, id)
 }
 
-// await asks all cores for their grant views until the epoch is in force. They
+// await asks all cores for their lease views until the epoch is in force. They
 // answer when their part of it is met, so a fleet in good health is asked once.
 func (c *Core) await(ctx kernel.Context, result sheet.Result, id string) *wire.OrderResponse {
 	why, pace := "no core answered", c.config.AckPace/8
 	for {
 		state := c.agreement.Current()
-		question := grant.Question{Epoch: result.Epoch, Voters: len(c.agreement.Voters()), Roster: state.Roster, Prior: state.PriorRoster}
+		question := lease.Question{Epoch: result.Epoch, Voters: len(c.agreement.Voters()), Roster: state.Roster, Prior: state.PriorRoster}
 		met, reason := false, ""
-		question.Views = c.views(ctx, &wire.GrantViewRequest{Epoch: result.Epoch}, func(views []*wire.GrantViewResponse) bool {
+		question.Views = c.views(ctx, &wire.LeaseViewRequest{Epoch: result.Epoch}, func(views []*wire.LeaseViewResponse) bool {
 			question.Views = views
-			met, reason = grant.InForce(question)
+			met, reason = lease.InForce(question)
 			return met
 		})
 		if !met {
-			met, reason = grant.InForce(question)
+			met, reason = lease.InForce(question)
 		}
 		if met {
-			count := grant.Confirmations(question)
+			count := lease.Confirmations(question)
 			c.log.Emit(events.OrderAcknowledged, "order", id, "epoch", result.Epoch, "confirmed", count.Confirmed)
 			return answered(orderAnswer{Epoch: result.Epoch, SheetEpoch: result.SheetEpoch, InForce: true,
 				Confirmed: count.Confirmed, Roster: len(state.Roster), OrderID: id}, result.Epoch)
--- a/internal/node/core/planner.go
+++ b/internal/node/core/planner.go
@@ -58,7 +58,7 @@
 		sights = append(sights, duty.Sight{Core: c.config.Self, Alive: direct || c.ledger.Live(holder, now)})
 	}
 	for core, s := range c.sights {
-		if core == c.config.Self || now.Sub(s.at) >= c.config.GrantTTL || !s.view.Settled || (s.about != holder && core != holder) {
+		if core == c.config.Self || now.Sub(s.at) >= c.config.LeaseTTL || !s.view.Settled || (s.about != holder && core != holder) {
 			continue
 		}
 		sights = append(sights, duty.Sight{Core: core, Alive: core == holder || listed(s.view.Confirmed, holder)})
--- a/internal/node/core/renew.go
+++ b/internal/node/core/renew.go
@@ -6,7 +6,7 @@
 	"stepwick/internal/wire"
 )
 
-// Renew grants a member that has confirmed what this core learned. Until the
+// Renew renews the lease of a member that has confirmed what this core learned. Until the
 // core has caught up since its start it answers a fault, which is no answer to
 // whether the member is confirmed. So it does to a member that restarted, while
 // this core has accepted a value that it has not learned: it may be chosen, and
@@ -43,7 +43,7 @@
 			return answer{resp: resp}
 		}
 		if !resp.Granted {
-			c.log.Emit(events.GrantRefused, "member", name, "code", kernel.Code(resp.Refusal), "epoch", req.Epoch, "learned", resp.Learned)
+			c.log.Emit(events.LeaseRefused, "member", name, "code", kernel.Code(resp.Refusal), "epoch", req.Epoch, "learned", resp.Learned)
 		}
 		c.look(name, c.clock.Now())
 		c.answerViewers()
@@ -58,13 +58,13 @@
 	return got.resp, nil
 }
 
-// Release ends the grant of a member that stops of itself.
+// Release ends the lease of a member that stops of itself.
 func (c *Core) Release(ctx kernel.Context, req *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
 	_, err := ask(ctx, c, func() bool {
 		c.ledger.Release(req.Name, req.Incarnation, c.clock.Now())
 		c.look(req.Name, c.clock.Now())
 		c.answerViewers()
-		c.log.Emit(events.GrantReleased, "member", req.Name, "by", "itself")
+		c.log.Emit(events.LeaseReleased, "member", req.Name, "by", "itself")
 		return true
 	})
 	return &wire.ReleaseResponse{}, err
--- a/internal/node/core/roster.go
+++ b/internal/node/core/roster.go
@@ -4,7 +4,7 @@
 	"connectrpc.com/connect"
 
 	"stepwick/internal/core/duty"
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -13,7 +13,7 @@
 )
 
 // pingQuiet pings members that have not been heard for a while. A refusal
-// releases their grant at once; silence never does.
+// releases their lease at once; silence never does.
 func (c *Core) pingQuiet(now kernel.Time) {
 	if now.Sub(c.lastPings) < c.config.PingEvery/2 {
 		return
@@ -39,14 +39,14 @@
 	}
 }
 
-func (c *Core) pinged(quiet grant.Quiet, resp *connect.Response[wire.PingResponse], err error) {
+func (c *Core) pinged(quiet lease.Quiet, resp *connect.Response[wire.PingResponse], err error) {
 	now := c.clock.Now()
 	switch {
 	case err == nil && resp.Msg.Name == quiet.Name:
 		c.ledger.Heard(quiet.Name, resp.Msg.Incarnation, now)
 	case err != nil && port.Refused(err):
 		if quiet.Incarnation != 0 && c.ledger.Live(quiet.Name, now) {
-			c.log.Emit(events.GrantReleased, "member", quiet.Name, "by", "refusal")
+			c.log.Emit(events.LeaseReleased, "member", quiet.Name, "by", "refusal")
 		}
 		c.ledger.Gone(quiet.Name, quiet.Incarnation, now)
 		c.look(quiet.Name, now)
@@ -65,7 +65,7 @@
 		about = c.config.Self
 	}
 	c.job("views", viewTimeout*2, func(ctx kernel.Context) func() {
-		views := c.views(ctx, &wire.GrantViewRequest{About: about}, nil)
+		views := c.views(ctx, &wire.LeaseViewRequest{About: about}, nil)
 		return func() {
 			at := c.clock.Now()
 			for _, view := range views {
@@ -101,10 +101,10 @@
 		return
 	}
 	c.job("settle", jobTimeout, func(ctx kernel.Context) func() {
-		question, met := grant.Question{Epoch: state.RosterEpoch, Voters: len(c.agreement.Voters()), Roster: state.Roster, Prior: state.PriorRoster}, false
-		c.views(ctx, &wire.GrantViewRequest{Epoch: state.RosterEpoch}, func(views []*wire.GrantViewResponse) bool {
+		question, met := lease.Question{Epoch: state.RosterEpoch, Voters: len(c.agreement.Voters()), Roster: state.Roster, Prior: state.PriorRoster}, false
+		c.views(ctx, &wire.LeaseViewRequest{Epoch: state.RosterEpoch}, func(views []*wire.LeaseViewResponse) bool {
 			question.Views = views
-			met, _ = grant.Settled(question)
+			met, _ = lease.Settled(question)
 			return met
 		})
 		if !met {
--- a/internal/node/core/runtime_test.go
+++ b/internal/node/core/runtime_test.go
@@ -220,7 +220,7 @@
 	})
 }
 
-func TestCoreThatCannotReadGrantsNothing(t *testing.T) {
+func TestCoreThatCannotReadGivesNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		f := newFleet(ctx, 3)
--- a/internal/node/core/sights_test.go
+++ b/internal/node/core/sights_test.go
@@ -68,7 +68,7 @@
 			So(names, ShouldContain, "f38")
 			So(f.fronts["f20"].View().Silent, ShouldBeEmpty)
 		})
-		Convey("One that released its grant is gone at once", t, func() {
+		Convey("One that released its lease is gone at once", t, func() {
 			So(f.fronts["f37"].Leave(f.ctx), ShouldBeNil)
 			for _, core := range f.cores {
 				_, err := core.Release(f.ctx, &wire.ReleaseRequest{Name: "f37", Incarnation: 1})
@@ -111,7 +111,7 @@
 			f.put(t)
 			So(f.asked.Load()-before, ShouldBeBetweenOrEqual, 1, 2)
 		})
-		Convey("A silent member's grant is waited for without many asks", t, func() {
+		Convey("A silent member's lease is waited for without many asks", t, func() {
 			f.mark(&f.silent, true, "f40")
 			f.pass(600 * time.Millisecond)
 			before, begun := f.asked.Load(), time.Now()
--- a/internal/node/core/status.go
+++ b/internal/node/core/status.go
@@ -4,7 +4,7 @@
 	"slices"
 	"sort"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
@@ -16,7 +16,7 @@
 	Answered bool   `json:"answered"`
 	Learned  uint64 `json:"learned"`
 	Settled  bool   `json:"settled"`
-	Grants   int    `json:"grants"`
+	Leases   int    `json:"leases"`
 }
 
 type memberStatus struct {
@@ -68,13 +68,13 @@
 		return nil, err
 	}
 	state := own.state
-	views := c.views(ctx, &wire.GrantViewRequest{Epoch: state.Epoch}, nil)
+	views := c.views(ctx, &wire.LeaseViewRequest{Epoch: state.Epoch}, nil)
 	voters := slices.Clone(c.agreement.Voters())
 	slices.Sort(voters)
-	question := grant.Question{Epoch: state.Epoch, Voters: len(voters), Views: views, Roster: state.Roster, Prior: state.PriorRoster}
-	met, why := grant.InForce(question)
+	question := lease.Question{Epoch: state.Epoch, Voters: len(voters), Views: views, Roster: state.Roster, Prior: state.PriorRoster}
+	met, why := lease.InForce(question)
 	s := fleetStatus{By: c.config.Self, Epoch: state.Epoch, SheetEpoch: state.SheetEpoch, InForce: met, Waiting: why,
-		Confirmed: grant.Confirmations(question).Confirmed, Roster: len(state.Roster), RosterEpoch: state.RosterEpoch,
+		Confirmed: lease.Confirmations(question).Confirmed, Roster: len(state.Roster), RosterEpoch: state.RosterEpoch,
 		RosterSettle: state.Settled(), Evacuated: state.Evacuated, Duties: state.Duties,
 		Plan: planSummary(own.plan), Servers: own.servers, Cores: []coreStatus{}, Members: []memberStatus{}}
 	for _, voter := range voters {
@@ -93,7 +93,7 @@
 	return answered(s, state.Epoch), nil
 }
 
-func (c *Core) coreStatus(voter string, views []*wire.GrantViewResponse) coreStatus {
+func (c *Core) coreStatus(voter string, views []*wire.LeaseViewResponse) coreStatus {
 	s := coreStatus{Name: voter, Standing: "unknown"}
 	if p, ok := c.peers.Process(voter); ok {
 		s.Standing = standingName(p.Standing)
@@ -104,7 +104,7 @@
 	for _, view := range views {
 		if view.Core == voter {
 			s.Answered, s.Learned, s.Settled = true, view.Learned, view.Settled
-			s.Grants = len(view.Confirmed) + len(view.Waiting)
+			s.Leases = len(view.Confirmed) + len(view.Waiting)
 		}
 	}
 	return s
@@ -127,7 +127,7 @@
 // listed tells whether any life of a member is among the ids of a view.
 func listed(ids []string, name string) bool {
 	return slices.ContainsFunc(ids, func(id string) bool {
-		known, _ := grant.ParseMemberID(id)
+		known, _ := lease.ParseMemberID(id)
 		return known == name
 	})
 }
--- a/internal/node/core/views.go
+++ b/internal/node/core/views.go
@@ -3,7 +3,7 @@
 import (
 	"connectrpc.com/connect"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
@@ -12,22 +12,22 @@
 type viewer struct {
 	ctx   kernel.Context
 	epoch uint64
-	reply chan *wire.GrantViewResponse
+	reply chan *wire.LeaseViewResponse
 }
 
-// GrantView answers a core's question whether an epoch is in force. With a
+// LeaseView answers a core's question whether an epoch is in force. With a
 // wait it answers once this core's part is met, or as it stands when the wait
 // is over.
-func (c *Core) GrantView(ctx kernel.Context, req *wire.GrantViewRequest) (*wire.GrantViewResponse, error) {
+func (c *Core) LeaseView(ctx kernel.Context, req *wire.LeaseViewRequest) (*wire.LeaseViewResponse, error) {
 	if req.About != "" {
-		return ask(ctx, c, func() *wire.GrantViewResponse {
+		return ask(ctx, c, func() *wire.LeaseViewResponse {
 			return c.vouched(c.ledger.About(req.About, c.learned(), c.clock.Now()))
 		})
 	}
 	if req.WaitMs > 0 {
 		waiting, cancel := kernel.WithTimeout(ctx, min(kernel.Duration(req.WaitMs)*kernel.Millisecond, viewTimeout))
 		defer cancel()
-		v := &viewer{ctx: waiting, epoch: req.Epoch, reply: make(chan *wire.GrantViewResponse, 1)}
+		v := &viewer{ctx: waiting, epoch: req.Epoch, reply: make(chan *wire.LeaseViewResponse, 1)}
 		c.post(waiting, func() {
 			c.viewers = append(c.viewers, v)
 			c.answerViewers()
@@ -38,15 +38,15 @@
 		case <-waiting.Done():
 		}
 	}
-	return ask(ctx, c, func() *wire.GrantViewResponse { return c.view(req.Epoch) })
+	return ask(ctx, c, func() *wire.LeaseViewResponse { return c.view(req.Epoch) })
 }
 
-func (c *Core) view(epoch uint64) *wire.GrantViewResponse {
+func (c *Core) view(epoch uint64) *wire.LeaseViewResponse {
 	return c.vouched(c.ledger.View(epoch, c.learned(), c.clock.Now()))
 }
 
 // vouched leaves a view unsettled until the core has caught up since its start.
-func (c *Core) vouched(view *wire.GrantViewResponse) *wire.GrantViewResponse {
+func (c *Core) vouched(view *wire.LeaseViewResponse) *wire.LeaseViewResponse {
 	view.Settled = view.Settled && c.opened
 	return view
 }
@@ -75,19 +75,19 @@
 	c.viewers = kept
 }
 
-// views asks all cores, this one included, for one round of grant views. Cores
+// views asks all cores, this one included, for one round of lease views. Cores
 // that don't answer in time are left out. With enough given, the cores wait for
 // their part of the rule, and the round ends as soon as what came is enough.
-func (c *Core) views(ctx kernel.Context, req *wire.GrantViewRequest, enough func([]*wire.GrantViewResponse) bool) []*wire.GrantViewResponse {
+func (c *Core) views(ctx kernel.Context, req *wire.LeaseViewRequest, enough func([]*wire.LeaseViewResponse) bool) []*wire.LeaseViewResponse {
 	ctx, cancel := kernel.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	if enough != nil {
 		req.WaitMs = uint32(viewWait.Milliseconds())
 	}
 	others := c.others()
-	found := make(chan *wire.GrantViewResponse, len(others)+1)
+	found := make(chan *wire.LeaseViewResponse, len(others)+1)
 	go func() {
-		view, err := c.GrantView(ctx, req)
+		view, err := c.LeaseView(ctx, req)
 		if err != nil {
 			view = nil
 		}
@@ -95,7 +95,7 @@
 	}()
 	for _, p := range others {
 		go func() {
-			resp, err := c.peers.Client(p.Address).GrantView(ctx, connect.NewRequest(req))
+			resp, err := c.peers.Client(p.Address).LeaseView(ctx, connect.NewRequest(req))
 			if err != nil || resp.Msg.Core != p.Name {
 				found <- nil
 				return
@@ -103,14 +103,14 @@
 			found <- resp.Msg
 		}()
 	}
-	var views []*wire.GrantViewResponse
+	var views []*wire.LeaseViewResponse
 	for range len(others) + 1 {
 		view := <-found
 		if view == nil {
 			continue
 		}
 		views = append(views, view)
-		if enough != nil && len(views) >= grant.Majority(len(others)+1) && enough(views) {
+		if enough != nil && len(views) >= lease.Majority(len(others)+1) && enough(views) {
 			break
 		}
 	}
--- a/internal/node/follow/feed_test.go
+++ b/internal/node/follow/feed_test.go
@@ -86,7 +86,7 @@
 			{name: "c3", region: "south", asked: asked}}
 		change(cores[1])
 		f := follow.New(follow.Config{Self: func() *wire.Process { return &wire.Process{Name: "f1", Region: "north", Front: true} },
-			GrantTTL: 2 * time.Second, RenewEvery: 100 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second,
+			LeaseTTL: 2 * time.Second, RenewEvery: 100 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second,
 			Sighted: func() []follow.Sight { return nil }, CoreStaleFor: time.Second}, cores, kernel.System(), events.Discard)
 		begun := time.Now()
 		go f.Serve(ctx)
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/merge"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
@@ -15,7 +15,7 @@
 // Config holds a follower's settings. Durations are in the clock's time.
 type Config struct {
 	Self         func() *wire.Process // own record, a fresh one at each call
-	GrantTTL     kernel.Duration
+	LeaseTTL     kernel.Duration
 	RenewEvery   kernel.Duration
 	PingEvery    kernel.Duration
 	FeedWait     kernel.Duration
@@ -60,7 +60,7 @@
 	ctx     kernel.Context
 	begun   kernel.Time
 
-	holder   *grant.Holder
+	holder   *lease.Holder
 	state    sheet.State
 	held     bool
 	reports  *merge.Reports
@@ -85,7 +85,7 @@
 	fetching bool
 	feed     place
 	ruling   bool
-	ruledBy  grant.By
+	ruledBy  lease.By
 	presence map[string]presence
 	lives    map[string]uint64
 	tell     map[string]bool // peers to be pinged again once the ping under way ends
@@ -124,7 +124,7 @@
 func New(config Config, peers port.Peers, clock kernel.Clock, log events.Log) *Follower {
 	f := &Follower{
 		config: config, name: config.Self().Name, peers: peers, clock: clock, log: log,
-		inbox: make(chan func(), 256), holder: grant.NewHolder(config.Self().Name, config.GrantTTL),
+		inbox: make(chan func(), 256), holder: lease.NewHolder(config.Self().Name, config.LeaseTTL),
 		reports: merge.New(merge.Config{}), offsets: map[string]kernel.Duration{},
 		renewing: map[string]bool{}, pinging: map[string]bool{}, contact: map[string]kernel.Time{}, asked: map[string]kernel.Time{}, refused: map[string]kernel.Time{}, told: map[string]told{}, words: map[string]word{}, presence: map[string]presence{}, lives: map[string]uint64{}, again: map[string]bool{}, failing: map[string]bool{}, recorded: map[string]*wire.Process{}, tell: map[string]bool{}, behind: map[string]uint64{},
 	}
@@ -145,7 +145,7 @@
 func (f *Follower) Changed() <-chan struct{} { return *f.changed.Load() }
 
 // Ruling tells, at this very moment, whether the node may decide by its view.
-// A process that was frozen and thawed finds its grants lapsed.
+// A process that was frozen and thawed finds its leases lapsed.
 func (f *Follower) Ruling() bool { return f.clock.Now().Before(*f.lapse.Load()) }
 
 // Report puts a watcher's own sight into the view at once.
--- a/internal/node/follow/members.go
+++ b/internal/node/follow/members.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
@@ -30,7 +30,7 @@
 		return
 	}
 	next := told{process: p, gone: sight.Gone, silent: sight.Silent, at: f.clock.Now()}
-	if held, ok := f.told[p.Name]; ok && held.gone == next.gone && held.silent == next.silent && grant.SameProcess(held.process, p) {
+	if held, ok := f.told[p.Name]; ok && held.gone == next.gone && held.silent == next.silent && lease.SameProcess(held.process, p) {
 		next.at = held.at
 	}
 	f.told[p.Name] = next
--- a/internal/node/follow/notice.go
+++ b/internal/node/follow/notice.go
@@ -3,29 +3,29 @@
 import (
 	"slices"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 )
 
 // noticeVerdict logs when what the node rules by changes.
-func (f *Follower) noticeVerdict(verdict grant.Verdict) {
+func (f *Follower) noticeVerdict(verdict lease.Verdict) {
 	if verdict.By == f.ruledBy {
 		return
 	}
 	was := f.ruledBy
 	f.ruledBy = verdict.By
 	epoch := f.state.Epoch
-	if was == grant.ByGrant {
-		f.log.Emit(events.GrantLapsed, "epoch", epoch)
+	if was == lease.ByLease {
+		f.log.Emit(events.LeaseLapsed, "epoch", epoch)
 	}
 	switch verdict.By {
-	case grant.ByGrant:
-		f.log.Emit(events.GrantGained, "epoch", epoch)
-	case grant.ByRoster:
+	case lease.ByLease:
+		f.log.Emit(events.LeaseGained, "epoch", epoch)
+	case lease.ByRoster:
 		f.log.Emit(events.RulingByRoster, "epoch", epoch)
 	}
-	if (was == grant.ByNone || was == "") != (verdict.By == grant.ByNone) {
+	if (was == lease.ByNone || was == "") != (verdict.By == lease.ByNone) {
 		if verdict.Ruling {
 			f.log.Emit(events.RulingRegained, "by", verdict.By, "epoch", epoch)
 		} else {
--- a/internal/node/follow/ping.go
+++ b/internal/node/follow/ping.go
@@ -3,7 +3,7 @@
 import (
 	"connectrpc.com/connect"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/kernel"
 	"stepwick/internal/port"
 	"stepwick/internal/wire"
@@ -11,7 +11,7 @@
 
 // A roster of up to pingWhole members is pinged as a whole at each interval.
 // Of a larger one only pingShare members are, in turn, and a few that did not
-// answer, while the grant stands, so that the cost of a node does not grow with
+// answer, while the lease stands, so that the cost of a node does not grow with
 // the fleet. Once no majority of cores has renewed for half of the TTL, and a
 // majority fails to answer, all are, once in half a TTL, pingBurst at once.
 const (
@@ -45,7 +45,7 @@
 			f.wave = append(f.wave, roster[f.turn])
 		}
 		f.wave = append(f.wave, f.unanswered()...)
-	case len(f.wave) == 0 && now.Sub(f.waved) >= f.config.GrantTTL/2:
+	case len(f.wave) == 0 && now.Sub(f.waved) >= f.config.LeaseTTL/2:
 		f.turn = (f.turn + 1) % len(roster)
 		f.wave = append(append(f.wave, roster[f.turn:]...), roster[:f.turn]...)
 		f.waved = now
@@ -77,11 +77,11 @@
 	return names
 }
 
-// wavering tells whether the grant is half way to its lapse and a majority of
+// wavering tells whether the lease is half way to its lapse and a majority of
 // the cores failed to answer; those that are merely late set off no wave.
 func (f *Follower) wavering(now kernel.Time) bool {
 	verdict := f.holder.Ruling(now)
-	if verdict.Ruling && verdict.By == grant.ByGrant && verdict.Until.Sub(now) >= f.config.GrantTTL/2 {
+	if verdict.Ruling && verdict.By == lease.ByLease && verdict.Until.Sub(now) >= f.config.LeaseTTL/2 {
 		return false
 	}
 	voters, failing := f.voters(), 0
--- a/internal/node/follow/renew.go
+++ b/internal/node/follow/renew.go
@@ -3,7 +3,7 @@
 import (
 	"connectrpc.com/connect"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
@@ -61,7 +61,7 @@
 	sent := f.clock.Now()
 	own := f.config.Self()
 	req := &wire.RenewRequest{Epoch: f.state.Epoch, Unconfirmed: f.holder.Unconfirmed()}
-	if grant.SameProcess(f.recorded[core.Name], own) {
+	if lease.SameProcess(f.recorded[core.Name], own) {
 		req.Name, req.Incarnation = own.Name, own.Incarnation
 	} else {
 		req.Self = own
--- a/internal/node/follow/state.go
+++ b/internal/node/follow/state.go
@@ -3,7 +3,7 @@
 import (
 	"connectrpc.com/connect"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
@@ -24,7 +24,7 @@
 	f.settleTime()
 	verdict := f.holder.Ruling(f.clock.Now())
 	if f.left || !f.timed.Load() {
-		verdict = grant.Verdict{By: f.ruledBy}
+		verdict = lease.Verdict{By: f.ruledBy}
 	}
 	until := kernel.Time{}
 	if verdict.Ruling {
--- a/internal/node/follow/view.go
+++ b/internal/node/follow/view.go
@@ -1,4 +1,4 @@
-// Package follow is a front's control owner: it renews the front's grants,
+// Package follow is a front's control owner: it renews the front's leases,
 // follows the feed, pings the roster, keeps fleet time, and publishes what the
 // traffic owners decide by as immutable views.
 package follow
@@ -7,7 +7,7 @@
 	"slices"
 	"sort"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
@@ -20,7 +20,7 @@
 	Index   *sheet.Index
 	Plan    *wire.Plan                    // nil before the first
 	Servers map[string]*wire.ServerStatus // by name
-	Verdict grant.Verdict
+	Verdict lease.Verdict
 	Fronts  []*wire.Process // live fronts by name; Ready tells which take traffic
 	Roster  []string        // names of the fronts on the roster, sorted
 	Live    []string        // those of them that are not known to be gone
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -166,7 +168,7 @@
 
 // run serves until the context ends, then hands over: new requests are
 // refused, running ones finish within the grace, the spend is sent on, the
-// grants are released.
+// leases are released.
 func (p *process) run(ctx kernel.Context) error {
 	serving, stop := kernel.WithCancel(kernel.Background())
 	defer stop()
@@ -193,6 +195,10 @@
 		p.log.Emit(events.ListenerOpened, "listener", "caller", "address", p.caller.Addr().String())
 	}
 	p.log.Emit(events.ListenerOpened, "listener", "internal", "address", p.internal.Addr().String())
+	renamed := p.values.Renamed()
+	for _, former := range slices.Sorted(maps.Keys(renamed)) {
+		p.log.Emit(events.SettingRenamed, "former", former, "name", renamed[former])
+	}
 	p.log.Emit(events.ProcessStarted, "name", p.base.Name, "role", p.role, "locality", sheet.Locality(p.base.Region, p.base.Zone),
 		"caller", p.base.CallerAddress, "internal", p.base.Address, "incarnation", p.base.Incarnation)
 	select {
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -118,11 +118,11 @@
 	return answer(ctx, req, p.core.Release)
 }
 
-func (p *peer) GrantView(ctx kernel.Context, req *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error) {
+func (p *peer) LeaseView(ctx kernel.Context, req *connect.Request[wire.LeaseViewRequest]) (*connect.Response[wire.LeaseViewResponse], error) {
 	if p.core == nil {
 		return nil, errNotCore
 	}
-	return answer(ctx, req, p.core.GrantView)
+	return answer(ctx, req, p.core.LeaseView)
 }
 
 func (p *peer) Follow(ctx kernel.Context, req *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -23,10 +23,15 @@
 
 // Values are the settings of one process. They don't change.
 type Values struct {
-	typed  map[string]any
-	source map[string]string
+	typed   map[string]any
+	source  map[string]string
+	renamed map[string]string
 }
 
+// Renamed returns the names in the settings file that settings had before, with
+// those that they have now.
+func (v *Values) Renamed() map[string]string { return v.renamed }
+
 // Problem is one fault of a settings file or flag.
 type Problem struct {
 	File   string // empty for a flag
@@ -46,8 +51,15 @@
 	}
 }
 
-// Register declares a flag for every setting. Flags win over the file.
+// Register declares a flag for every setting. Flags win over the file. A former
+// name of a setting is a flag too.
 func Register(flags *pflag.FlagSet) {
+	flags.SetNormalizeFunc(func(_ *pflag.FlagSet, name string) pflag.NormalizedName {
+		if now, renamed := formerNames[name]; renamed {
+			name = now
+		}
+		return pflag.NormalizedName(name)
+	})
 	for _, row := range Table {
 		help := row.Help
 		if row.Rule != "" {
@@ -112,7 +124,7 @@
 // Read reads a settings file's bytes and the flags, and returns every problem
 // in the order of the file, then the flags, then what is missing.
 func Read(file string, data []byte, flags *pflag.FlagSet, role string) (*Values, []Problem) {
-	written, lines, problems := flatten(file, data)
+	written, lines, renamed, problems := flatten(file, data)
 
 	layers := koanf.New(noSplit)
 	defaults := cells{}
@@ -130,7 +142,7 @@
 		}), nil)
 	}
 
-	values := &Values{typed: map[string]any{}, source: map[string]string{}}
+	values := &Values{typed: map[string]any{}, source: map[string]string{}, renamed: renamed}
 	for _, row := range Table {
 		source := "default"
 		problem := Problem{File: file, Line: lines[row.Name], Name: row.Name}
@@ -190,9 +202,9 @@
 }
 
 func (v *Values) relations(place func(name, reason string)) {
-	for _, name := range []string{"grant.renew", "ping.interval"} {
-		if v.Duration(name) > v.Duration("grant.ttl")/2 {
-			place(name, fmt.Sprintf("%s is over half of grant.ttl, %s", v.Duration(name), v.Duration("grant.ttl")))
+	for _, name := range []string{"lease.renew", "ping.interval"} {
+		if v.Duration(name) > v.Duration("lease.ttl")/2 {
+			place(name, fmt.Sprintf("%s is over half of lease.ttl, %s", v.Duration(name), v.Duration("lease.ttl")))
 		}
 	}
 	if v.Duration("deadline.default") > v.Duration("deadline.max") {
@@ -228,19 +240,18 @@
 	}
 }
 
-func flatten(file string, data []byte) (cells, map[string]int, []Problem) {
-	written, lines := cells{}, map[string]int{}
-	var problems []Problem
+func flatten(file string, data []byte) (written cells, lines map[string]int, renamed map[string]string, problems []Problem) {
+	written, lines, renamed = cells{}, map[string]int{}, map[string]string{}
 	fault := func(line int, name, format string, args ...any) {
 		problems = append(problems, Problem{File: file, Line: line, Name: name, Reason: fmt.Sprintf(format, args...)})
 	}
 	var document yaml.Node
 	if err := yaml.Unmarshal(data, &document); err != nil {
 		fault(0, "file", "%s", strings.TrimPrefix(err.Error(), "yaml: "))
-		return written, lines, problems
+		return written, lines, renamed, problems
 	}
 	if len(document.Content) == 0 {
-		return written, lines, problems
+		return written, lines, renamed, problems
 	}
 
 	var walk func(prefix string, node *yaml.Node)
@@ -248,6 +259,9 @@
 		for i := 0; i+1 < len(node.Content); i += 2 {
 			key, value := node.Content[i], node.Content[i+1]
 			name := prefix + key.Value
+			if now, former := formerNames[name]; former {
+				renamed[name], name = now, now
+			}
 			row, known := rows[name]
 			if known && lines[name] != 0 {
 				fault(key.Line, name, "set twice; first at line %d", lines[name])
@@ -284,12 +298,12 @@
 	} else {
 		fault(root.Line, "file", "must be a mapping of setting names to values")
 	}
-	return written, lines, problems
+	return written, lines, renamed, problems
 }
 
 func isGroup(name string) bool {
 	for _, row := range Table {
-		if strings.HasPrefix(row.Name, name+".") {
+		if strings.HasPrefix(row.Name, name+".") || strings.HasPrefix(row.Former, name+".") {
 			return true
 		}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,12 +35,27 @@
 fleet.secret: a-secret-of-the-fleet
 operator.keys: ["ada:` + hash + `"]
 data: data
-grant: {ttl: 1s, renew: 250ms}
+lease: {ttl: 1s, renew: 250ms}
 disk.segment: 8MiB
 `
 
 const hash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
 
+func TestFormerNames(t *testing.T) {
+	Convey("A name that a setting had before works in the file and as a flag, and is told", t, func() {
+		values, problems := Read("s.yaml", []byte("grant: {ttl: 1s}\n"), flagsOf("--grant.renew=300ms"), "")
+		So(problems, ShouldBeEmpty)
+		So(values.Duration("lease.ttl"), ShouldEqual, time.Second)
+		So(values.Duration("lease.renew"), ShouldEqual, 300*time.Millisecond)
+		So(values.Renamed(), ShouldResemble, map[string]string{"grant.ttl": "lease.ttl"})
+	})
+	Convey("Beside the new name it is the same setting set twice", t, func() {
+		_, problems := Read("s.yaml", []byte("lease.ttl: 1s\ngrant.ttl: 1s\n"), nil, "")
+		So(problems, ShouldHaveLength, 1)
+		So(problems[0].String(), ShouldEqual, "s.yaml:2: lease.ttl: set twice; first at line 1")
+	})
+}
+
 func TestTable(t *testing.T) {
 	Convey("Every default passes its own check, and names are unique", t, func() {
 		seen := map[string]bool{}
@@ -57,11 +72,11 @@
 
 func TestRead(t *testing.T) {
 	Convey("File over default, flag over file, nested and dotted names alike", t, func() {
-		values, problems := Read("s.yaml", []byte(good), flagsOf("--grant.renew=300ms", "--seeds", "127.0.0.4:1", "--seeds", "127.0.0.5:1"), RoleCore)
+		values, problems := Read("s.yaml", []byte(good), flagsOf("--lease.renew=300ms", "--seeds", "127.0.0.4:1", "--seeds", "127.0.0.5:1"), RoleCore)
 		So(problems, ShouldBeEmpty)
 		So(values.String("listen.internal"), ShouldEqual, "127.0.0.1:8081")
-		So(values.Duration("grant.ttl"), ShouldEqual, time.Second)
-		So(values.Duration("grant.renew"), ShouldEqual, 300*time.Millisecond)
+		So(values.Duration("lease.ttl"), ShouldEqual, time.Second)
+		So(values.Duration("lease.renew"), ShouldEqual, 300*time.Millisecond)
 		So(values.Strings("seeds"), ShouldResemble, []string{"127.0.0.4:1", "127.0.0.5:1"})
 		So(values.Int("disk.segment"), ShouldEqual, 8<<20)
 		So(values.Text("disk.segment"), ShouldEqual, "8MiB")
@@ -69,17 +84,17 @@
 		So(values.Bool("core.front"), ShouldBeTrue)
 		So(values.Text("fleet.secret"), ShouldEqual, "****")
 		So(values.Text("operator.keys"), ShouldEqual, "****")
-		So(values.Source("grant.ttl")+values.Source("grant.renew")+values.Source("log.level"), ShouldEqual, "fileflagdefault")
+		So(values.Source("lease.ttl")+values.Source("lease.renew")+values.Source("log.level"), ShouldEqual, "fileflagdefault")
 		So(func() { values.Int("name") }, ShouldPanic)
 	})
 
 	Convey("All faults come at once, with line and reason", t, func() {
 		const bad = `name: core 1
-grant.tll: 1s
+lease.tll: 1s
 listen:
   caller: here
   colour: red
-grant:
+lease:
   ttl: 3s
   ttl: 2s
 seeds: {a: b}
@@ -95,11 +110,11 @@
 		}
 		So(strings.Join(lines, "\n"), ShouldEqual, strings.TrimSpace(`
 s.yaml:1: name: ' ' is not a letter, digit, '-', '_' or '.'
-s.yaml:2: grant.tll: unknown setting; did you mean grant.ttl?
+s.yaml:2: lease.tll: unknown setting; did you mean lease.ttl?
 s.yaml:4: listen.caller: "here" is not an address IP:PORT
 s.yaml:5: listen.colour: unknown setting
-s.yaml:7: grant.ttl: 3s is not within 100ms to 2s
-s.yaml:8: grant.ttl: set twice; first at line 7
+s.yaml:7: lease.ttl: 3s is not within 100ms to 2s
+s.yaml:8: lease.ttl: set twice; first at line 7
 s.yaml:9: seeds: takes a list
 s.yaml:10: quota_window: "8" is not a duration such as 500ms or 2s
 s.yaml:11: retry.budget: ".nan" is not a finite number
@@ -110,12 +125,12 @@
 	})
 
 	Convey("A role says what it can't do without, and settings that don't fit each other are named", t, func() {
-		_, problems := Read("s.yaml", []byte("grant.renew: 1s\ngrant.ttl: 1s\nlisten.caller: 0.0.0.0:80\n"), flagsOf("--deadline.max=1s"), RoleFront)
+		_, problems := Read("s.yaml", []byte("lease.renew: 1s\nlease.ttl: 1s\nlisten.caller: 0.0.0.0:80\n"), flagsOf("--deadline.max=1s"), RoleFront)
 		var names []string
 		for _, problem := range problems {
 			names = append(names, problem.Name)
 		}
-		So(names, ShouldResemble, []string{"grant.renew", "deadline.default", "name", "region", "zone",
+		So(names, ShouldResemble, []string{"lease.renew", "deadline.default", "name", "region", "zone",
 			"listen.internal", "seeds", "fleet.secret", "advertise.caller"})
 		So(problems[0].Line, ShouldEqual, 1)
 	})
@@ -153,17 +168,17 @@
 		So(CheckRuntime("route.strategy", "least_loaded"), ShouldBeNil)
 		for _, bad := range [][3]string{
 			{"route.strategy", "best", `"best" is none of affinity, round_robin, least_loaded`},
-			{"grant.ttl", "1s", "can't change while the fleet runs; set it in the settings file"},
+			{"lease.ttl", "1s", "can't change while the fleet runs; set it in the settings file"},
 			{"route.pendin", "1", "unknown setting; did you mean route.pending?"},
 			{"route.pending", "-1", "-1 is not within 0 to 100000"},
 		} {
 			So(CheckRuntime(bad[0], bad[1]), ShouldBeError, bad[2])
 		}
 		values, _ := Read("", nil, nil, "")
-		changed := values.With(map[string]string{"retry.budget": "0.5", "grant.ttl": "1s"})
+		changed := values.With(map[string]string{"retry.budget": "0.5", "lease.ttl": "1s"})
 		So(changed.Float("retry.budget"), ShouldEqual, 0.5)
 		So(changed.Source("retry.budget"), ShouldEqual, "sheet")
-		So(changed.Duration("grant.ttl"), ShouldEqual, 2*time.Second)
+		So(changed.Duration("lease.ttl"), ShouldEqual, 2*time.Second)
 		So(values.Float("retry.budget"), ShouldEqual, 0.1)
 		So(RuntimeNames(), ShouldContain, "deadline.default")
 	})
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -45,6 +45,9 @@
 	Runtime bool
 	// Secret values are never printed.
 	Secret bool
+	// Former is a name that the setting had before; it still works in a settings
+	// file or as a flag, and the process says so by an event.
+	Former string
 }
 
 // Table is the table of settings, in the order of the docs.
@@ -96,11 +99,11 @@
 	{Name: "snapshot.records", Type: Int, Default: "1024", Rule: "1 to 1000000", Check: counted(1, 1000000),
 		Help: "The number of log records after which a snapshot is written."},
 
-	{Name: "grant.ttl", Type: Duration, Default: "2s", Rule: "100ms to 2s", Check: within(100*kernel.Millisecond, 2*kernel.Second),
-		Help: "How long a grant holds after the renewal that gave it was sent; the same on every process."},
-	{Name: "grant.renew", Type: Duration, Default: "500ms", Rule: "10ms to 1s, under half of grant.ttl", Check: within(10*kernel.Millisecond, kernel.Second),
-		Help: "How often a front renews its grant at every core."},
-	{Name: "ping.interval", Type: Duration, Default: "500ms", Rule: "10ms to 1s, under half of grant.ttl", Check: within(10*kernel.Millisecond, kernel.Second),
+	{Name: "lease.ttl", Former: "grant.ttl", Type: Duration, Default: "2s", Rule: "100ms to 2s", Check: within(100*kernel.Millisecond, 2*kernel.Second),
+		Help: "How long a lease holds after the renewal that gave it was sent; the same on every process."},
+	{Name: "lease.renew", Former: "grant.renew", Type: Duration, Default: "500ms", Rule: "10ms to 1s, under half of lease.ttl", Check: within(10*kernel.Millisecond, kernel.Second),
+		Help: "How often a front renews its lease at every core."},
+	{Name: "ping.interval", Type: Duration, Default: "500ms", Rule: "10ms to 1s, under half of lease.ttl", Check: within(10*kernel.Millisecond, kernel.Second),
 		Help: "How often fronts ask each other for their epochs."},
 	{Name: "feed.wait", Type: Duration, Default: "1s", Rule: "10ms to 30s", Check: within(10*kernel.Millisecond, 30*kernel.Second),
 		Help: "How long a core holds a feed request open when nothing is new."},
@@ -184,6 +187,17 @@
 	return byName
 }()
 
+// formerNames maps names that settings had before to those that they have.
+var formerNames = func() map[string]string {
+	names := map[string]string{}
+	for _, row := range Table {
+		if row.Former != "" {
+			names[row.Former] = row.Name
+		}
+	}
+	return names
+}()
+
 // Lookup returns the row of a setting.
 func Lookup(name string) (Row, bool) {
 	row, ok := rows[name]
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -85,7 +85,7 @@
 	if len(sheet) == 0 {
 		return v
 	}
-	next := &Values{typed: make(map[string]any, len(v.typed)), source: make(map[string]string, len(v.source))}
+	next := &Values{typed: make(map[string]any, len(v.typed)), source: make(map[string]string, len(v.source)), renamed: v.renamed}
 	for name, value := range v.typed {
 		next.typed[name], next.source[name] = value, v.source[name]
 	}
--- a/internal/wire/wireconnect/wire.connect.go
+++ b/internal/wire/wireconnect/wire.connect.go
@@ -58,8 +58,8 @@
 	PeerRenewProcedure = "/stepwick.v1.Peer/Renew"
 	// PeerReleaseProcedure is the fully-qualified name of the Peer's Release RPC.
 	PeerReleaseProcedure = "/stepwick.v1.Peer/Release"
-	// PeerGrantViewProcedure is the fully-qualified name of the Peer's GrantView RPC.
-	PeerGrantViewProcedure = "/stepwick.v1.Peer/GrantView"
+	// PeerLeaseViewProcedure is the fully-qualified name of the Peer's LeaseView RPC.
+	PeerLeaseViewProcedure = "/stepwick.v1.Peer/LeaseView"
 	// PeerFollowProcedure is the fully-qualified name of the Peer's Follow RPC.
 	PeerFollowProcedure = "/stepwick.v1.Peer/Follow"
 	// PeerSubmitProcedure is the fully-qualified name of the Peer's Submit RPC.
@@ -85,10 +85,10 @@
 	Recover(context.Context, *connect.Request[wire.RecoverRequest]) (*connect.Response[wire.RecoverResponse], error)
 	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error)
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
-	// Grants and the feed, asked of a core.
+	// Leases and the feed, asked of a core.
 	Renew(context.Context, *connect.Request[wire.RenewRequest]) (*connect.Response[wire.RenewResponse], error)
 	Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error)
-	GrantView(context.Context, *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error)
+	LeaseView(context.Context, *connect.Request[wire.LeaseViewRequest]) (*connect.Response[wire.LeaseViewResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 	// Operators' calls relayed to a core; questions answered by any process.
@@ -175,10 +175,10 @@
 			connect.WithSchema(peerMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
-		grantView: connect.NewClient[wire.GrantViewRequest, wire.GrantViewResponse](
+		leaseView: connect.NewClient[wire.LeaseViewRequest, wire.LeaseViewResponse](
 			httpClient,
-			baseURL+PeerGrantViewProcedure,
-			connect.WithSchema(peerMethods.ByName("GrantView")),
+			baseURL+PeerLeaseViewProcedure,
+			connect.WithSchema(peerMethods.ByName("LeaseView")),
 			connect.WithClientOptions(opts...),
 		),
 		follow: connect.NewClient[wire.FollowRequest, wire.FollowResponse](
@@ -227,7 +227,7 @@
 	fetch     *connect.Client[wire.FetchRequest, wire.FetchResponse]
 	renew     *connect.Client[wire.RenewRequest, wire.RenewResponse]
 	release   *connect.Client[wire.ReleaseRequest, wire.ReleaseResponse]
-	grantView *connect.Client[wire.GrantViewRequest, wire.GrantViewResponse]
+	leaseView *connect.Client[wire.LeaseViewRequest, wire.LeaseViewResponse]
 	follow    *connect.Client[wire.FollowRequest, wire.FollowResponse]
 	submit    *connect.Client[wire.SubmitRequest, wire.SubmitResponse]
 	order     *connect.Client[wire.OrderRequest, wire.OrderResponse]
@@ -290,9 +290,9 @@
 	return c.release.CallUnary(ctx, req)
 }
 
-// GrantView calls stepwick.v1.Peer.GrantView.
-func (c *peerClient) GrantView(ctx context.Context, req *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error) {
-	return c.grantView.CallUnary(ctx, req)
+// LeaseView calls stepwick.v1.Peer.LeaseView.
+func (c *peerClient) LeaseView(ctx context.Context, req *connect.Request[wire.LeaseViewRequest]) (*connect.Response[wire.LeaseViewResponse], error) {
+	return c.leaseView.CallUnary(ctx, req)
 }
 
 // Follow calls stepwick.v1.Peer.Follow.
@@ -333,10 +333,10 @@
 	Recover(context.Context, *connect.Request[wire.RecoverRequest]) (*connect.Response[wire.RecoverResponse], error)
 	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error)
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
-	// Grants and the feed, asked of a core.
+	// Leases and the feed, asked of a core.
 	Renew(context.Context, *connect.Request[wire.RenewRequest]) (*connect.Response[wire.RenewResponse], error)
 	Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error)
-	GrantView(context.Context, *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error)
+	LeaseView(context.Context, *connect.Request[wire.LeaseViewRequest]) (*connect.Response[wire.LeaseViewResponse], error)
 	Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error)
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 	// Operators' calls relayed to a core; questions answered by any process.
@@ -419,10 +419,10 @@
 		connect.WithSchema(peerMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerGrantViewHandler := connect.NewUnaryHandler(
-		PeerGrantViewProcedure,
-		svc.GrantView,
-		connect.WithSchema(peerMethods.ByName("GrantView")),
+	peerLeaseViewHandler := connect.NewUnaryHandler(
+		PeerLeaseViewProcedure,
+		svc.LeaseView,
+		connect.WithSchema(peerMethods.ByName("LeaseView")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerFollowHandler := connect.NewUnaryHandler(
@@ -479,8 +479,8 @@
 			peerRenewHandler.ServeHTTP(w, r)
 		case PeerReleaseProcedure:
 			peerReleaseHandler.ServeHTTP(w, r)
-		case PeerGrantViewProcedure:
-			peerGrantViewHandler.ServeHTTP(w, r)
+		case PeerLeaseViewProcedure:
+			peerLeaseViewHandler.ServeHTTP(w, r)
 		case PeerFollowProcedure:
 			peerFollowHandler.ServeHTTP(w, r)
 		case PeerSubmitProcedure:
@@ -544,8 +544,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stepwick.v1.Peer.Release is not implemented"))
 }
 
-func (UnimplementedPeerHandler) GrantView(context.Context, *connect.Request[wire.GrantViewRequest]) (*connect.Response[wire.GrantViewResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stepwick.v1.Peer.GrantView is not implemented"))
+func (UnimplementedPeerHandler) LeaseView(context.Context, *connect.Request[wire.LeaseViewRequest]) (*connect.Response[wire.LeaseViewResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stepwick.v1.Peer.LeaseView is not implemented"))
 }
 
 func (UnimplementedPeerHandler) Follow(context.Context, *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowResponse], error) {
--- a/sim/confirm/process.go
+++ b/sim/confirm/process.go
@@ -1,7 +1,7 @@
 package confirm
 
 import (
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
@@ -186,14 +186,14 @@
 	}
 }
 
-func (w *world) view(p *process, epoch uint64) *wire.GrantViewResponse {
+func (w *world) view(p *process, epoch uint64) *wire.LeaseViewResponse {
 	view := p.core.ledger.View(epoch, p.core.learned, w.clock(p.node))
 	view.Settled = view.Settled && p.core.opened
 	return view
 }
 
 func (w *world) ask(p *process, epoch uint64) *round {
-	r := &round{end: w.now + roundTicks*tickMS, views: []*wire.GrantViewResponse{w.view(p, epoch)}}
+	r := &round{end: w.now + roundTicks*tickMS, views: []*wire.LeaseViewResponse{w.view(p, epoch)}}
 	for _, n := range w.nodes[:w.config.Cores] {
 		if n == p.node {
 			continue
@@ -206,9 +206,9 @@
 	return r
 }
 
-func (w *world) question(p *process, epoch uint64, r *round) grant.Question {
+func (w *world) question(p *process, epoch uint64, r *round) lease.Question {
 	state := w.log[p.core.learned]
-	q := grant.Question{Epoch: epoch, Voters: w.config.Cores, Views: r.views, Roster: state.Roster, Prior: state.PriorRoster}
+	q := lease.Question{Epoch: epoch, Voters: w.config.Cores, Views: r.views, Roster: state.Roster, Prior: state.PriorRoster}
 	switch w.config.Mutation {
 	case NoRoster:
 		q.Roster, q.Prior = nil, nil
@@ -240,7 +240,7 @@
 	if w.now < c.settle.end {
 		return
 	}
-	if met, _ := grant.Settled(w.question(p, state.RosterEpoch, c.settle)); met {
+	if met, _ := lease.Settled(w.question(p, state.RosterEpoch, c.settle)); met {
 		if _, ok := w.propose(p.node, sheet.SettleRoster{RosterEpoch: state.RosterEpoch}); ok {
 			w.outcome.Rosters++
 		}
@@ -258,7 +258,7 @@
 		case o.round == nil:
 			o.round = w.ask(p, o.epoch)
 		case w.now >= o.round.end:
-			if met, _ := grant.InForce(w.question(p, o.epoch, o.round)); met {
+			if met, _ := lease.InForce(w.question(p, o.epoch, o.round)); met {
 				w.acked = append(w.acked, ack{o.epoch, w.now})
 				w.outcome.Acked++
 				continue
--- a/sim/confirm/walk.go
+++ b/sim/confirm/walk.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 )
 
@@ -61,7 +61,7 @@
 }
 
 // raise moves the floors: the highest epoch acknowledged so long ago that none
-// below it may rule, and the one below which none may rule by a grant.
+// below it may rule, and the one below which none may rule by a lease.
 func (w *world) raise() {
 	kept := w.acked[:0]
 	for _, a := range w.acked {
@@ -97,15 +97,15 @@
 	switch {
 	case epoch < w.floor.epoch:
 		w.violated(n, "rules by an older epoch than was acknowledged", w.floor, verdict.By)
-	case epoch < w.strict.epoch && verdict.By == grant.ByGrant:
-		w.violated(n, "holds a grant at an older epoch than was acknowledged", w.strict, verdict.By)
+	case epoch < w.strict.epoch && verdict.By == lease.ByLease:
+		w.violated(n, "holds a lease at an older epoch than was acknowledged", w.strict, verdict.By)
 	case epoch < n.ruled:
 		w.violated(n, "went back to an older epoch", ack{epoch: n.ruled}, verdict.By)
 	}
 	n.ruled = max(n.ruled, epoch)
 }
 
-func (w *world) violated(n *node, why string, newer ack, by grant.By) {
+func (w *world) violated(n *node, why string, newer ack, by lease.By) {
 	if w.found == nil {
 		w.found = &Violation{Seed: w.seed, AtMS: w.now, Node: n.name, Why: why, Epoch: n.process.state.Epoch, Newer: newer.epoch,
 			AckMS: newer.at, By: by, Mix: w.config.Name, Faults: w.faults}
--- a/sim/confirm/world.go
+++ b/sim/confirm/world.go
@@ -1,6 +1,6 @@
 // Package confirm walks the confirmation rule over random faults in virtual
-// time. Fronts and cores decide by the production packages (grant.Holder,
-// grant.Ledger, grant.InForce, sheet's commands); the ballot is atomic and the
+// time. Fronts and cores decide by the production packages (lease.Holder,
+// lease.Ledger, lease.InForce, sheet's commands); the ballot is atomic and the
 // network, the faults and the clocks are the model's. A walk is a function of
 // its seed alone.
 package confirm
@@ -9,7 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"stepwick/internal/core/grant"
+	"stepwick/internal/core/lease"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
@@ -23,7 +23,7 @@
 	roundTicks = 6
 	orderTicks = 160
 	allowed    = 2500 // ms from an acknowledgement after which no older epoch may rule
-	slack      = 100  // ms from an acknowledgement after which none may rule by a grant
+	slack      = 100  // ms from an acknowledgement after which none may rule by a lease
 	ttl        = 2 * kernel.Second
 	forever    = 1 << 40
 )
@@ -37,10 +37,10 @@
 	Hearsay       Mutation = "a restarted front is confirmed by whoever gave it its state"
 	AnyRefusal    Mutation = "a refusal counts without unbroken contact"
 	NoRoster      Mutation = "an acknowledgement needs no majority of the roster"
-	NoWaiting     Mutation = "an acknowledgement doesn't wait for grants"
+	NoWaiting     Mutation = "an acknowledgement doesn't wait for leases"
 	NoPrior       Mutation = "a roster change holds at once"
-	NoOpening     Mutation = "a restarted core grants before it has read from a majority"
-	Unsettled     Mutation = "a restarted core counts before its former grants lapsed"
+	NoOpening     Mutation = "a restarted core gives leases before it has read from a majority"
+	Unsettled     Mutation = "a restarted core counts before its former leases lapsed"
 	ArrivalTime   Mutation = "a renewal counts from when it was answered"
 	OpenBallot    Mutation = "a core confirms a restarted front over an open ballot"
 	SilenceIsDead Mutation = "silence counts as a refusal"
@@ -99,7 +99,7 @@
 	Epoch  uint64
 	Newer  uint64
 	AckMS  int64
-	By     grant.By
+	By     lease.By
 	Mix    string
 	Faults []string
 }
@@ -136,7 +136,7 @@
 	incarnation uint64
 	frozenUntil int64
 	mailbox     []func()
-	holder      *grant.Holder
+	holder      *lease.Holder
 	state       sheet.State
 	held        bool
 	renewAt     int64
@@ -146,7 +146,7 @@
 }
 
 type core struct {
-	ledger  *grant.Ledger
+	ledger  *lease.Ledger
 	opened  bool
 	learned uint64
 	pingAt  int64
@@ -163,7 +163,7 @@
 
 type round struct {
 	end   int64
-	views []*wire.GrantViewResponse
+	views []*wire.LeaseViewResponse
 }
 
 type ack struct {
@@ -235,14 +235,14 @@
 
 func (w *world) start(n *node) {
 	n.lives++
-	p := &process{node: n, incarnation: n.lives, holder: grant.NewHolder(n.name, ttl),
+	p := &process{node: n, incarnation: n.lives, holder: lease.NewHolder(n.name, ttl),
 		renewAt: w.now + int64(w.random.IntN(500)), pingAt: w.now + int64(w.random.IntN(500))}
 	p.holder.SetCores(w.voters)
 	if n.id < w.config.Cores {
-		p.core = &core{ledger: grant.NewLedger(n.name, ttl, w.clock(n)), learned: w.synced[n.id],
+		p.core = &core{ledger: lease.NewLedger(n.name, ttl, w.clock(n)), learned: w.synced[n.id],
 			opened: w.config.Mutation == NoOpening}
 		if w.config.Mutation == Unsettled {
-			p.core.ledger = grant.NewLedger(n.name, ttl, w.clock(n).Add(-kernel.Minute))
+			p.core.ledger = lease.NewLedger(n.name, ttl, w.clock(n).Add(-kernel.Minute))
 		}
 	}
 	n.process = p
@@ -330,7 +330,7 @@
 			reached = append(reached, other)
 		}
 	}
-	if len(reached) < grant.Majority(w.config.Cores) {
+	if len(reached) < lease.Majority(w.config.Cores) {
 		return nil
 	}
 	return reached
