Forget what a watcher saw of servers that are neither listed nor known any more

Cause: a watcher that only lists (platform.readers) never dropped its sights, so that a process grows with every server that ever was; found by reading. Test: a hundred servers that come and go leave one sight (100 before).

--- a/internal/node/watch/list.go
+++ b/internal/node/watch/list.go
@@ -61,9 +61,20 @@
 			delete(w.missing, name)
 		}
 	}
+	w.forget(listed, known)
 	w.stand(at)
 }
 
+// forget drops what was seen of servers that are neither listed nor known any
+// more.
+func (w *Watcher) forget(listed map[string]bool, known map[string]*wire.ServerStatus) {
+	for key := range w.sights {
+		if !listed[key.server] && known[key.server] == nil {
+			delete(w.sights, key)
+		}
+	}
+}
+
 // stand tells the cores, at the pace of keep-alives, that what was reported of
 // the list still stands.
 func (w *Watcher) stand(at kernel.Time) {
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -325,6 +325,21 @@
 	})
 }
 
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	Convey("A watcher that only lists keeps nothing of servers that come and go", t, func() {
+		w := newWorld()
+		known := map[string]*wire.ServerStatus{}
+		watcher := New(Config{Self: "n0", Region: "lagos", Zone: "a", Incarnation: 1, ListOnly: true}, w, peers{w}, kernel.System(),
+			func() View { return View{Servers: known} }, func(*wire.Report) {}, time.Now, w)
+		for i := range 100 {
+			name := fmt.Sprintf("m%d", i)
+			known = map[string]*wire.ServerStatus{name: {Name: name, State: ready}}
+			watcher.takeList(platform.Listing{Servers: []*wire.ServerStatus{{Name: name, Address: name, State: ready}}}, nil, time.Now())
+		}
+		So(len(watcher.sights), ShouldEqual, 1)
+	})
+}
+
 func TestRanks(t *testing.T) {
 	Convey("Rendezvous ranks", t, func() {
 		var names []string
