--- a/internal/core/sheet/command.go
+++ b/internal/core/sheet/command.go
@@ -9,20 +9,6 @@
 	"stepwick/internal/kernel"
 )
 
-// Verbs of the commands.
-const (
-	VerbPut      = "put"
-	VerbPatch    = "patch"
-	VerbMerge    = "merge"
-	VerbEvacuate = "evacuate"
-	VerbRestore  = "restore"
-	VerbRemove   = "remove"
-	VerbAdd      = "add"
-	VerbSettle   = "settle"
-	VerbDuty     = "duty"
-	VerbNoop     = "noop"
-)
-
 // Result is the outcome of a command, the same wherever it is applied. Epoch is
 // the epoch that the order made (for an order sent again, the earlier one), or
 // for BaseMoved the one that won on its base. SheetEpoch is the sheet's epoch
@@ -133,36 +119,6 @@
 	Noop struct{}
 )
 
-// Verb implements Command.
-func (PutSheet) Verb() string { return VerbPut }
-
-// Verb implements Command.
-func (PatchSheet) Verb() string { return VerbPatch }
-
-// Verb implements Command.
-func (MergeSheet) Verb() string { return VerbMerge }
-
-// Verb implements Command.
-func (Evacuate) Verb() string { return VerbEvacuate }
-
-// Verb implements Command.
-func (Restore) Verb() string { return VerbRestore }
-
-// Verb implements Command.
-func (AddMembers) Verb() string { return VerbAdd }
-
-// Verb implements Command.
-func (RemoveMembers) Verb() string { return VerbRemove }
-
-// Verb implements Command.
-func (SettleRoster) Verb() string { return VerbSettle }
-
-// Verb implements Command.
-func (TakeDuty) Verb() string { return VerbDuty }
-
-// Verb implements Command.
-func (Noop) Verb() string { return VerbNoop }
-
 // Apply replaces the sheet if the base still stands.
 func (c PutSheet) Apply(s State, epoch uint64) (State, Result) {
 	s.Epoch = epoch
