Let two cores that are last to enter a first formation ask each other

Cause: a core entered by asking only the cores that vote, once a rebuild quorum of them did. In a first life it needs the answers of all others, so that two of five cores that entered last waited for each other for good, and the fleet ran with three voters of five.

--- a/internal/core/ballot/ballot_test.go
+++ b/internal/core/ballot/ballot_test.go
@@ -236,6 +236,22 @@
 		_, waiting = wiped("a").NextLife(probes("a", first("b"), first("c"), first("d"), voting("e")), 0)
 		So(waiting, ShouldBeEmpty)
 	})
+	Convey("Two cores that are the last to enter a first formation ask each other, however many vote already", t, func() {
+		first := func(name string) State { return Lived{Core: name, Life: 1}.Fold(wiped(name)) }
+		cores, enough := first("a").Sources(1, probes("a", first("b"), voting("c"), voting("d"), voting("e")))
+		So(cores, ShouldResemble, []string{"b", "c", "d", "e"})
+		So(enough, ShouldEqual, 0)
+		_, waiting := first("a").Enter(1, announced("a", 1, first("b"), voting("c"), voting("d"), voting("e")))
+		So(waiting, ShouldBeEmpty)
+	})
+	Convey("A core that lost its disk asks those that vote where they are enough, and else all", t, func() {
+		cores, enough := wiped("a").Sources(2, probes("a", wiped("b"), voting("c"), voting("d"), voting("e")))
+		So(cores, ShouldResemble, []string{"c", "d", "e"})
+		So(enough, ShouldEqual, 3)
+		cores, enough = wiped("a").Sources(2, probes("a", wiped("b"), voting("d"), voting("e")))
+		So(cores, ShouldResemble, []string{"b", "c", "d", "e"})
+		So(enough, ShouldEqual, 0)
+	})
 }
 
 func drawRecord(t *rapid.T) Record {
--- a/internal/core/ballot/recovery.go
+++ b/internal/core/ballot/recovery.go
@@ -94,6 +94,26 @@
 // have voted.
 func (s State) lost() bool { return s.Life() == 0 && s.Announced >= secondLife }
 
+// Sources returns the voters that a core asks to enter in a disk life, by their
+// answers to a probe, and how many answers are enough; zero is all. A first
+// life needs the answers of all others, also of those that have not entered
+// themselves: two cores that are the last to enter wait for each other's.
+func (s State) Sources(life uint64, probes map[string]*wire.RecoverResponse) (cores []string, enough int) {
+	if life < secondLife {
+		return s.Others(), 0
+	}
+	var voting []string
+	for _, core := range s.Others() {
+		if probe := probes[core]; probe != nil && probe.Voting {
+			voting = append(voting, core)
+		}
+	}
+	if len(voting) < s.RebuildQuorum() {
+		return s.Others(), 0
+	}
+	return voting, s.RebuildQuorum()
+}
+
 // Enter merges the answers of other voters to a Recover into the one record by
 // which this core enters. It waits, and says for whom, until all of them have
 // answered or, in a later life than the first, a rebuild quorum of voting cores.
--- a/internal/node/replica/entry.go
+++ b/internal/node/replica/entry.go
@@ -47,8 +47,8 @@
 		r.events.Emit(events.RecoveryBegun, "core", r.cfg.Self, "life", life)
 	}
 	req := &wire.RecoverRequest{Formation: state.Formation, Core: r.cfg.Self, Life: life}
-	intact, enough := entryQuorum(state, probes)
-	answers := gather(ctx, r, intact, r.cfg.EntryTimeout, enough, func(ctx kernel.Context, core string) (*wire.RecoverResponse, error) {
+	sources, enough := state.Sources(life, probes)
+	answers := gather(ctx, r, sources, r.cfg.EntryTimeout, enough, func(ctx kernel.Context, core string) (*wire.RecoverResponse, error) {
 		return call(ctx, r, core, req, r.Recover, wireconnect.PeerClient.Recover)
 	})
 	entered, err := ask(ctx, r, func(o *owner, reply func(string, error)) {
@@ -75,18 +75,3 @@
 		r.events.Emit(events.FormationComplete, "core", r.cfg.Self, "formation", state.Formation)
 	}
 }
-
-// entryQuorum returns the cores to rebuild from, and how many of them suffice;
-// zero is all.
-func entryQuorum(state ballot.State, probes map[string]*wire.RecoverResponse) (cores []string, enough int) {
-	var voting []string
-	for _, core := range state.Others() {
-		if probe := probes[core]; probe != nil && probe.Voting {
-			voting = append(voting, core)
-		}
-	}
-	if len(voting) < state.RebuildQuorum() {
-		return state.Others(), 0
-	}
-	return voting, state.RebuildQuorum()
-}
--- a/sim/ballots/random_protocol.go
+++ b/sim/ballots/random_protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"stepwick/internal/core/ballot"
 	"stepwick/internal/wire"
@@ -90,11 +91,14 @@
 		if next != c.state.Announced {
 			c.commit([]ballot.Record{ballot.Lived{Core: c.state.Self, Life: next}})
 		}
-		c.whenSynced(func() { c.announce(next) })
+		c.whenSynced(func() { c.announce(next, probes) })
 	})
 }
 
-func (c *core) announce(life uint64) {
+// announce asks the voters that ballot names, by their answers to a probe, to
+// keep this core's life and to tell what they hold.
+func (c *core) announce(life uint64, probes map[string]*wire.RecoverResponse) {
+	sources, _ := c.state.Sources(life, probes)
 	formation, rebuildQuorum := c.state.Formation, c.state.RebuildQuorum()
 	c.round++
 	round := c.round
@@ -109,6 +113,9 @@
 		}
 	})
 	for _, other := range c.others() {
+		if !slices.Contains(sources, other.state.Self) {
+			continue
+		}
 		rpc(c, other, func(o *core) ([]ballot.Record, *wire.RecoverResponse) {
 			records, answer := o.state.Recover(&wire.RecoverRequest{Formation: formation, Core: c.state.Self, Life: life})
 			if c.sim.faults.Flaw == LifeForgotten {
--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -27,7 +28,6 @@
 )
 
 const (
-	cores       = 3
 	operatorKey = "the operator's key"
 	servers     = "127.0.3.1"
 	outside     = "127.0.4.1"
@@ -38,33 +38,53 @@
 	return []string{"lagos", "lagos", "abeokuta"}[i%3], []string{"a", "b", "a"}[i%3]
 }
 
+// Config is the size of a fleet. The first Cores nodes are cores, of which
+// Voters vote; where there are more, the rest stand by. Where Join is set, a core
+// with a blank disk may take the place of one that is gone. Seeds are the nodes
+// that every node knows at its start; without any, each knows the three that
+// follow it.
+type Config struct {
+	Nodes, Cores, Voters int
+	Join                 bool
+	Seeds                []int
+	// Log takes what each node tells; nothing is kept without it.
+	Log func(node int) events.Log
+}
+
+// small is the fleet of the first deployment: three cores, all of which vote.
+var small = Config{Nodes: 9, Cores: 3, Voters: 3}
+
 // Fleet is a number of nodes with one web server and a platform beside them.
 type Fleet struct {
 	Net    *memnet.Network
 	ctx    kernel.Context
+	config Config
 	folder string
 	nodes  []*member
 	client *http.Client
 }
 
 type member struct {
-	index int
-	stop  kernel.Cancel
-	ended chan error
+	index   int
+	stop    kernel.Cancel
+	ended   chan error
+	started bool // has been up before
+	dark    bool // without power
 }
 
 func host(i int) string { return fmt.Sprintf("127.0.2.%d", i+1) }
 
-// Start starts a fleet of n nodes of which the first three are cores; their
-// disks lie in folder. The fleet ends with the context.
-func Start(ctx kernel.Context, n int, folder string) (*Fleet, error) {
-	f := &Fleet{Net: memnet.New(ctx), ctx: ctx, folder: folder}
+// Start starts a fleet; its cores' disks lie in folder. It ends with the context.
+func Start(ctx kernel.Context, config Config, folder string) (*Fleet, error) {
+	f := &Fleet{Net: memnet.New(ctx), ctx: ctx, config: config, folder: folder}
 	f.client = &http.Client{Transport: &http.Transport{DialContext: f.Net.Dialer(outside), DisableKeepAlives: true}}
 	if err := f.standIns(); err != nil {
 		return nil, err
 	}
-	for i := range n {
+	for i := range config.Nodes {
 		f.nodes = append(f.nodes, &member{index: i})
+	}
+	for i := range f.nodes {
 		if err := f.Up(i); err != nil {
 			return nil, err
 		}
@@ -97,27 +117,42 @@
 func (f *Fleet) settings(i int) ([]byte, string) {
 	region, zone := place(i)
 	role := node.RoleFront
-	var seeds []string
-	for step := 1; step <= 3; step++ {
-		seeds = append(seeds, host((i+step)%max(4, len(f.nodes)))+":7001")
-	}
 	s := map[string]string{"name": fmt.Sprintf("n%d", i), "region": region, "zone": zone,
-		"listen.caller": host(i) + ":7000", "listen.internal": host(i) + ":7001", "seeds": strings.Join(seeds, ","),
+		"listen.caller": host(i) + ":7000", "listen.internal": host(i) + ":7001", "seeds": strings.Join(f.seeds(i), ","),
 		"platform.url": "http://" + servers + ":80/servers", "fleet.secret": "a secret of the simulated fleet",
 		"operator.keys": "ada:" + sheet.HashKey(operatorKey), "drain.grace": "1s"}
-	if i < cores {
+	if i < f.config.Cores {
 		role = node.RoleCore
 		s["data"] = f.disk(i)
+		s["core.voters"] = strconv.Itoa(f.config.Voters)
+		s["core.join"] = strconv.FormatBool(f.config.Join)
+		s["core.first"] = strconv.FormatBool(!f.nodes[i].started)
 	}
 	text, _ := yaml.Marshal(s)
 	return text, role
 }
 
+func (f *Fleet) seeds(i int) []string {
+	known := f.config.Seeds
+	if len(known) == 0 {
+		known = []int{(i + 1) % len(f.nodes), (i + 2) % len(f.nodes), (i + 3) % len(f.nodes)}
+	}
+	addresses := make([]string, len(known))
+	for at, seed := range known {
+		addresses[at] = host(seed) + ":7001"
+	}
+	return addresses
+}
+
 func (f *Fleet) disk(i int) string { return filepath.Join(f.folder, fmt.Sprintf("n%d", i)) }
 
 // Up starts node i, which must be down.
 func (f *Fleet) Up(i int) error {
 	m := f.nodes[i]
+	if m.dark {
+		f.isolate(i, false)
+		m.dark = false
+	}
 	text, role := f.settings(i)
 	if role == node.RoleCore {
 		if err := os.MkdirAll(f.disk(i), 0o700); err != nil {
@@ -129,29 +164,55 @@
 		return errors.New(problems[0].String())
 	}
 	ctx, stop := kernel.WithCancel(f.ctx)
-	m.stop, m.ended = stop, make(chan error, 1)
+	m.started, m.stop, m.ended = true, stop, make(chan error, 1)
 	world := node.World{Clock: kernel.System(), Listen: f.Net.Listen, Dial: f.Net.Dialer(host(i))}
-	go func() { m.ended <- node.RunIn(ctx, world, role, values, events.Discard) }()
+	go func() { m.ended <- node.RunIn(ctx, world, role, values, f.log(i)) }()
 	return nil
 }
 
+func (f *Fleet) log(i int) events.Log {
+	if f.config.Log == nil {
+		return events.Discard
+	}
+	return f.config.Log(i)
+}
+
 // Kill ends node i as a lost process does: its connections break at once and
 // nothing that it does afterwards is heard.
 func (f *Fleet) Kill(i int) {
 	m := f.nodes[i]
 	f.Net.Down(host(i))
-	for j := range f.nodes {
-		f.Net.Cut(host(i), host(j), true)
-	}
-	f.Net.Cut(host(i), servers, true)
+	f.isolate(i, true)
 	m.stop()
 	<-m.ended
 	f.Net.Down(host(i))
+	f.isolate(i, false)
+	m.stop = nil
+}
+
+// PowerOff ends nodes at one moment as a loss of power does: whoever is
+// connected to them hears nothing more, and their disks are kept. Up brings them
+// back.
+func (f *Fleet) PowerOff(lost ...int) {
+	for _, i := range lost {
+		f.isolate(i, true)
+	}
+	for _, i := range lost {
+		f.nodes[i].stop()
+	}
+	for _, i := range lost {
+		<-f.nodes[i].ended
+		f.nodes[i].stop, f.nodes[i].dark = nil, true
+	}
+}
+
+// isolate cuts a node from everything, in silence, or heals it.
+func (f *Fleet) isolate(i int, cut bool) {
 	for j := range f.nodes {
-		f.Net.Cut(host(i), host(j), false)
+		f.Net.Cut(host(i), host(j), cut)
 	}
-	f.Net.Cut(host(i), servers, false)
-	m.stop = nil
+	f.Net.Cut(host(i), servers, cut)
+	f.Net.Cut(host(i), outside, cut)
 }
 
 // Terminate asks node i to stop of itself, as SIGTERM does; it is up until Ended.
--- a/sim/fleet/walk.go
+++ b/sim/fleet/walk.go
@@ -26,15 +26,14 @@
 // acknowledged, none steps back, of a race one operator wins and the other's key
 // is never taken, and what was acknowledged is read back at the end.
 func Walk(ctx kernel.Context, seed uint64, folder string, span kernel.Duration) (t Tally, err error) {
-	const n = 9
 	t.Seed = seed
 	random := Draw(seed)
-	f, err := Start(ctx, n, folder)
+	f, err := Start(ctx, small, folder)
 	if err != nil {
 		return t, err
 	}
 	defer f.Close()
-	w := &walk{fleet: f, random: random, clock: kernel.System(), tally: &t, took: map[int]int{}, lost: map[int]bool{}, leaving: map[int]bool{}, n: n}
+	w := &walk{fleet: f, random: random, clock: kernel.System(), tally: &t, took: map[int]int{}, lost: map[int]bool{}, leaving: map[int]bool{}, n: small.Nodes}
 	w.start = w.clock.Now()
 	if !w.form() {
 		t.Violations = append(t.Violations, "no first sheet in force within 30 s")
