Switch mechanisms off by a setting; probe suspects first; model choices in sim/balance

Popular first parts of prompts were priced as if each server had to read them.

A server that is slower than expected is probed with a new connection first; the fleet hears of it when that fails, or when the silence is three times the expected and 600 ms. The parts of a prompt are counted singly: how popular a first part is tells how likely a server holds it. sim/balance plays the product's Table for many fronts before an emulated engine in virtual time. Isolation (long answers to short prompts on servers that long prompts avoid) is in and measured next.

--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -29,27 +29,38 @@
 func (t *Table) cost(s *server, request *Request, holder *server, now kernel.Time) float64 {
 	perToken := t.speed(request.Service).perToken()
 	cost := s.backlog*perToken + float64(s.inFlight)*perRequestCost
-	if request.Affinity != 0 && s != holder && !t.holders.holds(request.Affinity, s.name, now) {
-		cost += request.Shared * perToken * readAgainWeight
+	if !t.config.Off[ReadAgain] {
+		cost += t.missing(s, request, holder, now) * perToken * readAgainWeight
 	}
-	switch {
-	case s.status.Region != t.config.Region:
-		cost += crossRegionCost
-	case s.status.Zone != t.config.Zone:
-		cost += crossZoneCost
+	if t.strays(s, request) {
+		cost += strayCost
 	}
-	if t.hung(s, now) {
+	if !t.config.Off[Crossing] {
+		cost += t.crossing(s)
+	}
+	if !t.config.Off[Hung] && t.silence(s, now) >= Hanging {
 		cost += hungCost
 	}
-	if now.Before(s.doubted) {
+	if !t.config.Off[Doubts] && now.Before(s.doubted) {
 		cost += doubtCost * s.doubts
 	}
 	return cost + tieSpread*t.tie(s, request)
 }
 
+// crossing is the cost of the way to a server.
+func (t *Table) crossing(s *server) float64 {
+	switch {
+	case s.status.Region != t.config.Region:
+		return crossRegionCost
+	case s.status.Zone != t.config.Zone:
+		return crossZoneCost
+	}
+	return 0
+}
+
 // tie is a number from 0 to 1 that orders servers differently for each request.
 func (t *Table) tie(s *server, request *Request) float64 {
-	key := request.Affinity
+	key := request.affinity()
 	if key == 0 {
 		key = xxhash.Sum64String(request.ID)
 	}
@@ -60,13 +71,14 @@
 // highest by rendezvous hash among those that may serve it, whether it has room
 // or not.
 func (t *Table) holder(request *Request) *server {
-	if request.Affinity == 0 {
+	affinity := request.affinity()
+	if affinity == 0 || t.config.Off[Affinity] {
 		return nil
 	}
 	var holder *server
 	highest := uint64(0)
 	for _, s := range t.pools[request.Service] {
-		if weight := mix(s.hash ^ request.Affinity); t.allowed(s, request) && (holder == nil || weight > highest) {
+		if weight := mix(s.hash ^ affinity); t.allowed(s, request) && !t.strays(s, request) && (holder == nil || weight > highest) {
 			holder, highest = s, weight
 		}
 	}
--- a/internal/core/balance/server.go
+++ b/internal/core/balance/server.go
@@ -13,11 +13,6 @@
 const (
 	// failuresToEject in a row rest a server; a refused connection does at once.
 	failuresToEject = 2
-	// A server that has given no sign of life since its oldest request was sent
-	// is hung when that has waited hungFactor times as long as it is expected to,
-	// and hungLeast more.
-	hungFactor = 2
-	hungLeast  = 250 * kernel.Millisecond
 	// A server that failed a request costs more for doubtFor, and as much longer
 	// for each further one; an answer takes doubtHeals of one failure back.
 	doubtFor   = 2 * kernel.Second
@@ -51,6 +46,7 @@
 type Attempt struct {
 	server  *server
 	service string
+	route   *routeLoad
 	began   kernel.Time
 	reads   float64 // prompt tokens that the server is expected to read
 	alone   bool    // nothing else of this node was there when it began
@@ -158,7 +154,7 @@
 }
 
 func (s *server) eject(now kernel.Time, config Config) {
-	if now.Before(s.until) {
+	if config.Off[Ejection] || now.Before(s.until) {
 		return
 	}
 	s.until = now.Add(min(config.EjectFor<<min(s.ejections, 8), config.EjectMost))
@@ -172,15 +168,50 @@
 	s.doubted = now.Add(kernel.Duration(s.doubts * float64(doubtFor)))
 }
 
-// hung tells whether a server has long been silent on what it was sent.
-func (t *Table) hung(s *server, now kernel.Time) bool {
+// Silence is how long a server has been silent on what it was sent, against
+// what is expected of it.
+type Silence int
+
+// Silences, from the shortest.
+const (
+	// Usual: no longer than expected.
+	Usual Silence = iota
+	// Long: longer than expected, which may well be another node's work there.
+	Long
+	// Hanging: so long that requests go elsewhere where they can.
+	Hanging
+	// Mute: so long that hardly any work explains it.
+	Mute
+)
+
+// A server that has given no sign of life since its oldest request was sent is
+// silent when that has waited a factor of the time that it is expected to, and
+// some time more.
+var silences = []struct {
+	silence Silence
+	factor  float64
+	least   kernel.Duration
+}{
+	{Mute, 3, 600 * kernel.Millisecond},
+	{Hanging, 2, 250 * kernel.Millisecond},
+	{Long, 1.5, 150 * kernel.Millisecond},
+}
+
+// silence returns how long a server has been silent on what this node sent it.
+func (t *Table) silence(s *server, now kernel.Time) Silence {
 	if len(s.waiting) == 0 {
-		return false
+		return Usual
 	}
 	oldest := s.waiting[0]
 	if s.heard.After(oldest.began) {
-		return false
+		return Usual
+	}
+	expected := float64(t.speed(oldest.service).expected(s.backlog))
+	waited := now.Sub(oldest.began)
+	for _, bound := range silences {
+		if waited >= kernel.Duration(bound.factor*expected)+bound.least {
+			return bound.silence
+		}
 	}
-	expected := t.speed(oldest.service).expected(s.backlog)
-	return now.Sub(oldest.began) >= hungFactor*expected+hungLeast
+	return Usual
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -40,6 +40,8 @@
 	// EjectMost; 1 s and 5 s.
 	EjectFor  kernel.Duration
 	EjectMost kernel.Duration
+	// Off are the mechanisms that are switched off.
+	Off Off
 }
 
 func (c Config) orDefaults() Config {
@@ -64,16 +66,46 @@
 
 // Request is what a choice depends on.
 type Request struct {
-	ID       string
-	Service  string
-	Regions  []string    // that may serve it; empty for all
-	Affinity uint64      // digest of the shared prompt; 0 for none
-	Shared   float64     // tokens of the prompt that a server may hold already
-	Own      float64     // the prompt's other tokens
-	Urgency  int         // 0 is the most urgent
-	Until    kernel.Time // how long it may wait for room
-	Tried    []string    // servers that are out of the question, as it was tried there
-	Repeat   bool        // a server got it before, so that sending it again spends from the retry budget
+	ID      string
+	Service string
+	Route   string          // whose requests resemble each other
+	Pause   kernel.Duration // the longest between two events of an answer in time; 0 where it has none
+	Regions []string        // that may serve it; empty for all
+	Shared  []Part          // parts of the prompt, from its beginning, that a server may hold already
+	Own     float64         // the prompt's other tokens
+	Out     float64         // tokens of the answer at most; 0 where that is not known
+	Urgency int             // 0 is the most urgent
+	Until   kernel.Time     // how long it may wait for room
+	Tried   []string        // servers that are out of the question, as it was tried there
+	Repeat  bool            // a server got it before, so that sending it again spends from the retry budget
+}
+
+// Part is a part of a prompt that requests share. Its digest stands for all
+// parts before it as well.
+type Part struct {
+	Digest uint64
+	Tokens float64
+}
+
+// Chain returns the digest of a part that follows others: a server holds a part
+// only behind the same ones.
+func Chain(before, part uint64) uint64 { return mix(before ^ part) }
+
+// affinity is the digest of the whole shared prompt; 0 where there is none.
+func (r *Request) affinity() uint64 {
+	if len(r.Shared) == 0 {
+		return 0
+	}
+	return r.Shared[len(r.Shared)-1].Digest
+}
+
+// tokens is the size of the whole prompt.
+func (r *Request) tokens() float64 {
+	tokens := r.Own
+	for _, part := range r.Shared {
+		tokens += part.Tokens
+	}
+	return tokens
 }
 
 // Choice is a server, a fault, or the word to wait.
@@ -105,14 +137,21 @@
 	budgets map[string]*budget   // by service
 	speeds  map[string]*speed    // by service
 	holders holders
-	random  uint64
+	asked   popularity
+	routes  map[string]*routeLoad // by name
+	loads   []*routeLoad          // the same in the order in which they were met
+	// isolated are the servers that are set aside for calm routes, as of isolatedAt.
+	isolated   map[string]bool
+	isolatedAt kernel.Time
+	random     uint64
 }
 
 // New returns a table that knows no server.
 func New(config Config) *Table {
 	config = config.orDefaults()
 	return &Table{config: config, fronts: []string{config.Self}, servers: map[string]*server{}, pools: map[string][]*server{},
-		budgets: map[string]*budget{}, speeds: map[string]*speed{}, holders: newHolders(), random: xxhash.Sum64String(config.Self)}
+		budgets: map[string]*budget{}, speeds: map[string]*speed{},
+		holders: newHolders(), asked: newPopularity(), routes: map[string]*routeLoad{}, isolated: map[string]bool{}, random: xxhash.Sum64String(config.Self)}
 }
 
 // Update takes a new view in. Drains, evacuations and lost servers bite at once.
@@ -142,6 +181,7 @@
 			t.pools[service] = append(t.pools[service], s)
 		}
 	}
+	defer t.isolate(now)
 	for _, pool := range t.pools {
 		slices.SortFunc(pool, func(a, b *server) int { return cmp.Compare(a.name, b.name) })
 	}
@@ -164,6 +204,10 @@
 // Repeat spends from the retry budget of its service. The caller calls Started
 // when it follows the choice, before it asks again.
 func (t *Table) Choose(request *Request, now kernel.Time) Choice {
+	if now.Sub(t.isolatedAt) >= isolateEvery {
+		t.isolate(now)
+		t.isolatedAt = now
+	}
 	budget := t.budget(request.Service)
 	if request.Repeat && !budget.allows(now, t.retryShare()) {
 		return Choice{Fault: kernel.Refuse(kernel.BudgetSpent, "repeated sends are bound to a share of the requests").After(retryPause)}
@@ -226,13 +270,13 @@
 	if s == nil {
 		return nil
 	}
-	a := &Attempt{server: s, service: request.Service, began: now, reads: request.Own}
-	if !t.holders.holds(request.Affinity, name, now) {
-		a.reads += request.Shared
-	}
+	a := &Attempt{server: s, service: request.Service, began: now}
+	a.reads = request.Own + t.missing(s, request, t.holder(request), now)
 	a.alone = s.inFlight == 0
+	a.route = t.route(request)
+	a.route.sent(request, a.reads, now)
 	s.started(a, now)
-	t.holders.note(request.Affinity, name, now)
+	t.remember(request, name, now)
 	if request.Repeat {
 		t.budget(request.Service).spend(now)
 	}
@@ -252,8 +296,8 @@
 	}
 }
 
-// Silent rests a server whose machine no longer acknowledges what is sent.
-func (t *Table) Silent(name string, now kernel.Time) {
+// Unacknowledged rests a server whose machine no longer acknowledges what is sent.
+func (t *Table) Unacknowledged(name string, now kernel.Time) {
 	if s := t.servers[name]; s != nil {
 		s.eject(now, t.config)
 	}
@@ -265,19 +309,28 @@
 	return s != nil && now.Before(s.until)
 }
 
-// Hung returns the servers that are silent on what they were sent, with their
-// addresses.
-func (t *Table) Hung(now kernel.Time) map[string]string {
-	var hung map[string]string
+// Silent is a server that has been silent on what it was sent for longer than
+// expected.
+type Silent struct {
+	Address string
+	Silence Silence
+}
+
+// Silences returns the silent servers by name.
+func (t *Table) Silences(now kernel.Time) map[string]Silent {
+	var silent map[string]Silent
 	for name, s := range t.servers {
-		if s.excluded == "" && t.hung(s, now) {
-			if hung == nil {
-				hung = map[string]string{}
+		if s.excluded != "" || len(s.waiting) == 0 {
+			continue
+		}
+		if silence := t.silence(s, now); silence > Usual {
+			if silent == nil {
+				silent = map[string]Silent{}
 			}
-			hung[name] = s.status.Address
+			silent[name] = Silent{Address: s.status.Address, Silence: silence}
 		}
 	}
-	return hung
+	return silent
 }
 
 // HeardSince tells whether a server has answered this node after an instant.
--- a/internal/core/balance/table_test.go
+++ b/internal/core/balance/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -42,9 +43,9 @@
 // ask is a request of 500 tokens of its own, beside 5000 of a shared prompt
 // where it has one.
 func ask(id string, shared uint64) *Request {
-	request := &Request{ID: id, Service: "pool", Affinity: shared, Own: 500, Until: at(1000)}
+	request := &Request{ID: id, Service: "pool", Own: 500, Until: at(1000)}
 	if shared != 0 {
-		request.Shared = 5000
+		request.Shared = []Part{{Digest: shared, Tokens: 5000}}
 	}
 	return request
 }
@@ -90,6 +91,33 @@
 			So(count, ShouldEqual, 2)
 		}
 	})
+	Convey("The part with which many prompts begin is taken to be held by most servers, the rarer one behind it is not", t, func() {
+		tab := table(fleet(10, sheet.Service{}), Config{})
+		prompt := func(number uint64) *Request {
+			request := ask(fmt.Sprint(number), 0)
+			request.Shared = []Part{{Digest: 1, Tokens: 4000}, {Digest: 100 + number, Tokens: 1000}}
+			return request
+		}
+		elsewhere := func(request *Request) *server {
+			for _, s := range tab.pools["pool"] {
+				if s != tab.holder(request) && !tab.holders.holds(1, s.name, start) {
+					return s
+				}
+			}
+			return nil
+		}
+		first := prompt(0)
+		So(tab.missing(elsewhere(first), first, tab.holder(first), start), ShouldEqual, 5000)
+		for number := range uint64(60) {
+			request := prompt(number)
+			tab.Finished(tab.Started("s0", request, start), Outcome{OK: true}, start)
+		}
+		other := prompt(99)
+		So(tab.missing(elsewhere(other), other, tab.holder(other), start), ShouldBeBetween, 1000, 1100)
+		So(tab.missing(elsewhere(other), other, tab.holder(other), at(60_000)), ShouldBeGreaterThan, 4900)
+		tab.config.Off = Off{Parts: true}
+		So(tab.missing(elsewhere(other), other, tab.holder(other), start), ShouldEqual, 5000)
+	})
 	Convey("Homes bind whatever the cost", t, func() {
 		tab := table(fleet(4, sheet.Service{}), Config{})
 		for i := range 20 {
@@ -135,13 +163,15 @@
 	Convey("A server that is silent on what it was sent is told as hung, and passed over", t, func() {
 		tab := table(fleet(2, sheet.Service{}), Config{})
 		first := send(tab, "a", start)
-		So(tab.Hung(at(100)), ShouldBeEmpty)
-		So(tab.Hung(at(2000)), ShouldContainKey, first.Server())
+		So(tab.Silences(at(100)), ShouldBeEmpty)
+		So(tab.Silences(at(500))[first.Server()].Silence, ShouldEqual, Long)
+		So(tab.Silences(at(700))[first.Server()].Silence, ShouldEqual, Hanging)
+		So(tab.Silences(at(2000))[first.Server()].Silence, ShouldEqual, Mute)
 		for i := range 5 {
 			So(tab.Choose(ask(fmt.Sprint(i), 0), at(2000)).Server, ShouldNotEqual, first.Server())
 		}
 		tab.Began(first, at(2001))
-		So(tab.Hung(at(4000)), ShouldBeEmpty)
+		So(tab.Silences(at(4000)), ShouldBeEmpty)
 	})
 	Convey("A server that answers with errors costs more for a while", t, func() {
 		tab := table(fleet(4, sheet.Service{}), Config{})
@@ -265,3 +295,95 @@
 		So(h.holds(3*holdersMost, "s0", at(3*holdersMost)), ShouldBeTrue)
 	})
 }
+
+func TestMechanisms(t *testing.T) {
+	Convey("Mechanisms are switched off by their names, and unknown names are refused", t, func() {
+		off, err := ParseOff([]string{"doubts", "suspects"})
+		So(err, ShouldBeNil)
+		So(off, ShouldResemble, Off{Doubts: true, Suspects: true})
+		_, err = ParseOff([]string{"doubt"})
+		So(err, ShouldNotBeNil)
+	})
+	Convey("Without affinity there is no holder, without ejection a refused server does not rest, without doubts an error costs nothing", t, func() {
+		tab := table(fleet(4, sheet.Service{}), Config{Off: Off{Affinity: true, Ejection: true, Doubts: true}})
+		So(tab.holder(ask("a", 7)), ShouldBeNil)
+		tab.Finished(tab.Started("s0", ask("b", 0), start), Outcome{Refused: true}, start)
+		So(tab.Resting("s0", at(1)), ShouldBeFalse)
+		tab.Finished(tab.Started("s0", ask("c", 0), start), Outcome{Erred: true}, start)
+		So(tab.cost(tab.servers["s0"], ask("d", 0), nil, at(1)), ShouldBeLessThan, 10)
+	})
+}
+
+func TestIsolation(t *testing.T) {
+	digest := func(id string, shared uint64) *Request {
+		request := ask(id, shared)
+		request.Route, request.Pause, request.Own, request.Out = "digest", 400*time.Millisecond, 9000, 60
+		return request
+	}
+	reply := func(id string) *Request {
+		request := ask(id, 0)
+		request.Route, request.Pause, request.Own, request.Out = "reply", 400*time.Millisecond, 600, 300
+		return request
+	}
+	serve := func(tab *Table, request *Request, now kernel.Time) string {
+		choice := tab.Choose(request, now)
+		attempt := tab.Started(choice.Server, request, now)
+		tab.Began(attempt, now)
+		tab.Finished(attempt, Outcome{OK: true}, now)
+		return choice.Server
+	}
+	learned := func(off Off, name string) *Table {
+		tab := table(fleet(20, sheet.Service{}), Config{Self: name, Off: off})
+		for i := range 10 {
+			serve(tab, digest(fmt.Sprint(i), uint64(i+1)), at(i*100))
+			serve(tab, reply(fmt.Sprint(i)), at(i*100))
+		}
+		return tab
+	}
+	Convey("Long answers to short prompts come from servers of each region that long prompts avoid, the same at all nodes", t, func() {
+		one, other := learned(nil, "f0"), learned(nil, "f1")
+		one.isolate(at(1100))
+		other.isolate(at(1100))
+		So(one.isolated, ShouldNotBeEmpty)
+		So(one.isolated, ShouldResemble, other.isolated)
+		regions := map[string]int{}
+		for name := range one.isolated {
+			regions[one.servers[name].status.Region]++
+		}
+		So(regions, ShouldResemble, map[string]int{"north": 1, "south": 1})
+		for i := range 50 {
+			So(one.isolated[serve(one, reply(fmt.Sprint("r", i)), at(1200))], ShouldBeTrue)
+			So(one.isolated[serve(other, digest(fmt.Sprint("d", i), uint64(i+50)), at(1200))], ShouldBeFalse)
+		}
+	})
+	Convey("Where the servers that are set aside are out, others serve, and others take their place", t, func() {
+		tab := learned(nil, "f0")
+		tab.isolate(at(1100))
+		view := fleet(20, sheet.Service{})
+		for name := range tab.isolated {
+			view.Servers[name].Reachable = false
+		}
+		before := maps.Clone(tab.isolated)
+		tab.Update(view, at(1200))
+		choice := tab.Choose(reply("a"), at(1200))
+		So(before[choice.Server], ShouldBeFalse)
+		So(tab.isolated[choice.Server], ShouldBeTrue)
+	})
+	Convey("Nothing is set aside while routes are not known, where all are alike, in small pools, and when it is switched off", t, func() {
+		fresh := table(fleet(20, sheet.Service{}), Config{})
+		fresh.isolate(start)
+		So(fresh.isolated, ShouldBeEmpty)
+		alike := table(fleet(20, sheet.Service{}), Config{})
+		for i := range 20 {
+			serve(alike, reply(fmt.Sprint(i)), at(i*100))
+		}
+		alike.isolate(at(2000))
+		So(alike.isolated, ShouldBeEmpty)
+		small := learned(nil, "f0")
+		small.Update(fleet(6, sheet.Service{}), at(1100))
+		So(small.isolated, ShouldBeEmpty)
+		off := learned(Off{Isolation: true}, "f0")
+		off.isolate(at(1100))
+		So(off.isolated, ShouldBeEmpty)
+	})
+}
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -129,7 +129,7 @@
 // when so many servers were sent the request; very long where no further one
 // may be.
 func (q *request) stallAfter(sent int) kernel.Duration {
-	if !q.route.Repeatable() || sent >= max(q.route.Attempts, 1) {
+	if !q.route.Repeatable() || sent >= max(q.route.Attempts, 1) || q.gateway.config.Balance.Off[balance.SecondAttempts] {
 		return stallNever
 	}
 	span := max(q.route.ObjectiveMS, q.route.GapMS)
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -32,8 +32,9 @@
 	waiting []*ticket // the most urgent first, then the oldest
 	count   uint64
 
+	off       balance.Off
 	suspects  *suspects
-	suspected map[string]bool // servers that were told to be silent
+	suspected map[string]balance.Silence // servers that were found silent, and how long
 }
 
 // ticket is a request that asks for a server; given gets its answer, once.
@@ -62,8 +63,8 @@
 	silent  string // a server whose machine stopped to acknowledge
 }
 
-func newDispatcher(table *balance.Table, views Views, clock kernel.Clock, log events.Log, client *upstream.Client, suspects *suspects) *dispatcher {
-	return &dispatcher{suspects: suspects, suspected: map[string]bool{}, table: table, views: views, clock: clock, log: log, client: client,
+func newDispatcher(table *balance.Table, views Views, clock kernel.Clock, log events.Log, client *upstream.Client, suspects *suspects, off balance.Off) *dispatcher {
+	return &dispatcher{suspects: suspects, off: off, suspected: map[string]balance.Silence{}, table: table, views: views, clock: clock, log: log, client: client,
 		asks: stage.NewQueue[*ticket](askBound), moves: stage.NewQueue[move](moveBound), over: make(chan struct{})}
 }
 
@@ -174,30 +175,47 @@
 // of those that answer it again, and of those that others call silent and that
 // have just answered this node.
 func (d *dispatcher) suspect() {
+	if d.off[balance.Suspects] {
+		return
+	}
 	now := d.clock.Now()
-	hung := d.table.Hung(now)
-	for name, address := range hung {
-		if !d.suspected[name] {
-			d.suspected[name] = true
-			d.suspects.note(upstream.Server{Name: name, Address: address}, false)
-		}
+	silent := d.table.Silences(now)
+	for name, one := range silent {
+		d.doubt(upstream.Server{Name: name, Address: one.Address}, one.Silence)
 	}
 	for name := range d.suspected {
-		if _, still := hung[name]; still {
+		if _, still := silent[name]; still {
 			continue
 		}
 		delete(d.suspected, name)
 		if d.table.HeardSince(name, now.Add(-heardOfLate)) {
-			d.suspects.note(upstream.Server{Name: name}, true)
+			d.suspects.back(upstream.Server{Name: name})
 		}
 	}
 	for name, status := range d.seen.Servers {
-		if !status.Reachable && hung[name] == "" && d.table.HeardSince(name, now.Add(-heardOfLate)) {
+		if _, still := silent[name]; !still && !status.Reachable && d.table.HeardSince(name, now.Add(-heardOfLate)) {
 			d.suspects.note(upstream.Server{Name: name}, true)
 		}
 	}
 }
 
+// doubt acts once on each longer silence of a server: it has the server probed,
+// and the fleet told of one that is mute.
+func (d *dispatcher) doubt(server upstream.Server, silence balance.Silence) {
+	before := d.suspected[server.Name]
+	if silence <= before {
+		return
+	}
+	probes := !d.off[balance.SuspectProbes]
+	switch {
+	case silence == balance.Mute, !probes && silence == balance.Hanging && before < balance.Hanging:
+		d.suspects.note(server, false)
+	case probes && before == balance.Usual:
+		d.suspects.doubt(server)
+	}
+	d.suspected[server.Name] = silence
+}
+
 func (d *dispatcher) take(t *ticket) {
 	now := d.clock.Now()
 	if t.first {
@@ -274,9 +292,9 @@
 
 // silenced rests a server whose machine stopped to acknowledge, and tells so.
 func (d *dispatcher) silenced(server string, now kernel.Time) {
-	d.table.Silent(server, now)
+	d.table.Unacknowledged(server, now)
 	d.drop(server)
-	if status := d.seen.Servers[server]; status != nil && !d.suspected[server] {
+	if status := d.seen.Servers[server]; status != nil && d.suspected[server] < balance.Mute {
 		d.suspects.note(upstream.Server{Name: server, Address: status.Address}, false)
 	}
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -126,7 +126,7 @@
 		metrics: metrics, bodies: stage.NewBudget(config.BodiesMax), started: clock.Now()}
 	g.client = upstream.New(config.Upstream)
 	g.suspects = newSuspects(config.Observe, clock, g.client)
-	g.dispatch = newDispatcher(balance.New(config.Balance), views, clock, log, g.client, g.suspects)
+	g.dispatch = newDispatcher(balance.New(config.Balance), views, clock, log, g.client, g.suspects, config.Balance.Off)
 	return g, nil
 }
 
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -13,15 +13,18 @@
 	noticeBound  = 256
 )
 
-// notice is what requests showed of a server.
+// notice is what requests, or a probe, showed of a server.
 type notice struct {
 	server    upstream.Server
 	reachable bool
+	doubt     bool // the fleet was perhaps not told that the server is silent, and is only if a probe fails
 }
 
 // suspects owns the servers that this node found silent. It tells the fleet of
 // each, so that other nodes need not find out with requests of their own, looks
-// whether it is back, and tells that too.
+// whether it is back, and tells that too. A server that is merely slower than
+// expected is probed first: one that takes connections has much to do and is
+// none of the fleet's business.
 type suspects struct {
 	observe func(ctx kernel.Context, server string, reachable bool)
 	clock   kernel.Clock
@@ -43,8 +46,22 @@
 // note takes a notice; one that finds no room is dropped, as the next one says
 // the same.
 func (s *suspects) note(server upstream.Server, reachable bool) {
+	s.offer(notice{server: server, reachable: reachable})
+}
+
+// back tells that a server answers this node again; that is news only if the
+// fleet was told that it is silent.
+func (s *suspects) back(server upstream.Server) {
+	s.offer(notice{server: server, reachable: true, doubt: true})
+}
+
+// doubt has a server probed; the fleet is told if it does not take the
+// connection.
+func (s *suspects) doubt(server upstream.Server) { s.offer(notice{server: server, doubt: true}) }
+
+func (s *suspects) offer(n notice) {
 	select {
-	case s.notices <- notice{server, reachable}:
+	case s.notices <- n:
 	default:
 	}
 }
@@ -62,9 +79,9 @@
 			s.take(ctx, got)
 		case got := <-s.probed:
 			delete(s.probing, got.server.Name)
-			s.take(ctx, got)
+			s.takeProbe(ctx, got)
 		case <-ticker.C():
-			s.probe(ctx)
+			s.probeAll(ctx)
 		}
 	}
 }
@@ -72,32 +89,49 @@
 func (s *suspects) String() string { return "suspects" }
 
 func (s *suspects) take(ctx kernel.Context, got notice) {
-	if got.reachable {
+	switch {
+	case got.doubt && got.reachable && s.silent[got.server.Name] == "":
+		return
+	case got.doubt && !got.reachable:
+		s.probe(ctx, got.server, true)
+		return
+	case got.reachable:
 		delete(s.silent, got.server.Name)
-	} else {
+	default:
 		s.silent[got.server.Name] = got.server.Address
 	}
 	s.observe(ctx, got.server.Name, got.reachable)
 }
 
-// probe opens a connection to each silent server. A refusal is an answer too:
-// the machine is there, and requests find out by themselves.
-func (s *suspects) probe(ctx kernel.Context) {
+// takeProbe takes the outcome of a probe in. That a server which was only
+// doubted is there is no news.
+func (s *suspects) takeProbe(ctx kernel.Context, got notice) {
+	got.doubt = got.doubt && got.reachable
+	s.take(ctx, got)
+}
+
+// probeAll probes each silent server.
+func (s *suspects) probeAll(ctx kernel.Context) {
 	for name, address := range s.silent {
-		if s.probing[name] {
-			continue
-		}
-		s.probing[name] = true
-		server := upstream.Server{Name: name, Address: address}
-		go func() {
-			bound, cancel := kernel.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			failure := s.client.Warm(bound, server)
-			got := notice{server, failure == nil || failure.Kind == upstream.Refused}
-			select {
-			case s.probed <- got:
-			case <-ctx.Done():
-			}
-		}()
+		s.probe(ctx, upstream.Server{Name: name, Address: address}, false)
+	}
+}
+
+// probe opens a connection to a server. A refusal is an answer too: the machine
+// is there, and requests find out by themselves.
+func (s *suspects) probe(ctx kernel.Context, server upstream.Server, doubt bool) {
+	if s.probing[server.Name] {
+		return
 	}
+	s.probing[server.Name] = true
+	go func() {
+		bound, cancel := kernel.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		failure := s.client.Warm(bound, server)
+		got := notice{server: server, reachable: failure == nil || failure.Kind == upstream.Refused, doubt: doubt}
+		select {
+		case s.probed <- got:
+		case <-ctx.Done():
+		}
+	}()
 }
--- a/internal/node/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -53,3 +53,64 @@
 		})
 	})
 }
+
+func TestDoubtedServers(t *testing.T) {
+	type fixture struct {
+		suspects *suspects
+		words    chan told
+		end      func()
+	}
+	start := func(answers func() bool) fixture {
+		ctx, cancel := kernel.WithCancel(kernel.Background())
+		begun := time.Now()
+		client := upstream.New(upstream.Config{Dial: func(ctx kernel.Context, _, _ string) (net.Conn, error) {
+			if !answers() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			near, far := net.Pipe()
+			kernel.AfterFunc(ctx, func() { _ = far.Close() })
+			return near, nil
+		}})
+		words := make(chan told, 100)
+		s := newSuspects(func(_ kernel.Context, server string, reachable bool) {
+			words <- told{server, reachable, time.Since(begun)}
+		}, kernel.System(), client)
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(ctx) }()
+		return fixture{s, words, func() {
+			cancel()
+			<-ended
+			client.Close()
+		}}
+	}
+	server := upstream.Server{Name: "s0", Address: "a"}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A server that is slower than expected and takes connections is not told of, nor that it answers again", t, func() {
+			f := start(func() bool { return true })
+			f.suspects.doubt(server)
+			<-kernel.System().After(kernel.Second)
+			f.suspects.back(server)
+			<-kernel.System().After(kernel.Second)
+			So(len(f.words), ShouldEqual, 0)
+			f.end()
+		})
+		Convey("One that takes no connection is told of as soon as that shows, and that it is back as soon as that does", t, func() {
+			begun := time.Now()
+			f := start(func() bool { return time.Since(begun) >= time.Second })
+			f.suspects.doubt(server)
+			So(<-f.words, ShouldResemble, told{"s0", false, probeTimeout})
+			So(<-f.words, ShouldResemble, told{"s0", false, 500*time.Millisecond + probeTimeout})
+			So(<-f.words, ShouldResemble, told{"s0", true, time.Second})
+			f.end()
+		})
+		Convey("What a server that was told of answers to this node is told", t, func() {
+			f := start(func() bool { return true })
+			f.suspects.note(server, false)
+			So(<-f.words, ShouldResemble, told{"s0", false, 0})
+			f.suspects.back(server)
+			So(<-f.words, ShouldResemble, told{"s0", true, 0})
+			f.end()
+		})
+	})
+}
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -26,12 +26,16 @@
 	if world.Edge == nil {
 		return nil
 	}
-	var err error
+	off, err := balance.ParseOff(p.values.Strings("balance.off"))
+	if err != nil {
+		return err
+	}
 	p.gateway, err = gateway.New(gateway.Config{
 		Balance: balance.Config{
 			Self: p.base.Name, Region: p.base.Region, Zone: p.base.Zone,
 			RetryRatio: p.values.Float("retry.budget"), RetryWindow: p.values.Duration("retry.window"), RetrySlack: p.values.Float("retry.slack"),
 			ColdOverage: p.values.Float("cold.overage"), ColdSlack: p.values.Float("cold.slack"),
+			Off: off,
 		},
 		Upstream: upstream.Config{Dial: world.serverDial(), ConnectTimeout: p.values.Duration("connect.timeout")},
 		BodyMax:  int64(p.values.Int("body.max")), HeaderMax: p.values.Int("header.max"),
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"stepwick/internal/core/balance"
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
 )
@@ -53,6 +54,20 @@
 	return nil
 }
 
+func checkMechanisms(value any) error {
+	_, err := balance.ParseOff(value.([]string))
+	return err
+}
+
+// mechanismNames lists the mechanisms that balance.off takes.
+func mechanismNames() string {
+	names := make([]string, len(balance.Mechanisms))
+	for i, mechanism := range balance.Mechanisms {
+		names[i] = string(mechanism)
+	}
+	return strings.Join(names, ", ")
+}
+
 func checkAddresses(value any) error {
 	for _, address := range value.([]string) {
 		if err := checkAdvertised(address); err != nil {
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -151,6 +151,8 @@
 		Help: "By how much the rate that a cold server is said to bear may be passed."},
 	{Name: "cold.slack", Type: Float, Default: "0", Rule: "0 to 1000000", Check: between(0, 1e6),
 		Help: "Requests that a cold server may get in a second beyond its rate, from all nodes together."},
+	{Name: "balance.off", Type: List, Rule: "names of mechanisms", Check: checkMechanisms,
+		Help: "Parts of the choice of a server for requests by route that are switched off, to measure what each is worth: " + mechanismNames() + "."},
 	{Name: "connect.timeout", Type: Duration, Default: "1s", Rule: "10ms to 10s", Check: within(10*kernel.Millisecond, 10*kernel.Second),
 		Help: "How long a connection to a server may take to come up."},
 	{Name: "deadline.default", Type: Duration, Default: "30s", Rule: "10ms to 1h, at most deadline.max", Check: within(10*kernel.Millisecond, kernel.Hour), Runtime: true,
--- /dev/null
+++ b/sim/balance/front.go
@@ -0,0 +1,202 @@
+package balance
+
+import (
+	"stepwick/internal/core/balance"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	suspectEvery = 100.0  // ms
+	heardOfLate  = 400.0  // ms; see the gateway's dispatcher
+	tellDelay    = 80.0   // ms until what one front tells is known to all
+	reportFresh  = 3000.0 // ms
+	retryEvery   = 5.0    // ms between looks at a request that waits for room
+	waitPart     = 4      // of its objective a request waits for room
+	probeTimeout = 400.0  // ms
+)
+
+// front is a node that carries traffic: the product's table, and connections.
+type front struct {
+	run          *run
+	name         string
+	region, zone int
+	table        *balance.Table
+	resting      map[string]int // connections that are kept, by server
+	suspected    map[string]balance.Silence
+}
+
+// report is what a front told of a server.
+type report struct {
+	reachable bool
+	at        float64
+}
+
+// request is one client's request.
+type request struct {
+	kind   Kind
+	came   float64
+	chain  []piece
+	own    float64
+	out    float64
+	number uint64
+}
+
+func (f *front) order(q *request) *balance.Request {
+	order := &balance.Request{ID: string(rune(q.number)), Service: serviceName, Route: q.kind.Name, Pause: kernel.Duration(q.kind.Pause * float64(kernel.Millisecond)), Regions: q.kind.Homes, Own: q.own, Out: q.out,
+		Until: start.Add(kernel.Duration((q.came + q.kind.Objective/waitPart) * float64(kernel.Millisecond)))}
+	digest := uint64(0)
+	for _, p := range q.chain {
+		digest = balance.Chain(digest, p.id)
+		order.Shared = append(order.Shared, balance.Part{Digest: digest, Tokens: p.tokens})
+	}
+	return order
+}
+
+// take gives a request its server, now or once there is room.
+func (f *front) take(q *request) { f.try(q, f.order(q)) }
+
+func (f *front) try(q *request, order *balance.Request) {
+	r := f.run
+	choice := f.table.Choose(order, r.clock())
+	switch {
+	case choice.Wait:
+		r.after(retryEvery, func() { f.try(q, order) })
+		return
+	case choice.Fault != nil:
+		r.result.ended(q, outcome{})
+		return
+	}
+	f.send(q, order, choice.Server)
+}
+
+func (f *front) send(q *request, order *balance.Request, name string) {
+	r, s := f.run, f.run.servers[name]
+	attempt := f.table.Started(name, order, r.clock())
+	way := r.oneWay(f, s)
+	setUp := 0.0
+	if f.resting[name] > 0 {
+		f.resting[name]--
+	} else {
+		r.result.Connections++
+		setUp = 2 * way
+	}
+	if f.region != s.region {
+		r.result.Crossed += q.kind.Bytes
+	}
+	answer := outcome{}
+	j := &job{own: q.own, out: q.out, chain: q.chain, number: q.number}
+	j.began = func() {
+		r.after(way, func() {
+			f.table.Began(attempt, r.clock())
+			answer.served, answer.took = true, r.now+r.site.ToClient-q.came
+		})
+	}
+	j.ended = func() {
+		r.after(way, func() {
+			f.table.Finished(attempt, balance.Outcome{OK: true}, r.clock())
+			f.resting[name]++
+			answer.pause = j.pause
+			r.result.ended(q, answer)
+		})
+	}
+	r.after(setUp+way, func() { s.engine.arrive(j) })
+}
+
+// suspect tells of servers that are silent on what this front sent them, as the
+// gateway's dispatcher does.
+func (f *front) suspect() {
+	r := f.run
+	r.after(suspectEvery, f.suspect)
+	if r.policy.Off[balance.Suspects] {
+		return
+	}
+	now := r.clock()
+	since := now.Add(-kernel.Duration(heardOfLate * float64(kernel.Millisecond)))
+	hung := f.table.Silences(now)
+	for name, one := range hung {
+		if f.suspected[name] == balance.Usual {
+			r.result.Suspicions++
+		}
+		told := balance.Mute
+		if r.policy.Off[balance.SuspectProbes] {
+			told = balance.Hanging
+		}
+		if one.Silence >= told && f.suspected[name] < told {
+			f.tell(name, false)
+		}
+		f.suspected[name] = max(f.suspected[name], one.Silence)
+	}
+	for name := range f.suspected {
+		if _, still := hung[name]; still {
+			continue
+		}
+		delete(f.suspected, name)
+		if f.table.HeardSince(name, since) {
+			f.tell(name, true)
+		}
+	}
+	for name, status := range r.view.Servers {
+		if _, mine := hung[name]; !status.Reachable && !mine && f.table.HeardSince(name, since) {
+			f.tell(name, true)
+		}
+	}
+}
+
+// tell passes the word of a server on to all fronts.
+func (f *front) tell(name string, reachable bool) {
+	r := f.run
+	if r.reports[name] == nil {
+		if reachable {
+			return
+		}
+		r.reports[name] = map[string]report{}
+	}
+	r.reports[name][f.name] = report{reachable: reachable, at: r.now}
+	if r.changed {
+		return
+	}
+	r.changed = true
+	r.after(tellDelay, r.fold)
+}
+
+// fold takes the newest word of all servers into every front's view.
+func (r *run) fold() {
+	r.changed = false
+	moved := false
+	servers := make(map[string]*wire.ServerStatus, len(r.view.Servers))
+	for name, status := range r.view.Servers {
+		servers[name] = status
+		if reachable := r.reachable(name); reachable != status.Reachable {
+			next := proto.Clone(status).(*wire.ServerStatus)
+			next.Reachable = reachable
+			servers[name], moved = next, true
+			if !reachable {
+				r.result.Excluded++
+			}
+		}
+	}
+	if !moved {
+		return
+	}
+	r.view.Servers = servers
+	for _, f := range r.fronts {
+		f.table.Update(r.view, r.clock())
+	}
+}
+
+func (r *run) reachable(name string) bool {
+	silent, all := 0, 0
+	for _, told := range r.reports[name] {
+		if r.now-told.at > reportFresh {
+			continue
+		}
+		all++
+		if !told.reachable {
+			silent++
+		}
+	}
+	return 2*silent <= all
+}
--- /dev/null
+++ b/sim/balance/run.go
@@ -0,0 +1,232 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"stepwick/internal/core/balance"
+	"stepwick/internal/core/sheet"
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+const serviceName = "pool"
+
+// Policy is what the fronts of a run decide by.
+type Policy struct {
+	Name string
+	Off  balance.Off
+}
+
+// event is something that happens at an instant, in milliseconds.
+type event struct {
+	at    float64
+	order uint64
+	do    func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// run is one day in virtual time.
+type run struct {
+	site    Site
+	policy  Policy
+	random  *rand.Rand
+	now     float64
+	events  queue
+	count   uint64
+	fronts  []*front
+	servers map[string]*server
+	view    balance.View
+	things  map[string][][]piece
+	last    map[uint64]float64 // when a shared part was last used anywhere
+	own     uint64
+	reports map[string]map[string]report // of servers, by the front that told
+	changed bool
+	result  Result
+}
+
+// server is an engine at a place.
+type server struct {
+	engine       *engine
+	region, zone int
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func (r *run) clock() kernel.Time {
+	return start.Add(kernel.Duration(r.now * float64(kernel.Millisecond)))
+}
+
+func (r *run) after(ms float64, do func()) {
+	r.count++
+	heap.Push(&r.events, event{at: r.now + ms, order: r.count, do: do})
+}
+
+// Play plays a day of a site under a policy.
+func Play(site Site, policy Policy, seed uint64) Result {
+	r := &run{site: site, policy: policy, random: rand.New(rand.NewPCG(seed, 0x62616c)), servers: map[string]*server{},
+		things: map[string][][]piece{}, last: map[uint64]float64{}, reports: map[string]map[string]report{}}
+	r.build()
+	for _, kind := range site.Kinds {
+		r.things[kind.Name] = r.drawThings(kind)
+		for region := range site.Regions {
+			r.arrive(kind, region)
+		}
+	}
+	for _, f := range r.fronts {
+		r.after(r.random.Float64()*suspectEvery, f.suspect)
+	}
+	end := site.Seconds * 1000
+	for len(r.events) > 0 && r.events[0].at < end+drainMS {
+		next := heap.Pop(&r.events).(event)
+		r.now = next.at
+		next.do()
+	}
+	return r.result.finished(site)
+}
+
+// drainMS is how long after the last request a run goes on.
+const drainMS = 5000
+
+func (r *run) build() {
+	r.view = balance.View{State: sheet.State{Epoch: 1, Sheet: &sheet.Sheet{Services: map[string]sheet.Service{serviceName: {Kind: sheet.KindHTTP}}}},
+		Servers: map[string]*wire.ServerStatus{}, FleetNow: start}
+	for at, region := range r.site.Regions {
+		for i := range region.Servers {
+			name := fmt.Sprintf("i-%s-%d", region.Name, i)
+			zone := i % r.site.Zones
+			r.servers[name] = &server{engine: newEngine(r, r.site.Engine, name), region: at, zone: zone}
+			r.view.Servers[name] = &wire.ServerStatus{Name: name, Address: "10.0.0.1:80", Services: []string{serviceName}, Reachable: true,
+				State: wire.ServerState_SERVER_STATE_READY, Region: region.Name, Zone: zoneName(region.Name, zone)}
+		}
+		for i := range region.Fronts {
+			r.view.Fronts = append(r.view.Fronts, fmt.Sprintf("f-%s-%d", region.Name, i))
+		}
+	}
+	at := 0
+	for index, region := range r.site.Regions {
+		for i := range region.Fronts {
+			zone := i % r.site.Zones
+			f := &front{run: r, name: r.view.Fronts[at], region: index, zone: zone, resting: map[string]int{}, suspected: map[string]balance.Silence{}}
+			f.table = balance.New(balance.Config{Self: f.name, Region: region.Name, Zone: zoneName(region.Name, zone), Off: r.policy.Off})
+			f.table.Update(r.view, r.clock())
+			r.fronts = append(r.fronts, f)
+			at++
+		}
+	}
+}
+
+func zoneName(region string, zone int) string { return fmt.Sprintf("%s-%d", region, zone) }
+
+// drawThings draws the chains of shared parts that requests of a kind have. The
+// last part of a chain is one of many, and each of those has its own parts before
+// it.
+func (r *run) drawThings(kind Kind) [][]piece {
+	if len(kind.Shared) == 0 {
+		return [][]piece{nil}
+	}
+	levels := make([][]piece, len(kind.Shared))
+	for level, shared := range kind.Shared {
+		for range shared.Things {
+			levels[level] = append(levels[level], piece{id: r.random.Uint64(), tokens: r.size(shared.Size)})
+		}
+	}
+	chains := make([][]piece, len(levels[len(levels)-1]))
+	for i := range chains {
+		for _, pieces := range levels[:len(levels)-1] {
+			chains[i] = append(chains[i], pieces[i%len(pieces)])
+		}
+		chains[i] = append(chains[i], levels[len(levels)-1][i])
+	}
+	return chains
+}
+
+func (r *run) size(size Size) float64 {
+	if size.Spread == 0 {
+		return size.Mean
+	}
+	drawn := math.Exp(r.random.NormFloat64()*size.Spread + math.Log(size.Mean) - size.Spread*size.Spread/2)
+	return math.Max(1, math.Min(drawn, size.Most))
+}
+
+// arrive has requests of a kind come in a region, one after the other.
+func (r *run) arrive(kind Kind, region int) {
+	mean := kind.PerSecond / float64(len(r.site.Regions)) / 1000
+	most := mean * (1 + r.site.Swing)
+	r.after(r.random.ExpFloat64()/most, func() {
+		if r.now > r.site.Seconds*1000 {
+			return
+		}
+		phase := 2 * math.Pi * (r.now/1000/r.site.Period + float64(region)/float64(len(r.site.Regions)))
+		if rate := mean * (1 + r.site.Swing*math.Sin(phase)); r.random.Float64() < rate/most {
+			r.request(kind, region)
+		}
+		r.arrive(kind, region)
+	})
+}
+
+func (r *run) request(kind Kind, region int) {
+	var near []*front
+	for _, f := range r.fronts {
+		if f.region == region {
+			near = append(near, f)
+		}
+	}
+	chains := r.things[kind.Name]
+	chain := chains[r.pickThing(kind, len(chains))]
+	r.own++
+	q := &request{kind: kind, came: r.now, chain: chain, own: r.size(kind.Own), out: r.size(kind.Out), number: r.own}
+	f := near[r.random.IntN(len(near))]
+	r.after(r.site.ToClient, func() { f.take(q) })
+}
+
+// pickThing draws one of n things, of which the earlier are asked for more often.
+func (r *run) pickThing(kind Kind, n int) int {
+	skew := 0.0
+	if len(kind.Shared) > 0 {
+		skew = kind.Shared[len(kind.Shared)-1].Skew
+	}
+	return min(int(float64(n)*math.Pow(r.random.Float64(), 1/(1-skew))), n-1)
+}
+
+// used notes that a shared part was found kept.
+func (r *run) used(p piece) { r.last[p.id] = r.now }
+
+// readAnew notes that a shared part was read, and counts it if another server
+// has read it of late.
+func (r *run) readAnew(p piece) {
+	r.result.Read += p.tokens
+	if at, before := r.last[p.id]; before && r.now-at < r.site.Remembered*1000 {
+		r.result.ReadAgain += p.tokens
+	}
+	r.last[p.id] = r.now
+}
+
+// oneWay is how long a message takes from a front to a server, in milliseconds.
+func (r *run) oneWay(f *front, s *server) float64 {
+	switch {
+	case f.region != s.region:
+		return r.site.CrossRegion
+	case f.zone != s.zone:
+		return r.site.CrossZone
+	}
+	return r.site.InZone
+}
