Isolate long answers to short prompts on servers that long prompts avoid

Change: a route whose answers have a tenth of its prompts' tokens or more, and whose prompts are shorter than the mean, is calm. Each node works out how many servers calm routes need (by half of their part of the work, and by places); all order the servers of a region alike. Long prompts avoid those servers, calm routes go there; neither is forbidden the other. Where less than 0.6 of a server is needed, none is set aside.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -18,7 +18,7 @@
 	ctx, stop := signal.NotifyContext(kernel.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "rig", Short: "Prove stepwick from outside", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demoCommand(), proveCommand(), routeCommand(), costCommand(), scenarioCommand(), standinsCommand(), pagesCommand(), hollowCommand(), slopesCommand(), upCommand())
+	root.AddCommand(demoCommand(), proveCommand(), routeCommand(), costCommand(), scenarioCommand(), standinsCommand(), pagesCommand(), hollowCommand(), slopesCommand(), experimentCommand(), upCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "rig:", err)
 		stop()
--- a/internal/adapter/internalrpc/pool.go
+++ b/internal/adapter/internalrpc/pool.go
@@ -25,9 +25,9 @@
 	messageBound = 64 << 20
 	compressFrom = 16 << 10
 	headerBound  = 16 << 10
-	idleClient   = 3 * kernel.Second // keeps the calls to cores on one connection, not those to seldom peers
-	pingAfter    = kernel.Second     // without a byte from the far side while calls are open
-	pingWait     = kernel.Second
+	idleClient   = 3 * kernel.Second        // keeps the calls to cores on one connection, not those to seldom peers
+	pingAfter    = 700 * kernel.Millisecond // without a byte from the far side while calls are open
+	pingWait     = 700 * kernel.Millisecond
 	idleServer   = 20 * kernel.Second
 )
 
--- a/internal/core/balance/isolation.go
+++ b/internal/core/balance/isolation.go
@@ -11,26 +11,31 @@
 // Isolation keeps long answers to short prompts, whose readers notice each
 // pause, on a few servers of a service that long prompts avoid: while a server
 // reads a long prompt, its other answers wait for each of their tokens. Which
-// routes are calm in this way is learned from their requests, and so is the part
-// of the servers that they need. All nodes order the servers alike, so that they
+// routes are calm in this way is learned from their requests, and so is how many
+// servers they need. All nodes order the servers of a region alike, so that they
 // need not agree on more than about how many are set aside.
 const (
 	// A route is calm when its prompts have at most calmPrompt of the mean of all
-	// prompts at the service, and its answers at least calmAnswer of the mean of
-	// all answers.
-	calmPrompt  = 0.4
-	calmAnswer  = 0.7
-	calmSamples = 2 // requests until a route is known
-	// gatherSamples is how many requests of a calm route a node has seen until it
-	// gathers them at the servers that are set aside: the other nodes are to have
-	// learned to keep long prompts away by then.
-	gatherSamples = 4
-	// isolatedRoom is how many times the part of the work that calm routes have is
-	// set aside for them; isolatedMost bounds the part of the servers, of which
-	// there must be isolatedLeast in a region.
-	isolatedRoom  = 0.5
-	isolatedMost  = 0.5
-	isolatedLeast = 4
+	// prompts at the service, and its answers at least calmAnswer of the tokens of
+	// its own prompts.
+	calmPrompt = 0.7
+	calmAnswer = 0.1
+	// isolatedRoom is how many servers are set aside for the part of a service's
+	// work that calm routes have, against those that have this part of all. Less
+	// than one lets them have more work than others: it is short.
+	isolatedRoom = 0.5
+	// placesUsed is the part of the places at servers that are set aside which
+	// calm routes are to fill in the mean.
+	placesUsed = 0.4
+	// isolatedMost bounds the part of a region's servers that are set aside. Where
+	// calm routes need less than wholeFrom of one server, none is: long prompts
+	// would miss more than calm routes win.
+	isolatedMost = 0.5
+	wholeFrom    = 0.6
+	// Until firstSamples requests for streams have been seen at a service, calm
+	// routes are taken to have firstShare of its work.
+	firstSamples = 6
+	firstShare   = 0.2
 	// strayCost keeps long prompts from servers that are set aside, and calm
 	// routes from the others, in milliseconds.
 	strayCost = 200
@@ -40,8 +45,8 @@
 	isolateEvery = kernel.Second
 	// routesMost bounds the routes that are known.
 	routesMost = 4096
-	// routeShare is the weight of a new sample in what is known of a route.
-	routeShare = 0.05
+	// sampleShare is the weight of a new sample in what is known of a route.
+	sampleShare = 0.05
 )
 
 // routeLoad is what one node knows of the requests of one route.
@@ -54,25 +59,20 @@
 	samples  float64         // requests seen at all
 	requests float64         // requests of late, as of faded
 	work     float64         // tokens read of late, as of faded
+	running  float64         // seconds that requests ran of late, as of faded
 	faded    kernel.Time
+	begun    kernel.Time // when the first request was seen
 }
 
-// fade lets what was of late fade until now.
-func (r *routeLoad) fade(now kernel.Time) {
-	left := math.Exp(-now.Sub(r.faded).Seconds() / workFades.Seconds())
-	r.requests *= left
-	r.work *= left
-	r.faded = now
-}
-
-func (t *Table) route(request *Request) *routeLoad {
+// route returns what is known of a request's route.
+func (t *Table) route(request *Request, now kernel.Time) *routeLoad {
 	load := t.routes[request.Route]
 	if load == nil {
 		if len(t.loads) >= routesMost {
 			clear(t.routes)
 			t.loads = nil
 		}
-		load = &routeLoad{}
+		load = &routeLoad{begun: now, faded: now}
 		t.routes[request.Route] = load
 		t.loads = append(t.loads, load)
 	}
@@ -80,41 +80,66 @@
 	return load
 }
 
-// sent notes that a request of a route was sent, of which so many tokens are to
-// be read.
+// fade lets what was of late fade until now.
+func (r *routeLoad) fade(now kernel.Time) {
+	left := math.Exp(-now.Sub(r.faded).Seconds() / workFades.Seconds())
+	r.requests *= left
+	r.work *= left
+	r.running *= left
+	r.faded = now
+}
+
+// sent notes that a request of the route was sent, of which so many tokens are
+// to be read.
 func (r *routeLoad) sent(request *Request, reads float64, now kernel.Time) {
 	r.fade(now)
 	r.requests++
 	r.work += reads
 	r.samples++
-	weight := max(routeShare, 1/r.samples)
+	weight := max(sampleShare, 1/r.samples)
 	r.prompt += (request.tokens() - r.prompt) * weight
 	r.answer += (request.Out - r.answer) * weight
 }
 
+// ran notes how long a request of the route was at its server.
+func (r *routeLoad) ran(took kernel.Duration, now kernel.Time) {
+	r.fade(now)
+	r.running += took.Seconds()
+}
+
+// atOnce is how many requests of the route this node has at servers, in the
+// mean of late.
+func (r *routeLoad) atOnce(now kernel.Time) float64 {
+	span := workFades.Seconds() * (1 - math.Exp(-now.Sub(r.begun).Seconds()/workFades.Seconds()))
+	return r.running / max(span, 1)
+}
+
+// serves tells whether servers of a region may serve the route.
+func (r *routeLoad) serves(region string) bool {
+	return len(r.regions) == 0 || slices.Contains(r.regions, region)
+}
+
 // calm tells whether a route has long answers to short prompts.
 func (t *Table) calm(r *routeLoad) bool {
-	if r == nil || r.samples < calmSamples || r.pause <= 0 {
+	if r == nil || r.samples == 0 || r.pause <= 0 {
 		return false
 	}
-	prompt, answer := t.means(r.service)
-	return r.prompt <= calmPrompt*prompt && r.answer >= calmAnswer*answer
+	return r.answer >= calmAnswer*r.prompt && r.prompt <= calmPrompt*t.meanPrompt(r.service)
 }
 
-// means are the mean tokens of the prompts and of the answers at a service.
-func (t *Table) means(service string) (prompt, answer float64) {
-	requests := 0.0
+// meanPrompt is the mean of the tokens of the prompts at a service.
+func (t *Table) meanPrompt(service string) float64 {
+	tokens, requests := 0.0, 0.0
 	for _, load := range t.loads {
 		if load.service == service {
-			prompt += load.prompt * load.requests
-			answer += load.answer * load.requests
+			tokens += load.prompt * load.requests
 			requests += load.requests
 		}
 	}
 	if requests == 0 {
-		return 0, 0
+		return 0
 	}
-	return prompt / requests, answer / requests
+	return tokens / requests
 }
 
 // isolate works out which servers of each service are set aside for calm routes.
@@ -124,37 +149,82 @@
 		return
 	}
 	for service, pool := range t.pools {
-		for region, servers := range byRegion(pool) {
-			t.setAside(servers, t.calmShare(service, region, now))
+		regions := byRegion(pool)
+		need, open := t.calmNeed(service, regions, now)
+		for region, servers := range regions {
+			if open[region] {
+				t.setAside(servers, need)
+			}
 		}
 	}
 }
 
-// calmShare is the part of a service's work that calm routes have which a region
-// may serve.
-func (t *Table) calmShare(service, region string, now kernel.Time) float64 {
-	calm, all := 0.0, 0.0
+// calmNeed is the part of the servers of each region that calm routes need, and
+// the regions that may serve them.
+func (t *Table) calmNeed(service string, regions map[string][]*server, now kernel.Time) (need float64, open map[string]bool) {
+	calm, all, streams, running := 0.0, 0.0, 0.0, 0.0
+	open = map[string]bool{}
 	for _, load := range t.loads {
-		if load.service != service || len(load.regions) > 0 && !slices.Contains(load.regions, region) {
+		if load.service != service {
 			continue
 		}
 		load.fade(now)
 		all += load.work
-		if t.calm(load) {
-			calm += load.work
+		if load.pause > 0 {
+			streams += load.samples
+		}
+		if !t.calm(load) {
+			continue
 		}
+		calm += load.work
+		running += load.atOnce(now)
+		for region := range regions {
+			open[region] = open[region] || load.serves(region)
+		}
+	}
+	if streams > 0 && streams < firstSamples {
+		for region := range regions {
+			open[region] = true
+		}
+		return firstShare * isolatedRoom, open
 	}
 	if calm == 0 || calm == all {
+		return 0, nil
+	}
+	return t.partOf(service, regions, open, calm/all, running), open
+}
+
+// partOf turns a part of the work, and a number of requests that this node has
+// at servers at once, into the part of the servers of some regions that they
+// need, if all nodes have as many.
+func (t *Table) partOf(service string, regions map[string][]*server, open map[string]bool, work, running float64) float64 {
+	servers, places := 0.0, 0.0
+	for region := range open {
+		if !open[region] {
+			continue
+		}
+		for _, s := range regions[region] {
+			servers++
+			places += float64(s.status.Slots)
+		}
+	}
+	if servers == 0 {
 		return 0
 	}
-	return calm / all
+	byWork := work * isolatedRoom * float64(len(t.pools[service])) / servers
+	if places == 0 {
+		return byWork
+	}
+	return max(byWork, running*float64(len(t.fronts))/(places*placesUsed))
 }
 
-func (t *Table) setAside(servers []*server, share float64) {
-	if len(servers) < isolatedLeast || share == 0 {
+// setAside sets a part of a region's servers aside.
+func (t *Table) setAside(servers []*server, part float64) {
+	needed := float64(len(servers)) * min(part, isolatedMost)
+	if needed < wholeFrom {
 		return
 	}
-	count := math.Ceil(float64(len(servers)) * min(share*isolatedRoom, isolatedMost))
+	count := math.Ceil(needed)
 	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(mix(a.hash), mix(b.hash)) })
 	for _, s := range servers[:int(count)] {
 		t.isolated[s.name] = true
@@ -172,12 +242,5 @@
 // strays tells whether a server is not one for a request's route: set aside for
 // calm routes, or not.
 func (t *Table) strays(s *server, request *Request) bool {
-	if len(t.isolated) == 0 {
-		return false
-	}
-	load := t.routes[request.Route]
-	if !t.calm(load) {
-		return t.isolated[s.name]
-	}
-	return !t.isolated[s.name] && load.samples >= gatherSamples
+	return len(t.isolated) > 0 && t.isolated[s.name] != t.calm(t.routes[request.Route])
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -273,7 +273,7 @@
 	a := &Attempt{server: s, service: request.Service, began: now}
 	a.reads = request.Own + t.missing(s, request, t.holder(request), now)
 	a.alone = s.inFlight == 0
-	a.route = t.route(request)
+	a.route = t.route(request, now)
 	a.route.sent(request, a.reads, now)
 	s.started(a, now)
 	t.remember(request, name, now)
@@ -345,6 +345,7 @@
 		return
 	}
 	a.ended = true
+	a.route.ran(now.Sub(a.began), now)
 	a.server.finished(a, outcome, now, t.config)
 	if a.server.inFlight == 0 && t.view.Servers[a.server.name] == nil {
 		delete(t.servers, a.server.name)
--- a/sim/balance/run.go
+++ b/sim/balance/run.go
@@ -114,7 +114,7 @@
 			name := fmt.Sprintf("i-%s-%d", region.Name, i)
 			zone := i % r.site.Zones
 			r.servers[name] = &server{engine: newEngine(r, r.site.Engine, name), region: at, zone: zone}
-			r.view.Servers[name] = &wire.ServerStatus{Name: name, Address: "10.0.0.1:80", Services: []string{serviceName}, Reachable: true,
+			r.view.Servers[name] = &wire.ServerStatus{Name: name, Address: "10.0.0.1:80", Services: []string{serviceName}, Reachable: true, Slots: uint32(r.site.Engine.Slots),
 				State: wire.ServerState_SERVER_STATE_READY, Region: region.Name, Zone: zoneName(region.Name, zone)}
 		}
 		for i := range region.Fronts {
