Let one region read the platform's list while those of others stand by

Change: platform.standby. One region leads by rendezvous hash; a reader of another asks a core of its region when the list was last seen (Inspect, listed) and reads it when that is longer ago, or no core answers. Ruled out: a slower look of every region, a list by turns. Tests: watch TestStandby: half the calls; both reading as soon as the leading region's readers end, or no core answers.

--- a/internal/core/merge/merge.go
+++ b/internal/core/merge/merge.go
@@ -103,6 +103,9 @@
 	servers map[string]*entry
 	dirty   map[string]bool
 	folded  map[string]*wire.ServerStatus
+	// listedAt is the newest instant, in ms of fleet time, at which a watcher saw
+	// the platform's list.
+	listedAt int64
 }
 
 // New returns an empty set.
@@ -126,7 +129,11 @@
 	if held, ok := e.sightings[report.Watcher]; ok && !newer(report, held.report) {
 		return false
 	}
-	e.sightings[report.Watcher] = sighting{report, r.believed(report.AtMs, now)}
+	at := r.believed(report.AtMs, now)
+	e.sightings[report.Watcher] = sighting{report, at}
+	if _, sight := SightOf(report.Watcher); sight == Listed {
+		r.listedAt = max(r.listedAt, at)
+	}
 	r.dirty[report.Server] = true
 	return true
 }
@@ -204,6 +211,15 @@
 	return all
 }
 
+// ListedAt returns the newest instant of fleet time at which a watcher saw the
+// platform's list; the zero time before the first.
+func (r *Reports) ListedAt() kernel.Time {
+	if r.listedAt == 0 {
+		return kernel.Time{}
+	}
+	return kernel.UnixMilli(r.listedAt)
+}
+
 // Expire drops reports that newer ones of the same kind have outlived by Keep,
 // and servers that have been gone for Keep. The last word on a server that is
 // not gone stays for good. now is fleet time.
--- a/internal/core/merge/unchanged.go
+++ b/internal/core/merge/unchanged.go
@@ -37,6 +37,9 @@
 		return nil, false
 	}
 	at := r.believed(unchanged.GetAtMs(), now)
+	if _, sight := SightOf(unchanged.Watcher); sight == Listed {
+		r.listedAt = max(r.listedAt, at)
+	}
 	for _, server := range servers {
 		sightings := r.servers[server].sightings
 		s := sightings[unchanged.Watcher]
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -72,7 +72,7 @@
 	p.watcher = watch.New(watch.Config{
 		Self: p.base.Name, Region: p.base.Region, Zone: p.base.Zone, Incarnation: p.base.Incarnation,
 		ListEvery: values.Duration("platform.interval"), StatusEvery: values.Duration("watch.interval"),
-		ListFronts: values.Int("platform.readers"), ListOnly: world.Edge != nil,
+		ListFronts: values.Int("platform.readers"), ListOnly: world.Edge != nil, Standby: values.Duration("platform.standby"),
 	}, p.servers(world), p.directory, clock, func() watch.View {
 		view := p.follower.View()
 		return watch.View{Servers: view.Servers, Fronts: view.Fronts}
@@ -135,6 +135,9 @@
 		"tally":   p.tally,
 		"explain": func(id string) (any, bool) { return p.front.Inspect("explain", id) },
 	}}
+	if p.core != nil {
+		inspect.own[watch.InspectListed] = func(string) (any, bool) { return watch.Listed{AtMS: p.core.ListedAt()}, true }
+	}
 	p.peer = &peer{directory: p.directory, follower: p.follower, spend: p.spend, inspector: inspect, replica: p.replica, core: p.core}
 	control := controlapi.New(controlapi.Config{
 		Operators: p.values.Strings("operator.keys"), SheetMax: int64(p.values.Int("sheet.max")),
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"stepwick/internal/core/duty"
 	"stepwick/internal/core/lease"
@@ -113,6 +114,8 @@
 	orders    chan struct{}
 	inbox     chan func()
 
+	listedAt atomic.Int64 // fleet time in ms at which a watcher last saw the platform's list
+
 	ctx       kernel.Context
 	ledger    *lease.Ledger
 	opened    bool
--- a/internal/node/core/reports.go
+++ b/internal/node/core/reports.go
@@ -194,6 +194,10 @@
 	return &wire.SubmitResponse{Unknown: unknown}, err
 }
 
+// ListedAt returns the newest instant, in ms of fleet time, at which a watcher
+// saw the platform's list, as far as this core was told; 0 before the first.
+func (c *Core) ListedAt() int64 { return c.listedAt.Load() }
+
 // submit returns the watchers whose unchanged reports are not held here.
 func (c *Core) submit(req *wire.SubmitRequest) (unknown []string) {
 	now := c.config.FleetNow()
@@ -217,6 +221,9 @@
 			c.outbox(p.Name).unchanged[unchanged.Watcher] = unchanged
 		}
 	}
+	if at := c.reports.merged.ListedAt(); !at.IsZero() {
+		c.listedAt.Store(at.UnixMilli())
+	}
 	if c.takePlan(req.Plan) && !req.Relayed {
 		for _, p := range c.others() {
 			c.outbox(p.Name).plan = req.Plan
--- /dev/null
+++ b/internal/node/watch/standby.go
@@ -0,0 +1,99 @@
+package watch
+
+import (
+	"encoding/json"
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"stepwick/internal/kernel"
+	"stepwick/internal/wire"
+)
+
+// InspectListed is what a core is asked for to learn when the platform's list was
+// last read; it answers with Listed.
+const InspectListed = "listed"
+
+// Listed tells the fleet time, in ms, at which the platform's list was last read.
+type Listed struct {
+	AtMS int64 `json:"at_ms"`
+}
+
+// listedTimeout bounds the question to a core.
+const listedTimeout = 300 * kernel.Millisecond
+
+// lookAtList reads the list or, where the fronts of another region do that, asks
+// whether it was read of late.
+func (w *Watcher) lookAtList(ctx kernel.Context, fronts []*wire.Process) {
+	if w.cfg.Standby <= 0 || leads(w.cfg.Region, fronts) {
+		w.pollList(ctx)
+		return
+	}
+	w.listing = true
+	asked := w.fleetNow()
+	w.work(ctx, func() func() {
+		listed, err := w.askListed(ctx)
+		return func() {
+			w.listing = false
+			if err != nil || asked.Sub(listed) > w.cfg.Standby {
+				w.pollList(ctx)
+			}
+		}
+	})
+}
+
+// askListed asks the cores of the own region first.
+func (w *Watcher) askListed(ctx kernel.Context) (kernel.Time, error) {
+	core := w.nearCore()
+	if core == nil {
+		return kernel.Time{}, errors.New("no core is known")
+	}
+	bound, cancel := kernel.WithTimeout(ctx, listedTimeout)
+	defer cancel()
+	resp, err := w.peers.Client(core.Address).Inspect(bound, connect.NewRequest(&wire.InspectRequest{What: InspectListed}))
+	if err != nil {
+		return kernel.Time{}, err
+	}
+	var listed Listed
+	if kernel.Code(resp.Msg.Code) != kernel.OK {
+		return kernel.Time{}, errors.Errorf("core %s: code %d", core.Name, resp.Msg.Code)
+	}
+	if err := json.Unmarshal(resp.Msg.Body, &listed); err != nil {
+		return kernel.Time{}, errors.Wrapf(err, "core %s", core.Name)
+	}
+	return kernel.UnixMilli(listed.AtMS), nil
+}
+
+// nearCore returns a core of the own region that votes, or any that does.
+func (w *Watcher) nearCore() *wire.Process {
+	var near, far *wire.Process
+	for _, p := range w.peers.Processes() {
+		switch {
+		case !p.Core || p.Standing != wire.Standing_STANDING_VOTING:
+		case p.Region == w.cfg.Region && near == nil:
+			near = p
+		case far == nil:
+			far = p
+		}
+	}
+	if near != nil {
+		return near
+	}
+	return far
+}
+
+// leads tells whether a region's fronts are those that read the list: the highest
+// by rendezvous hash among the regions that have fronts.
+func leads(region string, fronts []*wire.Process) bool {
+	var regions []string
+	for _, p := range fronts {
+		if p.Front && !p.Leaving && !slices.Contains(regions, p.Region) {
+			regions = append(regions, p.Region)
+		}
+	}
+	return Ranks(region, listSubject, regions, 1)
+}
+
+// listSubject is what regions are ranked for.
+const listSubject = "the platform's list"
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -36,6 +36,10 @@
 	// ListOnly leaves the servers' own status alone, for sources that have none
 	// or charge for it: then servers are judged by the list and by their answers.
 	ListOnly bool
+	// Standby, where above zero, has the fronts of one region read the list. A
+	// reader of another region asks a core when it was last read, and reads it when
+	// that is longer ago, or when no core answers.
+	Standby kernel.Duration
 }
 
 func (c Config) orDefaults() Config {
@@ -151,7 +155,7 @@
 	w.size = len(v.Servers)
 	if !w.listing && !now.Before(w.listAt) && w.mine(v.Fronts, "", w.cfg.Region, "", w.cfg.ListFronts) {
 		w.listAt = now.Add(w.cfg.ListEvery)
-		w.pollList(ctx)
+		w.lookAtList(ctx, v.Fronts)
 	}
 	if !w.cfg.ListOnly && !now.Before(w.pollAt) {
 		w.duePolls(v)
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -53,7 +54,7 @@
 	}
 	for i := range 9 {
 		region, zone := []string{"lagos", "lagos", "abeokuta"}[i%3], []string{"a", "b", "a"}[i%3]
-		w.fronts = append(w.fronts, &wire.Process{Name: fmt.Sprintf("n%d", i), Region: region, Zone: zone, Front: true, Core: i < 3, Address: fmt.Sprintf("n%d", i)})
+		w.fronts = append(w.fronts, &wire.Process{Name: fmt.Sprintf("n%d", i), Region: region, Zone: zone, Front: true, Core: i < 3, Standing: wire.Standing_STANDING_VOTING, Address: fmt.Sprintf("n%d", i)})
 	}
 	for i := range 3 {
 		w.cores[fmt.Sprintf("n%d", i)] = merge.New(merge.Config{})
@@ -124,6 +125,21 @@
 	return connect.NewResponse(resp), err
 }
 
+// Inspect tells when a core was last told of the list.
+func (c coreClient) Inspect(_ context.Context, req *connect.Request[wire.InspectRequest]) (*connect.Response[wire.InspectResponse], error) {
+	resp, err := &wire.InspectResponse{}, error(nil)
+	c.w.with(func() {
+		c.w.asked["inspect "+req.Msg.What]++
+		if c.w.down[c.name] {
+			err = errors.New("down")
+			return
+		}
+		resp.Code = uint32(kernel.OK)
+		resp.Body, _ = json.Marshal(Listed{AtMS: c.w.cores[c.name].ListedAt().UnixMilli()})
+	})
+	return connect.NewResponse(resp), err
+}
+
 type peers struct{ w *world }
 
 func (p peers) Process(string) (*wire.Process, bool) { return nil, false }
@@ -173,10 +189,10 @@
 	stop map[string]func()
 }
 
-func launch() fleet {
+func launch(standby time.Duration) fleet {
 	f := fleet{newWorld(), map[string]func(){}}
 	for i, p := range f.fronts {
-		watcher := New(Config{Self: p.Name, Region: p.Region, Zone: p.Zone, Incarnation: uint64(i + 1)}, f.world, peers{f.world},
+		watcher := New(Config{Self: p.Name, Region: p.Region, Zone: p.Zone, Incarnation: uint64(i + 1), Standby: standby}, f.world, peers{f.world},
 			kernel.System(), f.view, func(*wire.Report) {}, time.Now, f.world)
 		ctx, cancel := context.WithCancel(context.Background())
 		f.stop[p.Name] = cancel
@@ -214,9 +230,11 @@
 	})
 }
 
-func bubble(t *testing.T, title string, f func(f fleet)) {
+func bubble(t *testing.T, title string, f func(f fleet)) { bubbleWith(t, 0, title, f) }
+
+func bubbleWith(t *testing.T, standby time.Duration, title string, f func(f fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet := launch()
+		fleet := launch(standby)
 		defer fleet.close()
 		pass(3 * time.Second)
 		Convey("Watchers "+title, t, func() { f(fleet) })
@@ -325,6 +343,52 @@
 	})
 }
 
+func TestStandby(t *testing.T) {
+	const standby = 2 * time.Second
+	lead := func(f fleet) string {
+		if leads("lagos", f.fronts) {
+			return "lagos"
+		}
+		return "abeokuta"
+	}
+	listed := func(f fleet) (count int) {
+		f.with(func() { count = f.asked["list"] })
+		return count
+	}
+	bubbleWith(t, standby, "of one region read the list, and those of the other ask a core whether it was read", func(f fleet) {
+		before := listed(f)
+		pass(10 * time.Second)
+		So(listed(f)-before, ShouldBeBetweenOrEqual, 3*18, 3*22)
+		So(f.asked["inspect "+InspectListed], ShouldBeGreaterThan, 3*18)
+	})
+	bubbleWith(t, standby, "of the other region read it when nobody else does, before long", func(f fleet) {
+		var readers []string
+		for _, p := range f.fronts {
+			if p.Region == lead(f) {
+				readers = append(readers, p.Name)
+			}
+		}
+		for _, name := range readers {
+			f.stop[name]()
+		}
+		f.set("m1", func(s *wire.ServerStatus) { s.State = draining })
+		pass(standby + 1500*time.Millisecond)
+		for _, core := range f.cores {
+			So(core.Servers()["m1"].State, ShouldEqual, draining)
+		}
+	})
+	bubbleWith(t, standby, "of the other region read it when no core answers", func(f fleet) {
+		f.with(func() {
+			for core := range f.cores {
+				f.down[core] = true
+			}
+		})
+		before := listed(f)
+		pass(5 * time.Second)
+		So(listed(f)-before, ShouldBeGreaterThan, 6*8)
+	})
+}
+
 func TestServersThatAreGoneAreForgotten(t *testing.T) {
 	Convey("A watcher that only lists keeps nothing of servers that come and go", t, func() {
 		w := newWorld()
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -114,6 +114,8 @@
 		Help: "How often a watcher reads the platform's list."},
 	{Name: "platform.readers", Type: Int, Default: "3", Rule: "1 to 64", Check: counted(1, 64),
 		Help: "How many fronts of each region read the platform's list."},
+	{Name: "platform.standby", Type: Duration, Default: "0s", Rule: "0s, or 1500ms to 1m", Check: checkStandby,
+		Help: "Where above zero, the fronts of one region read the platform's list, and those of others only when it was not read for so long."},
 	{Name: "watch.interval", Type: Duration, Default: "500ms", Rule: "50ms to 10s", Check: within(50*kernel.Millisecond, 10*kernel.Second),
 		Help: "How often a watcher asks a server for its status."},
 	{Name: "plan.period", Type: Duration, Default: "5s", Rule: "500ms to 1h", Check: within(500*kernel.Millisecond, kernel.Hour),
