--- a/internal/adapter/clientapi/api.go
+++ b/internal/adapter/clientapi/api.go
@@ -139,7 +139,7 @@
 	case x.api.slots <- struct{}{}:
 		defer func() { <-x.api.slots }()
 	default:
-		return kernel.Refuse(kernel.PendingFull, "the node serves %d requests", x.limits.Requests).After(kernel.Second)
+		return kernel.Refuse(kernel.QueueFull, "the node serves %d requests", x.limits.Requests).After(kernel.Second)
 	}
 	span, given, fault := x.limits.headerDeadline(x.r.Header)
 	if fault != nil {
@@ -213,7 +213,7 @@
 }
 
 func (x *exchange) bodiesFull() *kernel.Fault {
-	return kernel.Refuse(kernel.PendingFull, "the bodies that the node holds are at their bound of %d bytes", x.limits.BodiesMax).After(kernel.Second)
+	return kernel.Refuse(kernel.QueueFull, "the bodies that the node holds are at their bound of %d bytes", x.limits.BodiesMax).After(kernel.Second)
 }
 
 func (x *exchange) context(deadline kernel.Time) (kernel.Context, kernel.Cancel) {
--- a/internal/adapter/controlapi/api.go
+++ b/internal/adapter/controlapi/api.go
@@ -162,7 +162,7 @@
 	case slots <- struct{}{}:
 		defer func() { <-slots }()
 	default:
-		return answer{}, kernel.Refuse(kernel.PendingFull, "%d calls are under way", cap(slots)).After(kernel.Second)
+		return answer{}, kernel.Refuse(kernel.QueueFull, "%d calls are under way", cap(slots)).After(kernel.Second)
 	}
 	if fault := x.readBody(); fault != nil {
 		return answer{}, fault
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -219,7 +219,7 @@
 	case waits && now.Before(request.Until):
 		return Choice{Wait: true}
 	case waits:
-		return Choice{Fault: kernel.Refuse(kernel.PendingFull, "the servers of %s have no room", request.Service).After(fullPause)}
+		return Choice{Fault: kernel.Refuse(kernel.QueueFull, "the servers of %s have no room", request.Service).After(fullPause)}
 	}
 	return Choice{Fault: kernel.Refuse(kernel.NoServer, "no server of %s can take requests", request.Service).After(emptyPause)}
 }
--- a/internal/core/balance/table_test.go
+++ b/internal/core/balance/table_test.go
@@ -208,7 +208,7 @@
 		So(tab.Choose(ask("more", 0), start).Wait, ShouldBeTrue)
 		late := ask("late", 0)
 		late.Until = start
-		So(tab.Choose(late, start).Fault.Code, ShouldEqual, kernel.PendingFull)
+		So(tab.Choose(late, start).Fault.Code, ShouldEqual, kernel.QueueFull)
 	})
 	Convey("All nodes together stay within what a cold server bears in any second", t, func() {
 		for _, nodes := range []int{1, 3, 9, 40} {
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -55,7 +55,7 @@
 		c.Fault = kernel.Refuse(kernel.UnknownService, "no service %q", req.Service)
 		return c, false
 	}
-	if fresh && t.pending.unserved && len(t.pending.line) > 0 {
+	if fresh && t.queue.unserved && len(t.queue.line) > 0 {
 		return t.wait(req, now, c), false
 	}
 	key := req.Prefix
@@ -95,7 +95,7 @@
 	case found > none && fresh:
 		return t.wait(req, now, c), false
 	case found > none:
-		c.Pending = true
+		c.Queued = true
 		return c, found == elsewhere
 	}
 	c.Fault = kernel.Refuse(kernel.NoServer, "no server of %s can take requests%s", req.Service, t.homeNote(req.Home)).After(comeBack)
@@ -126,7 +126,7 @@
 func (t *Table) seated(c Choice, s *server, req *Request) Choice {
 	c.FirstEvent = t.firstEvent(s, req)
 	c.Server, c.Address, c.Region = s.name, s.status.Address, s.status.Region
-	c.Pending, c.Fault = false, nil
+	c.Queued, c.Fault = false, nil
 	return c
 }
 
--- a/internal/core/route/pending.go
+++ b/internal/core/route/queue.go
@@ -27,7 +27,7 @@
 	coldPrefill = 4
 )
 
-// class is a set of pending requests that wait for the same servers.
+// class is a set of queued requests that wait for the same servers.
 type class struct{ service, home, from string }
 
 func classOf(req *Request) class { return class{req.Service, req.Home, req.FromRegion} }
@@ -42,36 +42,36 @@
 	return cmp.Or(a.req.Deadline.Compare(b.req.Deadline), cmp.Compare(a.order, b.order))
 }
 
-// pending holds what waits, in the order of the deadlines. unserved says that
+// waitQueue holds what waits, in the order of the deadlines. unserved says that
 // room may have come since Next found nothing to go.
-type pending struct {
+type waitQueue struct {
 	line     []*waiter
 	byID     map[string]*waiter
 	order    uint64
 	unserved bool
 }
 
-func newPending() pending { return pending{byID: map[string]*waiter{}} }
+func newWaitQueue() waitQueue { return waitQueue{byID: map[string]*waiter{}} }
 
-func (p *pending) place(w *waiter) int {
+func (p *waitQueue) place(w *waiter) int {
 	at, _ := slices.BinarySearchFunc(p.line, w, compare)
 	return at
 }
 
-func (p *pending) add(req Request, now kernel.Time) {
+func (p *waitQueue) add(req Request, now kernel.Time) {
 	p.order++
 	w := &waiter{req, now, p.order}
 	p.line = slices.Insert(p.line, p.place(w), w)
 	p.byID[req.ID] = w
 }
 
-func (p *pending) remove(w *waiter) {
+func (p *waitQueue) remove(w *waiter) {
 	at := p.place(w)
 	p.line = slices.Delete(p.line, at, at+1)
 	delete(p.byID, w.req.ID)
 }
 
-func (p *pending) ahead(deadline kernel.Time) int {
+func (p *waitQueue) ahead(deadline kernel.Time) int {
 	at, _ := slices.BinarySearchFunc(p.line, deadline, func(w *waiter, deadline kernel.Time) int {
 		if w.req.Deadline.After(deadline) {
 			return 1
@@ -81,7 +81,7 @@
 	return at
 }
 
-// Ready is a request that leaves the pending requests: with a server, or with
+// Ready is a request that leaves the queued requests: with a server, or with
 // the fault to answer.
 type Ready struct {
 	Request Request
@@ -91,17 +91,17 @@
 // wait turns a choice into the word to wait, or into a fault when the pending
 // requests are at their bound or the wait would outlast the deadline.
 func (t *Table) wait(req *Request, now kernel.Time, c Choice) Choice {
-	ahead := t.pending.ahead(req.Deadline)
+	ahead := t.queue.ahead(req.Deadline)
 	c.Wait = t.estimate(req, ahead+1, now)
 	left := req.Deadline.Sub(now)
 	switch {
-	case len(t.pending.byID) >= t.cfg.PendingBound:
-		whole := t.estimate(req, len(t.pending.byID)/2, now)
-		c.Fault = kernel.Refuse(kernel.PendingFull, "%d requests are pending", len(t.pending.byID)).After(back(whole))
+	case len(t.queue.byID) >= t.cfg.QueueBound:
+		whole := t.estimate(req, len(t.queue.byID)/2, now)
+		c.Fault = kernel.Refuse(kernel.QueueFull, "%d requests are queued", len(t.queue.byID)).After(back(whole))
 	case c.Wait+t.lasts(req, startMargin) >= left:
 		c.Fault = t.tooShort(req, c.Wait, left)
 	default:
-		c.Pending = true
+		c.Queued = true
 	}
 	return c
 }
@@ -200,20 +200,20 @@
 	return kernel.Duration(min(float64(n)/perSecond, 3600) * float64(kernel.Second))
 }
 
-// Enqueue puts a request among the pending ones, as Choose said. It refuses a
+// Enqueue puts a request in the queue, as Choose said. It refuses a
 // request whose id already waits, and any beyond the bound.
 func (t *Table) Enqueue(req Request, now kernel.Time) *kernel.Fault {
-	if t.pending.byID[req.ID] != nil {
-		return kernel.Refuse(kernel.BadField, "a request with this id is pending")
+	if t.queue.byID[req.ID] != nil {
+		return kernel.Refuse(kernel.BadField, "a request with this id is queued")
 	}
-	if len(t.pending.byID) >= t.cfg.PendingBound {
+	if len(t.queue.byID) >= t.cfg.QueueBound {
 		return t.wait(&req, now, Choice{}).Fault
 	}
-	t.pending.add(req, now)
+	t.queue.add(req, now)
 	return nil
 }
 
-// Next takes one request out of the pending ones that can go now, or that must
+// Next takes one request out of the queue that can go now, or that must
 // be refused because its servers are gone or no answer could come by its
 // deadline: in a crowd, work on requests that end too late would starve those
 // that could still be met. The caller calls Started for a choice and then Next again, after each Finished,
@@ -221,7 +221,7 @@
 func (t *Table) Next(now kernel.Time) (Ready, bool) {
 	var held [8]class
 	passed := held[:0]
-	for i, w := range t.pending.line {
+	for i, w := range t.queue.line {
 		if i == lookAhead {
 			break
 		}
@@ -229,48 +229,48 @@
 			continue
 		}
 		if left := w.req.Deadline.Sub(now); left > 0 && left < t.lasts(&w.req, 1) {
-			t.pending.remove(w)
+			t.queue.remove(w)
 			return Ready{w.req, Choice{Fault: t.tooShort(&w.req, 0, left)}}, true
 		}
 		c, room := t.choose(&w.req, w.since, now, false)
-		if c.Pending {
+		if c.Queued {
 			if !room {
 				passed = append(passed, classOf(&w.req))
 			}
 			continue
 		}
-		t.pending.remove(w)
+		t.queue.remove(w)
 		if c.Server != "" && len(w.req.Tried) > 0 {
 			t.budget.spend()
 		}
 		return Ready{w.req, c}, true
 	}
-	t.pending.unserved = false
+	t.queue.unserved = false
 	return Ready{}, false
 }
 
-// Cancel takes a request out of the pending ones, as when its caller is gone.
+// Cancel takes a request out of the queue, as when its caller is gone.
 func (t *Table) Cancel(id string) bool {
-	w := t.pending.byID[id]
+	w := t.queue.byID[id]
 	if w == nil {
 		return false
 	}
-	t.pending.remove(w)
+	t.queue.remove(w)
 	return true
 }
 
-// Pending returns the number of pending requests.
-func (t *Table) Pending() int { return len(t.pending.byID) }
+// Waiting returns the number of queued requests.
+func (t *Table) Waiting() int { return len(t.queue.byID) }
 
 // Wake returns when Next should be called even if nothing happens: at the
-// earliest deadline, and each 50 ms while anything is pending, since ejections
+// earliest deadline, and each 50 ms while anything is queued, since ejections
 // end by time alone.
 func (t *Table) Wake(now kernel.Time) (kernel.Time, bool) {
-	if len(t.pending.line) == 0 {
+	if len(t.queue.line) == 0 {
 		return kernel.Time{}, false
 	}
 	soon := now.Add(wakeStep)
-	if first := t.pending.line[0].req.Deadline; first.Before(soon) {
+	if first := t.queue.line[0].req.Deadline; first.Before(soon) {
 		return first, true
 	}
 	return soon, true
--- a/internal/core/route/pending_test.go
+++ b/internal/core/route/queue_test.go
@@ -14,7 +14,7 @@
 
 func crowded(bound int) *Table {
 	servers := map[string]*wire.ServerStatus{"m0": model("m0", "lagos", "a")}
-	table := New(Config{Self: "n1", Region: "lagos", Zone: "a", PendingBound: bound})
+	table := New(Config{Self: "n1", Region: "lagos", Zone: "a", QueueBound: bound})
 	table.Update(viewOf(servers), start)
 	for i := range 20 {
 		if table.Choose(ask(i), start).Server == "" {
@@ -25,12 +25,12 @@
 	return table
 }
 
-func TestPending(t *testing.T) {
-	Convey("The pending requests", t, func() {
+func TestQueue(t *testing.T) {
+	Convey("The queued requests", t, func() {
 		table := crowded(3)
 		late, soon := ask(100), ask(101)
 		soon.Deadline = start.Add(10 * time.Second)
-		So(table.Choose(late, start).Pending, ShouldBeTrue)
+		So(table.Choose(late, start).Queued, ShouldBeTrue)
 		So(table.Enqueue(late, start), ShouldBeNil)
 		So(table.Enqueue(soon, start), ShouldBeNil)
 		Convey("leave by deadline, as room comes", func() {
@@ -47,15 +47,15 @@
 		})
 		Convey("let no new request overtake", func() {
 			table.Finished("m0", Outcome{OK: true}, start)
-			So(table.Choose(ask(200), start).Pending, ShouldBeTrue)
+			So(table.Choose(ask(200), start).Queued, ShouldBeTrue)
 		})
 		Convey("are bounded", func() {
 			So(table.Enqueue(ask(102), start), ShouldBeNil)
 			c := table.Choose(ask(103), start)
-			So(c.Pending, ShouldBeFalse)
-			So(c.Fault.Code, ShouldEqual, kernel.PendingFull)
+			So(c.Queued, ShouldBeFalse)
+			So(c.Fault.Code, ShouldEqual, kernel.QueueFull)
 			So(c.Fault.RetryAfter, ShouldBeGreaterThan, 0)
-			So(table.Enqueue(ask(103), start).Code, ShouldEqual, kernel.PendingFull)
+			So(table.Enqueue(ask(103), start).Code, ShouldEqual, kernel.QueueFull)
 		})
 		Convey("end with their deadline", func() {
 			ready, ok := table.Next(start.Add(10 * time.Second))
@@ -75,7 +75,7 @@
 		Convey("forget a caller that is gone", func() {
 			So(table.Cancel(soon.ID), ShouldBeTrue)
 			So(table.Cancel(soon.ID), ShouldBeFalse)
-			So(table.Pending(), ShouldEqual, 1)
+			So(table.Waiting(), ShouldEqual, 1)
 		})
 		Convey("refuse at once what would wait beyond its deadline", func() {
 			table = crowded(256)
@@ -93,13 +93,13 @@
 			So(table.Choose(hasty, now).Fault.Code, ShouldEqual, kernel.DeadlineTooShort)
 			calm := ask(401)
 			c := table.Choose(calm, now)
-			So(c.Pending, ShouldBeTrue)
+			So(c.Queued, ShouldBeTrue)
 			So(c.Wait, ShouldBeBetween, time.Second, 6*time.Second)
 		})
 	})
 }
 
-func TestPendingOrder(t *testing.T) {
+func TestQueueOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := crowded(64)
 		waiting := map[string]kernel.Time{}
@@ -142,8 +142,8 @@
 					break
 				}
 			}
-			if table.Pending() != len(waiting) || table.Pending() > 64 {
-				t.Fatalf("%d pending, %d wait", table.Pending(), len(waiting))
+			if table.Waiting() != len(waiting) || table.Waiting() > 64 {
+				t.Fatalf("%d pending, %d wait", table.Waiting(), len(waiting))
 			}
 		}
 	})
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -216,7 +216,7 @@
 			c := table.Choose(retry, start)
 			So(c.Server, ShouldNotEqual, "m0")
 			So(c.Server, ShouldNotEqual, "")
-			table.Tune(Knobs{Strategy: Affinity, PendingBound: 1, RampStart: 2})
+			table.Tune(Knobs{Strategy: Affinity, QueueBound: 1, RampStart: 2})
 			So(table.Choose(retry, start).Fault.Code, ShouldEqual, kernel.BudgetSpent)
 		})
 		Convey("follows the knobs, the plan's caps with the start of the ramp", func() {
@@ -228,12 +228,12 @@
 				v.State.Sheet = &sheets
 				v.Plan = plan.Compute(plan.Input{State: v.State, Servers: servers})
 				table = tableOf(v)
-				table.Tune(Knobs{Strategy: RoundRobin, PendingBound: 0, RampStart: begin})
+				table.Tune(Knobs{Strategy: RoundRobin, QueueBound: 0, RampStart: begin})
 				for i := range begin {
 					So(table.Choose(ask(i), start).Server, ShouldEqual, "m0")
 					table.Started("m0")
 				}
-				So(table.Choose(ask(9), start).Fault.Code, ShouldEqual, kernel.PendingFull)
+				So(table.Choose(ask(9), start).Fault.Code, ShouldEqual, kernel.QueueFull)
 			}
 		})
 	})
@@ -304,7 +304,7 @@
 				req.Prefix = 5
 				c := table.Choose(req, start)
 				if c.Server == "" {
-					So(c.Pending, ShouldBeTrue)
+					So(c.Queued, ShouldBeTrue)
 					continue
 				}
 				table.Started(c.Server)
--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -230,7 +230,7 @@
 		return
 	}
 	t.setLoad(s, max(0, s.own-1), s.others)
-	t.pending.unserved = true
+	t.queue.unserved = true
 	s.probing = false
 	t.learnTook(o)
 	switch {
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -6,7 +6,7 @@
 // server that holds its prefix, as long as that one is not loaded beyond the
 // others. Each server has a cap of requests in flight over all fronts; a front
 // admits its part of it. Where no server has room the request waits in the
-// pending requests, ordered by deadline, or is refused at once.
+// queued requests, ordered by deadline, or is refused at once.
 package route
 
 import (
@@ -33,7 +33,7 @@
 	LeastLoaded Strategy = "least_loaded"
 )
 
-// Config is a front's place and bounds. PendingBound is the number of requests
+// Config is a front's place and bounds. QueueBound is the number of requests
 // that may wait (256 when zero); RetryBudget the retries as a share of the
 // requests (0.1 when zero); EjectFor the first ejection of a server that failed
 // (1 s when zero), doubled up to EjectMost (5 s when zero).
@@ -41,7 +41,7 @@
 	Self, Region, Zone string
 	Strategy           Strategy
 	Policy             plan.Policy
-	PendingBound       int
+	QueueBound         int
 	RetryBudget        float64
 	EjectFor           kernel.Duration
 	EjectMost          kernel.Duration
@@ -50,7 +50,7 @@
 func (c Config) orDefaults() Config {
 	c.Strategy = cmp.Or(c.Strategy, Affinity)
 	c.Policy = c.Policy.OrDefaults()
-	c.PendingBound = cmp.Or(c.PendingBound, 256)
+	c.QueueBound = cmp.Or(c.QueueBound, 256)
 	c.RetryBudget = cmp.Or(c.RetryBudget, 0.1)
 	c.EjectFor = cmp.Or(c.EjectFor, kernel.Second)
 	c.EjectMost = cmp.Or(c.EjectMost, 5*kernel.Second)
@@ -60,18 +60,18 @@
 // Knobs are what a sheet can set at run time: as the fields of Config, but zero
 // means zero.
 type Knobs struct {
-	Strategy     Strategy
-	PendingBound int
-	RampStart    int
-	RetryBudget  float64
+	Strategy    Strategy
+	QueueBound  int
+	RampStart   int
+	RetryBudget float64
 }
 
-// Tune sets the knobs. What is pending stays, also beyond a lower bound; caps
+// Tune sets the knobs. What is queued stays, also beyond a lower bound; caps
 // follow the new start of the ramp at once.
 func (t *Table) Tune(k Knobs) {
-	t.cfg.Strategy, t.cfg.PendingBound, t.cfg.RetryBudget = k.Strategy, k.PendingBound, k.RetryBudget
+	t.cfg.Strategy, t.cfg.QueueBound, t.cfg.RetryBudget = k.Strategy, k.QueueBound, k.RetryBudget
 	t.budget.tune(k.RetryBudget)
-	t.pending.unserved = true
+	t.queue.unserved = true
 	if t.cfg.Policy.RampStart == k.RampStart {
 		return
 	}
@@ -121,7 +121,7 @@
 	Address    string
 	Region     string
 	Fault      *kernel.Fault
-	Pending    bool
+	Queued     bool
 	Wait       kernel.Duration
 	FirstEvent kernel.Duration
 	Candidates []Candidate
@@ -157,7 +157,7 @@
 	servers   map[string]*server
 	pools     map[poolKey]*pool
 	shares    map[shareKey]*wheel
-	pending   pending
+	queue     waitQueue
 	budget    budget
 	popular   *popularity
 	took      map[string]*mean
@@ -196,7 +196,7 @@
 func New(cfg Config) *Table {
 	cfg = cfg.orDefaults()
 	return &Table{cfg: cfg, servers: map[string]*server{}, pools: map[poolKey]*pool{}, shares: map[shareKey]*wheel{},
-		pending: newPending(), budget: newBudget(cfg.RetryBudget), popular: newPopularity(), took: map[string]*mean{}, first: map[string]*mean{}, self: xxhash.Sum64String(cfg.Self), frontsGen: 1,
+		queue: newWaitQueue(), budget: newBudget(cfg.RetryBudget), popular: newPopularity(), took: map[string]*mean{}, first: map[string]*mean{}, self: xxhash.Sum64String(cfg.Self), frontsGen: 1,
 		fronts: []uint64{xxhash.Sum64String(cfg.Self)}}
 }
 
@@ -214,7 +214,7 @@
 	serversMoved := id != t.mapID || id == 0
 	t.mapID = id
 	t.view = v
-	t.pending.unserved = true
+	t.queue.unserved = true
 	if serversMoved || stateMoved {
 		t.learnAll(v, now, stateMoved)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -143,7 +143,7 @@
 	AnswerCrossed    = add(6005, "answer_crossed", Error, "A server sent an answer that belongs to another request; it was dropped with its connection.", "Take the server out and report it.")
 	AnswerNotWhole   = add(6006, "answer_not_whole", Warn, "A body was shorter than its length; it was not passed on.", "Look at the server named.")
 	EventOutOfOrder  = add(6007, "event_out_of_order", Warn, "A stream's event was missing or came twice; the stream was cut.", "Look at the server named.")
-	PendingFull      = add(6008, "pending_full", Warn, "The pending requests are at their bound; requests are refused at once.", "More capacity, or fewer requests; see plan and tally.")
+	QueueFull        = add(6008, "pending_full", Warn, "The pending requests are at their bound; requests are refused at once.", "More capacity, or fewer requests; see plan and tally.")
 	BudgetSpent      = add(6009, "budget_spent", Warn, "The retry budget is spent; requests that fail aren't tried elsewhere.", "Look for the servers that fail.")
 	SlowCaller       = add(6010, "slow_caller", Debug, "A caller's body took too long, or it didn't read its stream.", "")
 	CallerGone       = add(6011, "caller_gone", Debug, "A caller closed its connection; its server was told to stop.", "")
--- a/internal/events/stream.go
+++ b/internal/events/stream.go
@@ -23,7 +23,7 @@
 	logger  log.Logger
 	clock   kernel.Clock
 	lowest  atomic.Int32
-	pending chan entry
+	waiting chan entry
 	lost    atomic.Uint64
 }
 
@@ -35,7 +35,7 @@
 
 // New returns a stream at level Info. Its owner must run Serve.
 func New(logger log.Logger, clock kernel.Clock) *Stream {
-	s := &Stream{logger: logger, clock: clock, pending: make(chan entry, backlog)}
+	s := &Stream{logger: logger, clock: clock, waiting: make(chan entry, backlog)}
 	s.SetLevel(Info)
 	return s
 }
@@ -49,7 +49,7 @@
 		return
 	}
 	select {
-	case s.pending <- entry{e, s.clock.Now(), keyvals}:
+	case s.waiting <- entry{e, s.clock.Now(), keyvals}:
 	default:
 		s.lost.Add(1)
 	}
@@ -63,14 +63,14 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case e := <-s.pending:
+		case e := <-s.waiting:
 			s.write(bounds, e)
 		case <-ticker.C():
 			s.own(bounds)
 		case <-ctx.Done():
 			for {
 				select {
-				case e := <-s.pending:
+				case e := <-s.waiting:
 					s.write(bounds, e)
 					continue
 				default:
--- a/internal/kernel/code.go
+++ b/internal/kernel/code.go
@@ -34,7 +34,7 @@
 
 	QuotaExceeded    Code = 2001
 	ShareExceeded    Code = 2002
-	PendingFull      Code = 2003
+	QueueFull        Code = 2003
 	NoServer         Code = 2004
 	DeadlineTooShort Code = 2005
 	NotRuling        Code = 2006
@@ -118,7 +118,7 @@
 	{UnknownRoute, "unknown_route", http.StatusNotFound, RetryNo, "The sheet in force has no route for the host and path."},
 	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, RetryLater, "The tenant's allowance is spent."},
 	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, RetryLater, "The tenant's count is out of reach and this node's share of the allowance is spent."},
-	{PendingFull, "pending_full", http.StatusServiceUnavailable, RetryLater, "The pending requests are at their bound."},
+	{QueueFull, "pending_full", http.StatusServiceUnavailable, RetryLater, "The pending requests are at their bound."},
 	{NoServer, "no_server", http.StatusServiceUnavailable, RetryLater, "No server can take the request now."},
 	{DeadlineTooShort, "deadline_too_short", http.StatusServiceUnavailable, RetryLater, "The deadline would pass before a server could answer."},
 	{NotRuling, "not_ruling", http.StatusServiceUnavailable, RetryLater, "This node cannot be sure to hold the newest configuration; ask another."},
--- a/internal/node/core/order.go
+++ b/internal/node/core/order.go
@@ -62,7 +62,7 @@
 	case c.orders <- struct{}{}:
 		defer func() { <-c.orders }()
 	default:
-		return faulty(kernel.Refuse(kernel.PendingFull, "%d orders are under way", orderBound).After(comeBack), 0, ""), nil
+		return faulty(kernel.Refuse(kernel.QueueFull, "%d orders are under way", orderBound).After(comeBack), 0, ""), nil
 	}
 	switch req.Verb {
 	case verbGet, verbHistory:
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -168,7 +168,7 @@
 	most, _ := time.ParseDuration(settings["deadline.max"])
 	t := Tuned{DeadlineMax: most}
 	if len(settings) > 0 {
-		t.Route = &route.Knobs{Strategy: route.Strategy(settings["route.strategy"]), PendingBound: 0, RampStart: 2, RetryBudget: 0}
+		t.Route = &route.Knobs{Strategy: route.Strategy(settings["route.strategy"]), QueueBound: 0, RampStart: 2, RetryBudget: 0}
 	}
 	return t
 }
@@ -522,7 +522,7 @@
 	})
 }
 
-func TestPendingAndSlots(t *testing.T) {
+func TestQueueAndSlots(t *testing.T) {
 	Convey("A request that waits for a slot gets its answer at its deadline, and a caller who goes away frees the slot at once", t, func() {
 		within(t, func(t *testing.T) {
 			long := streaming(1000, time.Second)
--- a/internal/node/front/router.go
+++ b/internal/node/front/router.go
@@ -17,7 +17,7 @@
 	routerTickMin = kernel.Millisecond
 )
 
-// router owns the routing table and the pending requests.
+// router owns the routing table and the queued requests.
 type router struct {
 	table   *route.Table
 	self    string
@@ -29,14 +29,14 @@
 	ended   chan struct{}
 	numbers atomic.Uint64
 	seen    *follow.View
-	pending map[string]*seat
+	queued  map[string]*seat
 	seated  map[string]map[*seat]struct{} // by server
 	survey  survey
 	tune    func(*sheet.Sheet, *route.Table) // takes in what a new sheet sets at run time
 	sheet   *sheet.Sheet
 }
 
-// seat is one request's place at a server, or among the pending requests.
+// seat is one request's place at a server, or among the queued requests.
 // Server and choice belong to the router until the choice is delivered.
 type seat struct {
 	request route.Request
@@ -54,7 +54,7 @@
 
 func newRouter(table *route.Table, self string, views Views, clock kernel.Clock, log events.Log, over chan struct{}) *router {
 	return &router{table: table, self: self, views: views, clock: clock, log: log, ended: over, asks: stage.NewQueue[*seat](routerBound),
-		ends: stage.NewQueue[ended](routerBound), pending: map[string]*seat{}, seated: map[string]map[*seat]struct{}{}}
+		ends: stage.NewQueue[ended](routerBound), queued: map[string]*seat{}, seated: map[string]map[*seat]struct{}{}}
 }
 
 // ask hands a request to the router, unless its queue is full. The choice
@@ -65,7 +65,7 @@
 	s := &seat{request: request, choice: make(chan route.Choice, 1)}
 	s.lost, s.lose = kernel.WithCancel(kernel.Background())
 	if !r.asks.Offer(s) {
-		return nil, kernel.Refuse(kernel.PendingFull, "%d requests wait to be routed", routerBound).After(kernel.Second)
+		return nil, kernel.Refuse(kernel.QueueFull, "%d requests wait to be routed", routerBound).After(kernel.Second)
 	}
 	return s, nil
 }
@@ -155,9 +155,9 @@
 	}
 	now := r.clock.Now()
 	choice := r.table.Choose(s.request, now)
-	if choice.Pending {
+	if choice.Queued {
 		if choice.Fault = r.table.Enqueue(s.request, now); choice.Fault == nil {
-			r.pending[s.request.ID] = s
+			r.queued[s.request.ID] = s
 			return
 		}
 	}
@@ -180,8 +180,8 @@
 	s := end.seat
 	s.gone = true
 	s.lose()
-	if _, waits := r.pending[s.request.ID]; waits {
-		delete(r.pending, s.request.ID)
+	if _, waits := r.queued[s.request.ID]; waits {
+		delete(r.queued, s.request.ID)
 		r.table.Cancel(s.request.ID)
 		return
 	}
@@ -207,11 +207,11 @@
 		if !ok {
 			return
 		}
-		s := r.pending[ready.Request.ID]
+		s := r.queued[ready.Request.ID]
 		if s == nil {
 			continue
 		}
-		delete(r.pending, ready.Request.ID)
+		delete(r.queued, ready.Request.ID)
 		ready.Choice.Wait = 0
 		r.deliver(s, ready.Choice)
 	}
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -104,7 +104,7 @@
 	kernel.OutcomeUnknown: events.OutcomeUnknown,
 	kernel.StreamCut:      events.StreamCut,
 	kernel.KeyRevoked:     events.StreamKeyRevoked,
-	kernel.PendingFull:    events.PendingFull,
+	kernel.QueueFull:      events.QueueFull,
 	kernel.DeadlinePassed: events.DeadlineRanOut,
 	kernel.CallerGone:     events.CallerGone,
 }
@@ -225,7 +225,7 @@
 	select {
 	case choice = <-s.choice:
 	case <-ctx.Done():
-		choice.Fault = c.ended(ctx, "the deadline passed while the request was pending")
+		choice.Fault = c.ended(ctx, "the deadline passed while the request was queued")
 	}
 	c.note(Entry{Routing: routingOf(choice, f.clock.Now().Sub(asked))})
 	if choice.Fault != nil && choice.Fault.Code == kernel.BudgetSpent {
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -72,7 +72,7 @@
 func (d *dispatcher) assign(ctx kernel.Context, request balance.Request, first bool) assignment {
 	t := &ticket{request: request, first: first, given: make(chan assignment, 1)}
 	if !d.asks.Offer(t) {
-		return assignment{fault: kernel.Refuse(kernel.PendingFull, "%d requests wait to be routed", askBound).After(kernel.Second)}
+		return assignment{fault: kernel.Refuse(kernel.QueueFull, "%d requests wait to be routed", askBound).After(kernel.Second)}
 	}
 	select {
 	case got := <-t.given:
@@ -225,7 +225,7 @@
 		return
 	}
 	if len(d.waiting) >= waitBound {
-		t.given <- assignment{fault: kernel.Refuse(kernel.PendingFull, "%d requests wait for room", waitBound).After(kernel.Second)}
+		t.given <- assignment{fault: kernel.Refuse(kernel.QueueFull, "%d requests wait for room", waitBound).After(kernel.Second)}
 		return
 	}
 	d.count++
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -247,7 +247,7 @@
 }
 
 func (q *request) bodiesFull() *kernel.Fault {
-	return kernel.Refuse(kernel.PendingFull, "the bodies that the node holds are at their bound").After(kernel.Second)
+	return kernel.Refuse(kernel.QueueFull, "the bodies that the node holds are at their bound").After(kernel.Second)
 }
 
 func (q *request) unread(err error) *kernel.Fault {
--- a/sim/route/call.go
+++ b/sim/route/call.go
@@ -54,7 +54,7 @@
 func (s *sim) try(c *call) {
 	req := s.request(c)
 	choice := c.front.table.Choose(req, s.clock())
-	if choice.Pending {
+	if choice.Queued {
 		if fault := c.front.table.Enqueue(req, s.clock()); fault != nil {
 			s.refused(c, fault)
 			return
--- a/sim/route/sim.go
+++ b/sim/route/sim.go
@@ -50,7 +50,7 @@
 	OutputTokens  int
 	Deadline      kernel.Duration
 	FrontWeights  []float64
-	Pending       int
+	Queued        int
 	Crowd         float64
 	CrowdFrom     kernel.Duration
 	CrowdTo       kernel.Duration
@@ -172,7 +172,7 @@
 		region, zone := []string{"lagos", "lagos", "abeokuta"}[i%3], []string{"a", "b", "a"}[i%3]
 		s.fronts = append(s.fronts, &front{name: name, calls: map[string]*call{},
 			table: route.New(route.Config{Self: name, Region: region, Zone: zone, Strategy: cfg.Strategy,
-				Policy: cfg.Policy, PendingBound: cmp.Or(cfg.Pending, 256)})})
+				Policy: cfg.Policy, QueueBound: cmp.Or(cfg.Queued, 256)})})
 	}
 	s.drawZipf()
 	s.look(names)
