Give back the place of a request whose client leaves before it was looked at

Cause: a client that left between its request's offer to the dispatcher and the dispatcher's look was taken out of a queue in which it was not yet; then the request was given a server, and nobody ended that attempt. The place at the server was lost for the life of the process, and the attempt stood first among those that wait there, so that the server looked silent.

Change: a ticket that was given up is marked, and dropped when its turn comes.

--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -44,6 +44,7 @@
 	first   bool // not asked for before, so that it counts as a client's request
 	given   chan assignment
 	attempt *balance.Attempt
+	left    bool // given up before it was looked at
 }
 
 // assignment is a server for one attempt, or the fault that there is none.
@@ -217,6 +218,9 @@
 }
 
 func (d *dispatcher) take(t *ticket) {
+	if t.left {
+		return
+	}
 	now := d.clock.Now()
 	if t.first {
 		d.table.Count(t.request.Service, now)
@@ -305,7 +309,10 @@
 	d.client.Forget(func(name string) bool { return name != server })
 }
 
+// leave takes a ticket out whose request did not wait for its server. It may not
+// have been looked at yet.
 func (d *dispatcher) leave(t *ticket, now kernel.Time) {
+	t.left = true
 	if at := slices.Index(d.waiting, t); at >= 0 {
 		d.waiting = slices.Delete(d.waiting, at, at+1)
 		return
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -445,6 +445,79 @@
 	})
 }
 
+func TestClientsThatLeave(t *testing.T) {
+	dial := func(s *stand, path string) net.Conn {
+		conn, err := net.Dial("tcp", s.address)
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\nContent-Length: 0\r\n\r\n")
+		So(err, ShouldBeNil)
+		return conn
+	}
+	Convey("A client that leaves before the answer begins ends the work at the server, whatever the kind of request", t, func() {
+		for _, path := range []string{"/safe/", "/unsafe/", "/once/", "/stream/"} {
+			reached, ended := make(chan struct{}), make(chan struct{})
+			s := open(t)
+			s.add("s0", func(_ *http.Request, conn net.Conn) {
+				close(reached)
+				_, _ = conn.Read(make([]byte, 1))
+				close(ended)
+			})
+			s.run()
+			conn := dial(s, path)
+			<-reached
+			So(conn.Close(), ShouldBeNil)
+			<-ended
+		}
+	})
+	Convey("A request whose client leaves while it waits for room reaches no server", t, func() {
+		var reached atomic.Int32
+		free := make(chan struct{})
+		s := open(t)
+		s.add("s0", func(r *http.Request, conn net.Conn) {
+			reached.Add(1)
+			<-free
+			whole("ok")(r, conn)
+		})
+		s.views.publish(func(v *follow.View) {
+			v.State.Sheet.Services["pool"] = sheet.Service{Kind: sheet.KindHTTP, MaxConnections: 1}
+			safe := v.State.Sheet.Routes["safe"]
+			safe.ObjectiveMS = 4000
+			v.State.Sheet.Routes["safe"] = safe
+		})
+		s.run()
+		first := make(chan result, 1)
+		go func() { first <- s.ask("/safe/", "") }()
+		for reached.Load() == 0 {
+			runtime.Gosched()
+		}
+		conn := dial(s, "/safe/")
+		for s.gateway.inFlight.Load() < 2 {
+			runtime.Gosched()
+		}
+		So(conn.Close(), ShouldBeNil)
+		for s.gateway.inFlight.Load() > 1 {
+			runtime.Gosched()
+		}
+		close(free)
+		So((<-first).status, ShouldEqual, http.StatusOK)
+		So(s.ask("/safe/", "").status, ShouldEqual, http.StatusOK)
+		So(reached.Load(), ShouldEqual, 2)
+	})
+}
+
+func TestWeights(t *testing.T) {
+	Convey("Each part of a split gets its share of the requests", t, func() {
+		route := &sheet.NamedRoute{Route: sheet.Route{Splits: []sheet.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}}
+		counts := map[string]int{}
+		for i := range 5000 {
+			q := &request{route: route, call: port.Call{ID: fmt.Sprintf("%016x", i*2654435761)}}
+			counts[q.split()]++
+		}
+		So(counts["b"], ShouldBeBetween, 420, 580)
+		So(counts["a"]+counts["b"], ShouldEqual, 5000)
+	})
+}
+
 func TestSplitter(t *testing.T) {
 	Convey("Whole events come out however the bytes are cut", t, func() {
 		text := "id: 1\ndata: a\n\n: comment\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\nid: 3\nda"
