--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -60,7 +60,7 @@
 
 // tie is a number from 0 to 1 that orders servers differently for each request.
 func (t *Table) tie(s *server, request *Request) float64 {
-	key := request.affinity()
+	key := request.Affinity
 	if key == 0 {
 		key = xxhash.Sum64String(request.ID)
 	}
@@ -71,14 +71,13 @@
 // highest by rendezvous hash among those that may serve it, whether it has room
 // or not.
 func (t *Table) holder(request *Request) *server {
-	affinity := request.affinity()
-	if affinity == 0 || t.config.Off[Affinity] {
+	if request.Affinity == 0 || t.config.Off[Affinity] {
 		return nil
 	}
 	var holder *server
 	highest := uint64(0)
 	for _, s := range t.pools[request.Service] {
-		if weight := mix(s.hash ^ affinity); t.allowed(s, request) && !t.strays(s, request) && (holder == nil || weight > highest) {
+		if weight := mix(s.hash ^ request.Affinity); t.allowed(s, request) && !t.strays(s, request) && (holder == nil || weight > highest) {
 			holder, highest = s, weight
 		}
 	}
--- a/internal/core/balance/holders.go
+++ b/internal/core/balance/holders.go
@@ -1,10 +1,6 @@
 package balance
 
-import (
-	"math"
-
-	"stepwick/internal/kernel"
-)
+import "stepwick/internal/kernel"
 
 const (
 	// heldFor is how long after its last use a shared prompt is taken to be kept
@@ -66,71 +62,12 @@
 	}
 }
 
-// popularity counts, with fading weight, how often this node has been asked for
-// each part of a prompt of late.
-type popularity struct {
-	parts map[uint64]*popular
-}
-
-type popular struct {
-	uses float64
-	at   kernel.Time
-}
-
-func newPopularity() popularity { return popularity{parts: map[uint64]*popular{}} }
-
-// uses is how often a part was asked for within about heldFor.
-func (p *popularity) uses(digest uint64, now kernel.Time) float64 {
-	one := p.parts[digest]
-	if one == nil {
-		return 0
-	}
-	return one.uses * math.Exp(-now.Sub(one.at).Seconds()/heldFor.Seconds())
-}
-
-func (p *popularity) note(digest uint64, now kernel.Time) {
-	if len(p.parts) >= holdersMost {
-		clear(p.parts)
-	}
-	p.parts[digest] = &popular{uses: p.uses(digest, now) + 1, at: now}
-}
-
-// remember notes that a request was sent to a server.
-func (t *Table) remember(request *Request, server string, now kernel.Time) {
-	for i, part := range request.Shared {
-		t.holders.note(part.Digest, server, now)
-		if i < len(request.Shared)-1 {
-			t.asked.note(part.Digest, now)
-		}
-	}
-}
-
 // missing is how many tokens of a request's shared prompt a server is expected
-// to read anew. The server on which all nodes agree for the prompt, and those
-// that this node sent it to of late, hold all of it. Of others it is known how
-// popular the parts at the prompt's beginning are: as many prompts begin with
-// them, they are asked for at many servers.
+// to read anew: none at the server on which all nodes agree for the prompt, and
+// at those that this node sent it to of late.
 func (t *Table) missing(s *server, request *Request, holder *server, now kernel.Time) float64 {
-	affinity := request.affinity()
-	if affinity == 0 || s == holder || t.holders.holds(affinity, s.name, now) {
+	if request.Affinity == 0 || s == holder || t.holders.holds(request.Affinity, s.name, now) {
 		return 0
 	}
-	missing, held := 0.0, 1.0
-	for i, part := range request.Shared {
-		switch {
-		case t.config.Off[Parts], i == len(request.Shared)-1:
-			held = 0
-		case !t.holders.holds(part.Digest, s.name, now):
-			held *= 1 - math.Exp(-t.usesPerServer(part.Digest, request.Service, now))
-		}
-		missing += part.Tokens * (1 - held)
-	}
-	return missing
-}
-
-// usesPerServer is how often a part is likely to have been asked for at each
-// server of a service of late, if all nodes are asked for it as often as this
-// one.
-func (t *Table) usesPerServer(digest uint64, service string, now kernel.Time) float64 {
-	return t.asked.uses(digest, now) * float64(len(t.fronts)) / float64(max(len(t.pools[service]), 1))
+	return request.Shared
 }
--- a/internal/core/balance/mechanism.go
+++ b/internal/core/balance/mechanism.go
@@ -18,9 +18,6 @@
 	// ReadAgain prices the reading of a shared prompt at a server that does not
 	// hold it.
 	ReadAgain Mechanism = "read-again"
-	// Parts counts the parts of a shared prompt singly, as popular ones are held by
-	// most servers; without it a prompt is held as a whole or not at all.
-	Parts Mechanism = "parts"
 	// Isolation keeps long answers to short prompts on servers that long prompts
 	// avoid.
 	Isolation Mechanism = "isolation"
@@ -43,7 +40,7 @@
 )
 
 // Mechanisms lists all of them in the order of the docs.
-var Mechanisms = []Mechanism{Affinity, ReadAgain, Parts, Isolation, Crossing, Hung, Doubts, Ejection, Suspects, SuspectProbes, SecondAttempts}
+var Mechanisms = []Mechanism{Affinity, ReadAgain, Isolation, Crossing, Hung, Doubts, Ejection, Suspects, SuspectProbes, SecondAttempts}
 
 // Off is a set of mechanisms that are switched off.
 type Off map[Mechanism]bool
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -66,47 +66,23 @@
 
 // Request is what a choice depends on.
 type Request struct {
-	ID      string
-	Service string
-	Route   string          // whose requests resemble each other
-	Pause   kernel.Duration // the longest between two events of an answer in time; 0 where it has none
-	Regions []string        // that may serve it; empty for all
-	Shared  []Part          // parts of the prompt, from its beginning, that a server may hold already
-	Own     float64         // the prompt's other tokens
-	Out     float64         // tokens of the answer at most; 0 where that is not known
-	Urgency int             // 0 is the most urgent
-	Until   kernel.Time     // how long it may wait for room
-	Tried   []string        // servers that are out of the question, as it was tried there
-	Repeat  bool            // a server got it before, so that sending it again spends from the retry budget
-}
-
-// Part is a part of a prompt that requests share. Its digest stands for all
-// parts before it as well.
-type Part struct {
-	Digest uint64
-	Tokens float64
-}
-
-// Chain returns the digest of a part that follows others: a server holds a part
-// only behind the same ones.
-func Chain(before, part uint64) uint64 { return mix(before ^ part) }
-
-// affinity is the digest of the whole shared prompt; 0 where there is none.
-func (r *Request) affinity() uint64 {
-	if len(r.Shared) == 0 {
-		return 0
-	}
-	return r.Shared[len(r.Shared)-1].Digest
+	ID       string
+	Service  string
+	Route    string          // whose requests resemble each other
+	Pause    kernel.Duration // the longest between two events of an answer in time; 0 where it has none
+	Regions  []string        // that may serve it; empty for all
+	Affinity uint64          // digest of the shared prompt; 0 for none
+	Shared   float64         // tokens of the prompt that a server may hold already
+	Own      float64         // the prompt's other tokens
+	Out      float64         // tokens of the answer at most; 0 where that is not known
+	Urgency  int             // 0 is the most urgent
+	Until    kernel.Time     // how long it may wait for room
+	Tried    []string        // servers that are out of the question, as it was tried there
+	Repeat   bool            // a server got it before, so that sending it again spends from the retry budget
 }
 
 // tokens is the size of the whole prompt.
-func (r *Request) tokens() float64 {
-	tokens := r.Own
-	for _, part := range r.Shared {
-		tokens += part.Tokens
-	}
-	return tokens
-}
+func (r *Request) tokens() float64 { return r.Own + r.Shared }
 
 // Choice is a server, a fault, or the word to wait.
 type Choice struct {
@@ -137,7 +113,6 @@
 	budgets map[string]*budget   // by service
 	speeds  map[string]*speed    // by service
 	holders holders
-	asked   popularity
 	routes  map[string]*routeLoad // by name
 	loads   []*routeLoad          // the same in the order in which they were met
 	// isolated are the servers that are set aside for calm routes, as of isolatedAt.
@@ -151,7 +126,7 @@
 	config = config.orDefaults()
 	return &Table{config: config, fronts: []string{config.Self}, servers: map[string]*server{}, pools: map[string][]*server{},
 		budgets: map[string]*budget{}, speeds: map[string]*speed{},
-		holders: newHolders(), asked: newPopularity(), routes: map[string]*routeLoad{}, isolated: map[string]bool{}, random: xxhash.Sum64String(config.Self)}
+		holders: newHolders(), routes: map[string]*routeLoad{}, isolated: map[string]bool{}, random: xxhash.Sum64String(config.Self)}
 }
 
 // Update takes a new view in. Drains, evacuations and lost servers bite at once.
@@ -276,7 +251,7 @@
 	a.route = t.route(request, now)
 	a.route.sent(request, a.reads, now)
 	s.started(a, now)
-	t.remember(request, name, now)
+	t.holders.note(request.Affinity, name, now)
 	if request.Repeat {
 		t.budget(request.Service).spend(now)
 	}
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -274,11 +274,8 @@
 		Own: q.call.TokensIn, Out: q.call.TokensOut, Until: q.arrived.Add(min(objective/waitPart, waitMost)),
 	}
 	if q.route.Affinity {
-		q.order.Shared = shared(q.call.Parts)
-		for _, part := range q.order.Shared {
-			q.order.Own -= part.Tokens
-		}
-		q.order.Own = max(q.order.Own, 0)
+		q.order.Affinity, q.order.Shared = shared(q.call.Parts)
+		q.order.Own = max(q.call.TokensIn-q.order.Shared, 0)
 	}
 	q.service = q.split()
 	q.order.Service = q.service
@@ -312,20 +309,18 @@
 	return min(tenant*routeUrgencies+min(route, routeUrgencies-1), leastUrgent)
 }
 
-// shared returns the parts of a prompt that others may have as well: all but the
-// last, which is the request's or its session's own; a prompt of one part shares
-// that.
-func shared(parts []port.Part) []balance.Part {
+// shared returns the digest and the size in tokens of what a prompt shares
+// with others: all parts but the last, which is the request's or its session's
+// own; a prompt of one part shares that.
+func shared(parts []port.Part) (digest uint64, tokens float64) {
 	if len(parts) > 1 {
 		parts = parts[:len(parts)-1]
 	}
-	common := make([]balance.Part, len(parts))
-	digest := uint64(0)
-	for i, part := range parts {
-		digest = balance.Chain(digest, part.ID)
-		common[i] = balance.Part{Digest: digest, Tokens: part.Tokens}
+	for _, part := range parts {
+		tokens += part.Tokens
+		digest = part.ID
 	}
-	return common
+	return digest, tokens
 }
 
 // split picks the service of a route by its weights, the same for requests that
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -12,7 +12,7 @@
 shift 4
 root=$(git rev-parse --show-toplevel)
 folder=$(mktemp -d)
-mechanisms=${*:-affinity read-again parts isolation crossing hung doubts ejection suspects suspect-probes second-attempts}
+mechanisms=${*:-affinity read-again isolation crossing hung doubts ejection suspects suspect-probes second-attempts}
 
 play() {
     local name=$1 flag=$2
