Let calm routes spread while the servers set aside for them are crowded

Change: when a server that is set aside rejects a request, or an answer takes twice as long to begin as expected and 250 ms more, calm routes go wherever it costs least for 3 s. Long prompts avoid those servers all the same.

--- a/cmd/rig/experiment_command.go
+++ b/cmd/rig/experiment_command.go
@@ -27,6 +27,7 @@
 	scale   float64
 	seconds float64
 	plot    string
+	burst   model.Burst
 }
 
 func experimentCommand() *cobra.Command {
@@ -46,6 +47,10 @@
 	c.Flags().Uint64Var(&e.from, "from", 1, "first seed")
 	c.Flags().Float64Var(&e.scale, "scale", 1, "times the site's fronts, servers and load")
 	c.Flags().Float64Var(&e.seconds, "seconds", 0, "length of a run; the site's own when zero")
+	c.Flags().StringVar(&e.burst.Kind, "burst", "", "kind of requests that comes more often for a while")
+	c.Flags().Float64Var(&e.burst.Times, "burst-times", 4, "how many times as often")
+	c.Flags().Float64Var(&e.burst.At, "burst-at", 14, "from this second on")
+	c.Flags().Float64Var(&e.burst.For, "burst-for", 8, "for so many seconds")
 	c.Flags().StringVar(&e.plot, "plot", "", "file for a plot of the differences in worth by seed (svg, png or pdf)")
 	return c
 }
@@ -61,6 +66,9 @@
 	if e.scale != 1 {
 		site = site.Scaled(e.scale)
 	}
+	if e.burst.Kind != "" {
+		site.Burst = e.burst
+	}
 	if e.seconds > 0 {
 		site.Seconds = e.seconds
 	}
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -32,7 +32,7 @@
 	if !t.config.Off[ReadAgain] {
 		cost += t.missing(s, request, holder, now) * perToken * readAgainWeight
 	}
-	if t.strays(s, request) {
+	if t.strays(s, request, now) {
 		cost += strayCost
 	}
 	if !t.config.Off[Crossing] {
@@ -70,14 +70,14 @@
 // holder returns the server on which all nodes agree for a shared prompt: the
 // highest by rendezvous hash among those that may serve it, whether it has room
 // or not.
-func (t *Table) holder(request *Request) *server {
+func (t *Table) holder(request *Request, now kernel.Time) *server {
 	if request.Affinity == 0 || t.config.Off[Affinity] {
 		return nil
 	}
 	var holder *server
 	highest := uint64(0)
 	for _, s := range t.pools[request.Service] {
-		if weight := mix(s.hash ^ request.Affinity); t.allowed(s, request) && !t.strays(s, request) && (holder == nil || weight > highest) {
+		if weight := mix(s.hash ^ request.Affinity); t.allowed(s, request) && !t.strays(s, request, now) && (holder == nil || weight > highest) {
 			holder, highest = s, weight
 		}
 	}
--- a/internal/core/balance/isolation.go
+++ b/internal/core/balance/isolation.go
@@ -36,6 +36,13 @@
 	// routes are taken to have firstShare of its work.
 	firstSamples = 6
 	firstShare   = 0.2
+	// Once a server that is set aside was crowded, calm routes go wherever it costs
+	// least for crowdedFor. It is crowded when it rejects a request, and when an
+	// answer takes crowdedWait times as long to begin as expected and crowdedLeast
+	// more.
+	crowdedFor   = 3 * kernel.Second
+	crowdedWait  = 2
+	crowdedLeast = 250 * kernel.Millisecond
 	// strayCost keeps long prompts from servers that are set aside, and calm
 	// routes from the others, in milliseconds.
 	strayCost = 200
@@ -241,6 +248,25 @@
 
 // strays tells whether a server is not one for a request's route: set aside for
 // calm routes, or not.
-func (t *Table) strays(s *server, request *Request) bool {
-	return len(t.isolated) > 0 && t.isolated[s.name] != t.calm(t.routes[request.Route])
+func (t *Table) strays(s *server, request *Request, now kernel.Time) bool {
+	switch {
+	case len(t.isolated) == 0:
+		return false
+	case t.calm(t.routes[request.Route]):
+		return !t.isolated[s.name] && !now.Before(t.crowdedUntil)
+	}
+	return t.isolated[s.name]
+}
+
+// crowded notes that a server has more requests than it can begin at once.
+func (t *Table) crowded(s *server, now kernel.Time) {
+	if t.isolated[s.name] {
+		t.crowdedUntil = now.Add(crowdedFor)
+	}
+}
+
+// slow tells whether an answer took far longer to begin than expected.
+func (t *Table) slow(a *Attempt, now kernel.Time) bool {
+	expected := t.speed(a.service).expected(a.reads)
+	return now.Sub(a.began) >= crowdedWait*expected+crowdedLeast
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -118,7 +118,9 @@
 	// isolated are the servers that are set aside for calm routes, as of isolatedAt.
 	isolated   map[string]bool
 	isolatedAt kernel.Time
-	random     uint64
+	// crowdedUntil is until when calm routes are not held to those servers.
+	crowdedUntil kernel.Time
+	random       uint64
 }
 
 // New returns a table that knows no server.
@@ -213,7 +215,7 @@
 // request now; waits tells that there are others that may take it later.
 func (t *Table) pick(request *Request, now kernel.Time) (chosen *server, waits bool) {
 	best := 0.0
-	holder := t.holder(request)
+	holder := t.holder(request, now)
 	for _, s := range t.pools[request.Service] {
 		if !t.allowed(s, request) {
 			continue
@@ -246,7 +248,7 @@
 		return nil
 	}
 	a := &Attempt{server: s, service: request.Service, began: now}
-	a.reads = request.Own + t.missing(s, request, t.holder(request), now)
+	a.reads = request.Own + t.missing(s, request, t.holder(request, now), now)
 	a.alone = s.inFlight == 0
 	a.route = t.route(request, now)
 	a.route.sent(request, a.reads, now)
@@ -264,6 +266,9 @@
 		return
 	}
 	a.begun = true
+	if t.slow(a, now) {
+		t.crowded(a.server, now)
+	}
 	a.server.begun(a, now)
 	t.speed(a.service).note(now.Sub(a.began))
 	if a.alone {
@@ -321,6 +326,9 @@
 	}
 	a.ended = true
 	a.route.ran(now.Sub(a.began), now)
+	if outcome.Rejected {
+		t.crowded(a.server, now)
+	}
 	a.server.finished(a, outcome, now, t.config)
 	if a.server.inFlight == 0 && t.view.Servers[a.server.name] == nil {
 		delete(t.servers, a.server.name)
--- a/internal/core/balance/table_test.go
+++ b/internal/core/balance/table_test.go
@@ -279,7 +279,7 @@
 	})
 	Convey("Without affinity there is no holder, without ejection a refused server does not rest, without doubts an error costs nothing", t, func() {
 		tab := table(fleet(4, sheet.Service{}), Config{Off: Off{Affinity: true, Ejection: true, Doubts: true}})
-		So(tab.holder(ask("a", 7)), ShouldBeNil)
+		So(tab.holder(ask("a", 7), start), ShouldBeNil)
 		tab.Finished(tab.Started("s0", ask("b", 0), start), Outcome{Refused: true}, start)
 		So(tab.Resting("s0", at(1)), ShouldBeFalse)
 		tab.Finished(tab.Started("s0", ask("c", 0), start), Outcome{Erred: true}, start)
@@ -342,6 +342,28 @@
 		So(before[choice.Server], ShouldBeFalse)
 		So(tab.isolated[choice.Server], ShouldBeTrue)
 	})
+	Convey("While a server that is set aside is crowded, calm routes go wherever it costs least, and long prompts still avoid it", t, func() {
+		for name, crowd := range map[string]func(*Table, *Attempt){
+			"rejects": func(tab *Table, a *Attempt) { tab.Finished(a, Outcome{Rejected: true}, at(1300)) },
+			"is slow": func(tab *Table, a *Attempt) { tab.Began(a, at(2600)) },
+		} {
+			tab := learned(nil, "f0")
+			tab.isolate(at(1100))
+			first := reply("first")
+			attempt := tab.Started(tab.Choose(first, at(1200)).Server, first, at(1200))
+			crowd(tab, attempt)
+			others := map[bool]int{}
+			for i := range 60 {
+				request := reply(fmt.Sprint(name, i))
+				choice := tab.Choose(request, at(2700))
+				tab.Started(choice.Server, request, at(2700))
+				others[tab.isolated[choice.Server]]++
+			}
+			So(others[false], ShouldBeGreaterThan, 30)
+			So(tab.isolated[serve(tab, digest("d", 99), at(2700))], ShouldBeFalse)
+			So(tab.strays(tab.servers["s0"], reply("later"), at(6000)), ShouldEqual, !tab.isolated["s0"])
+		}
+	})
 	Convey("Nothing is set aside while routes are not known, where all are alike, in small pools, and when it is switched off", t, func() {
 		fresh := table(fleet(40, sheet.Service{}), Config{})
 		fresh.isolate(start)
--- a/sim/balance/balance_test.go
+++ b/sim/balance/balance_test.go
@@ -57,6 +57,11 @@
 			So(with.Worth, ShouldBeGreaterThan, without.Worth+0.003)
 		}
 	})
+	Convey("A crowd of a calm route is not left at the servers that are set aside", t, func() {
+		crowd := site("two-regions")
+		crowd.Burst = Burst{Kind: "reply", At: 14, For: 8, Times: 8}
+		So(Play(crowd, Policy{}, 1).Worth, ShouldBeGreaterThan, 0.9)
+	})
 	Convey("Requests that share a prompt and meet at one server read a fraction of what they read elsewhere", t, func() {
 		with, without := mean(site("three-regions"), nil, 1), mean(site("three-regions"), balance.Off{balance.Affinity: true}, 1)
 		So(with.ReadAgain, ShouldBeLessThan, 0.3*without.ReadAgain)
--- a/sim/balance/run.go
+++ b/sim/balance/run.go
@@ -170,6 +170,9 @@
 // arrive has requests of a kind come in a region, one after the other.
 func (r *run) arrive(kind Kind, region int) {
 	mean := kind.PerSecond / float64(len(r.site.Regions)) / 1000
+	if r.bursts(kind) {
+		mean *= r.site.Burst.Times
+	}
 	most := mean * (1 + r.site.Swing)
 	r.after(r.random.ExpFloat64()/most, func() {
 		if r.now > r.site.Seconds*1000 {
@@ -198,6 +201,12 @@
 	r.after(r.site.ToClient, func() { f.take(q) })
 }
 
+// bursts tells whether a kind of requests comes more often now.
+func (r *run) bursts(kind Kind) bool {
+	burst, at := r.site.Burst, r.now/1000
+	return burst.Kind == kind.Name && at >= burst.At && at < burst.At+burst.For
+}
+
 // pickThing draws one of n things, of which the earlier are asked for more often.
 func (r *run) pickThing(kind Kind, n int) int {
 	skew := 0.0
--- a/sim/balance/site.go
+++ b/sim/balance/site.go
@@ -29,11 +29,20 @@
 	Period      float64  `yaml:"period"` // of the swing, in seconds; regions are out of step
 	Engine      Engine   `yaml:"engine"`
 	Kinds       []Kind   `yaml:"kinds"`
+	Burst       Burst    `yaml:"burst"`
 	// Remembered is how long, in seconds, a shared part that is read anew by
 	// another server counts as read again.
 	Remembered float64 `yaml:"remembered"`
 }
 
+// Burst is a span in which a kind of requests comes more often.
+type Burst struct {
+	Kind  string  `yaml:"kind"`
+	At    float64 `yaml:"at"`  // seconds
+	For   float64 `yaml:"for"` // seconds
+	Times float64 `yaml:"times"`
+}
+
 // Region is one region's size.
 type Region struct {
 	Name    string `yaml:"name"`
