Part a cold server's rate among the roster, and set no cold server aside

A region had come back; its 30 fronts, started together, did not know each other as ready yet, so that more than five of them took themselves for one of the five that may send to a cold server. Isolation had sent the calm routes of all of them there.

Change: who may send to a cold server is worked out among the roster and the fronts that are ready, as all nodes agree on the roster. Cold servers are not set aside for calm routes.

Tests: ninety-one nodes of which thirty know only the others (red without the roster); a cold server is not set aside.

--- a/internal/core/balance/isolation.go
+++ b/internal/core/balance/isolation.go
@@ -160,7 +160,7 @@
 		need, open := t.calmNeed(service, regions, now)
 		for region, servers := range regions {
 			if open[region] {
-				t.setAside(servers, need)
+				t.setAside(warm(servers, now), need)
 			}
 		}
 	}
@@ -238,6 +238,11 @@
 	}
 }
 
+// warm returns the servers that are not cold: cold ones can't take a crowd.
+func warm(servers []*server, now kernel.Time) []*server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s *server) bool { return now.Before(s.cold.until) })
+}
+
 func byRegion(pool []*server) map[string][]*server {
 	regions := map[string][]*server{}
 	for _, s := range pool {
--- a/internal/core/balance/limits.go
+++ b/internal/core/balance/limits.go
@@ -79,7 +79,7 @@
 		return true
 	}
 	spare := rate*(t.config.ColdOverage-1) + t.config.ColdSlack
-	senders := min(max(int(spare), 1), len(t.fronts))
+	senders := min(max(int(spare), 1), len(t.coldRanked))
 	if t.frontRank(s) >= senders {
 		return false
 	}
@@ -100,11 +100,12 @@
 	return rate
 }
 
-// frontRank is this node's place among all nodes for a server.
+// frontRank is this node's place for a server among all nodes that may send to
+// it.
 func (t *Table) frontRank(s *server) int {
 	mine := mix(t.random ^ s.hash)
 	rank := 0
-	for _, front := range t.fronts {
+	for _, front := range t.coldRanked {
 		if front != t.config.Self && mix(hashOf(front)^s.hash) > mine {
 			rank++
 		}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -58,9 +58,12 @@
 // is the time by which servers are cold. The maps are never changed after they
 // were handed over.
 type View struct {
-	State    sheet.State
-	Servers  map[string]*wire.ServerStatus
-	Fronts   []string
+	State   sheet.State
+	Servers map[string]*wire.ServerStatus
+	Fronts  []string
+	// Members are the names of all nodes on the roster, on which all nodes agree,
+	// whether they are known to carry traffic now or not.
+	Members  []string
 	FleetNow kernel.Time
 }
 
@@ -105,16 +108,19 @@
 
 // Table is the balancing state of one node. It has one owner.
 type Table struct {
-	config  Config
-	view    View
-	fronts  []string
-	servers map[string]*server
-	pools   map[string][]*server // by service, by name
-	budgets map[string]*budget   // by service
-	speeds  map[string]*speed    // by service
-	holders holders
-	routes  map[string]*routeLoad // by name
-	loads   []*routeLoad          // the same in the order in which they were met
+	config Config
+	view   View
+	fronts []string
+	// coldRanked are the nodes of which a few send to a cold server. Nodes that were
+	// restarted together do not know each other as ready yet, but the roster does.
+	coldRanked []string
+	servers    map[string]*server
+	pools      map[string][]*server // by service, by name
+	budgets    map[string]*budget   // by service
+	speeds     map[string]*speed    // by service
+	holders    holders
+	routes     map[string]*routeLoad // by name
+	loads      []*routeLoad          // the same in the order in which they were met
 	// isolated are the servers that are set aside for calm routes, as of isolatedAt.
 	isolated   map[string]bool
 	isolatedAt kernel.Time
@@ -135,6 +141,7 @@
 func (t *Table) Update(view View, now kernel.Time) {
 	t.view = view
 	t.fronts = withSelf(view.Fronts, t.config.Self)
+	t.coldRanked = union(t.fronts, view.Members)
 	for name, s := range t.servers {
 		if view.Servers[name] == nil {
 			s.excluded = plan.Gone
@@ -171,6 +178,13 @@
 	return append(slices.Clone(fronts), self)
 }
 
+// union returns the names of both lists, each once.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Usable tells whether a server may be sent requests at this moment.
 func (t *Table) Usable(name string) bool {
 	s := t.servers[name]
--- a/internal/core/balance/table_test.go
+++ b/internal/core/balance/table_test.go
@@ -219,6 +219,38 @@
 			So(most, ShouldBeGreaterThan, 10)
 		}
 	})
+	Convey("Nodes that were restarted together and do not know each other yet stay within it too", t, func() {
+		var members, others []string
+		for i := range 91 {
+			members = append(members, fmt.Sprintf("f%d", i))
+		}
+		others = members[30:]
+		most := 0
+		for server := range 20 {
+			arrivals := 0
+			for i, name := range members {
+				view := fleet(server+1, sheet.Service{ColdPerSecond: 8.8}, others...)
+				if i >= 30 {
+					view.Fronts = members
+				}
+				view.Members = members
+				cold := fmt.Sprintf("s%d", server)
+				view.Servers = map[string]*wire.ServerStatus{cold: view.Servers[cold]}
+				view.Servers[cold].ColdUntilMs = at(5000).UnixMilli()
+				tab := table(view, Config{Self: name, ColdOverage: 1.2, ColdSlack: 4})
+				for ms := range 1000 {
+					request := ask(fmt.Sprint(ms), 0)
+					if tab.Choose(request, at(ms)).Server == "" {
+						continue
+					}
+					tab.Finished(tab.Started(cold, request, at(ms)), Outcome{OK: true}, at(ms))
+					arrivals++
+				}
+			}
+			most = max(most, arrivals)
+		}
+		So(most, ShouldBeLessThanOrEqualTo, 8.8*1.2+4)
+	})
 	Convey("A server that is no longer cold has no such bound", t, func() {
 		view := fleet(1, sheet.Service{ColdPerSecond: 1})
 		view.Servers["s0"].ColdUntilMs = at(100).UnixMilli()
@@ -364,6 +396,20 @@
 			So(tab.strays(tab.servers["s0"], reply("later"), at(6000)), ShouldEqual, !tab.isolated["s0"])
 		}
 	})
+	Convey("A cold server is not set aside", t, func() {
+		tab := learned(nil, "f0")
+		tab.isolate(at(1100))
+		view := fleet(40, sheet.Service{})
+		for name := range tab.isolated {
+			view.Servers[name].ColdUntilMs = at(9000).UnixMilli()
+		}
+		before := maps.Clone(tab.isolated)
+		tab.Update(view, at(1200))
+		So(tab.isolated, ShouldNotBeEmpty)
+		for name := range tab.isolated {
+			So(before[name], ShouldBeFalse)
+		}
+	})
 	Convey("Nothing is set aside while routes are not known, where all are alike, in small pools, and when it is switched off", t, func() {
 		fresh := table(fleet(40, sheet.Service{}), Config{})
 		fresh.isolate(start)
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -159,7 +159,7 @@
 	}
 	serversMoved := d.seen == nil || len(d.seen.Servers) != len(view.Servers)
 	d.seen = view
-	d.table.Update(balance.View{State: view.State, Servers: view.Servers, Fronts: view.Sharers(), FleetNow: d.views.FleetNow()}, d.clock.Now())
+	d.table.Update(balance.View{State: view.State, Servers: view.Servers, Fronts: view.Sharers(), Members: view.Roster, FleetNow: d.views.FleetNow()}, d.clock.Now())
 	if serversMoved {
 		d.client.Forget(func(server string) bool { return view.Servers[server] != nil })
 	}
