--- a/internal/core/balance/isolation.go
+++ b/internal/core/balance/isolation.go
@@ -28,10 +28,10 @@
 	// calm routes are to fill in the mean.
 	placesUsed = 0.4
 	// isolatedMost bounds the part of a region's servers that are set aside. Where
-	// calm routes need less than wholeFrom of one server, none is: long prompts
+	// calm routes need less than wholeFrom servers, none is: long prompts
 	// would miss more than calm routes win.
 	isolatedMost = 0.5
-	wholeFrom    = 0.6
+	wholeFrom    = 1.5
 	// Until firstSamples requests for streams have been seen at a service, calm
 	// routes are taken to have firstShare of its work.
 	firstSamples = 6
