Keep the directory in order and publish a view only when it says something new

Twice a second each front copied and sorted all members, built a new view and woke everyone who waits for one, though nothing had changed; the watcher hashed all fronts ten times a second, the tally's shards woke fifty times a second each.

Change: the directory publishes an immutable table in its orders (processes, cores, sights) and copies it at a change only; a view that says the same as the last is not handed out; the watcher finds out anew whether it reads the list when other fronts are known; a shard of the tally wakes at its paces only while counts hurry or requests are held, and sends an urgent count at once when the last pace is over; a roster of more than 32 is pinged one member in 2 s (each opens a connection); records are compared by fields. One home for rendezvous weights.

--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -12,6 +11,7 @@
 
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 )
 
@@ -26,13 +26,6 @@
 	forgetAfter   = 10 * kernel.Minute
 )
 
-// Sight is what is known of a process and when it was last seen to live: by
-// the local clock, the instant at which its counter rose here.
-type Sight struct {
-	Process *wire.Process
-	Seen    kernel.Time
-}
-
 // Directory knows the processes of the fleet. It begins with the seeds'
 // addresses and learns the rest by exchanging hellos of constant size: oneself,
 // every core and a sample of the others, often while there is news and seldom
@@ -48,7 +41,7 @@
 	random  *rand.Rand
 	news    kernel.Time // when a process or an incarnation was last new
 	hellos  chan []*wire.Process
-	table   atomic.Pointer[map[string]Sight]
+	table   atomic.Pointer[table]
 	vouched atomic.Pointer[attested]
 	wake    chan struct{}
 	reseed  chan []string
@@ -77,37 +70,29 @@
 		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
 		hellos: make(chan []*wire.Process, 64), wake: make(chan struct{}, 1), reseed: make(chan []string),
 	}
-	d.table.Store(&map[string]Sight{})
+	d.table.Store(newTable(map[string]port.Sight{}))
 	d.vouched.Store(&attested{})
 	return d
 }
 
 // Process returns what is known of a process by its name.
 func (d *Directory) Process(name string) (*wire.Process, bool) {
-	s, ok := (*d.table.Load())[name]
+	s, ok := d.table.Load().byName[name]
 	return s.Process, ok
 }
 
-// Processes returns all known processes in the order of their names.
-func (d *Directory) Processes() []*wire.Process {
-	sights := d.Sights()
-	out := make([]*wire.Process, len(sights))
-	for i, s := range sights {
-		out[i] = s.Process
-	}
-	return out
-}
+// Processes returns all known processes in the order of their names. The slice
+// must not be changed.
+func (d *Directory) Processes() []*wire.Process { return d.table.Load().processes }
 
-// Sights returns all known processes with the time they were last seen.
-func (d *Directory) Sights() []Sight {
-	table := *d.table.Load()
-	out := make([]Sight, 0, len(table))
-	for _, s := range table {
-		out = append(out, s)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Process.Name < out[j].Process.Name })
-	return out
-}
+// Cores returns the known processes with a disk in the order of their names. The
+// slice must not be changed.
+func (d *Directory) Cores() []*wire.Process { return d.table.Load().cores }
+
+// Sights returns all known processes with the time they were last seen, in the
+// order of their names. The slice must not be changed; the same one is returned
+// until something is new.
+func (d *Directory) Sights() []port.Sight { return d.table.Load().sights }
 
 // Client returns a client for an internal address.
 func (d *Directory) Client(address string) PeerClient { return d.pool.Client(address) }
@@ -130,16 +115,15 @@
 }
 
 func (d *Directory) sample() []*wire.Process {
-	var cores, others []*wire.Process
-	for _, p := range d.Processes() {
-		if p.Core {
-			cores = append(cores, p)
-		} else {
-			others = append(others, p)
-		}
+	known := d.table.Load()
+	some := slices.Clone(known.cores)
+	if len(known.others) <= helloSample {
+		return append(some, known.others...)
+	}
+	for _, i := range rand.Perm(len(known.others))[:helloSample] {
+		some = append(some, known.others[i])
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return append(cores, others[:min(len(others), helloSample)]...)
+	return some
 }
 
 // Serve keeps the directory until the context ends.
@@ -149,7 +133,7 @@
 	for {
 		wait := helloInterval
 		switch {
-		case len(*d.table.Load()) < 2:
+		case len(d.table.Load().byName) < 2:
 			wait = helloAlone
 		case d.clock.Now().Sub(d.news) < helloSettle:
 			wait = helloBusy
@@ -185,15 +169,15 @@
 
 func (d *Directory) greet(ctx kernel.Context) {
 	own, _ := d.Process(d.self().Name)
-	targets := append([]string(nil), d.seeds...)
-	for _, s := range d.Sights() {
-		targets = append(targets, s.Process.Address)
+	targets := slices.Clone(d.seeds)
+	for _, p := range d.Processes() {
+		targets = append(targets, p.Address)
 	}
 	targets = slices.DeleteFunc(targets, func(address string) bool { return address == own.Address })
 	if len(targets) == 0 {
 		return
 	}
-	if len(*d.table.Load()) >= 2 {
+	if len(d.table.Load().byName) >= 2 {
 		targets = targets[d.random.IntN(len(targets)):][:1]
 	}
 	known := d.sample()
@@ -224,7 +208,7 @@
 	switch {
 	case connect.CodeOf(err) == connect.CodePermissionDenied:
 		d.log.Emit(events.SecretRefused, "address", address)
-	case len(*d.table.Load()) < 2:
+	case len(d.table.Load().byName) < 2:
 		d.log.Emit(events.SeedsUnreachable, "address", address, "error", err)
 	}
 }
@@ -232,16 +216,9 @@
 // merge keeps the record with the higher (incarnation, counter) of each name.
 // Gossip tells whether others learn of news only by hellos.
 func (d *Directory) merge(records []*wire.Process, gossip bool) {
-	now := d.clock.Now()
-	own := d.self()
-	old := *d.table.Load()
-	vouched := d.vouched.Load().names
-	next := make(map[string]Sight, len(old)+1)
-	for name, s := range old {
-		if now.Sub(s.Seen) < forgetAfter || name == own.Name || vouched[name] {
-			next[name] = s
-		}
-	}
+	now, own := d.clock.Now(), d.self()
+	next := d.table.Load().edit()
+	d.forget(next, own.Name, now)
 	for _, r := range records {
 		if r.Name == "" || r.Address == "" {
 			continue
@@ -252,15 +229,26 @@
 			}
 			continue
 		}
-		have, ok := next[r.Name]
+		have, ok := next.get(r.Name)
 		if gossip && (!ok || r.Incarnation > have.Process.Incarnation && newer(r, have.Process) || changed(r, have.Process)) {
 			d.news = now
 		}
 		if !ok || newer(r, have.Process) {
-			next[r.Name] = Sight{Process: proto.Clone(r).(*wire.Process), Seen: now}
+			next.put(port.Sight{Process: proto.Clone(r).(*wire.Process), Seen: now})
+		}
+	}
+	d.table.Store(next.done())
+}
+
+// forget drops processes that nobody has told of for long.
+func (d *Directory) forget(next *edit, own string, now kernel.Time) {
+	vouched := d.vouched.Load().names
+	for _, s := range next.base.sights {
+		name := s.Process.Name
+		if now.Sub(s.Seen) >= forgetAfter && name != own && !vouched[name] {
+			next.drop(name)
 		}
 	}
-	d.table.Store(&next)
 }
 
 // Attest takes in all processes that a core's feed says are live: they are
--- a/internal/core/lease/sight.go
+++ b/internal/core/lease/sight.go
@@ -1,7 +1,7 @@
 package lease
 
 import (
-	"google.golang.org/protobuf/proto"
+	"slices"
 
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/kernel"
@@ -90,15 +90,13 @@
 	if a == b {
 		return true
 	}
-	if a == nil || b == nil || a.Incarnation != b.Incarnation || a.Ready != b.Ready || a.Leaving != b.Leaving {
+	if a == nil || b == nil {
 		return false
 	}
-	if a.Counter == b.Counter {
-		return proto.Equal(a, b)
-	}
-	other := proto.Clone(b).(*wire.Process)
-	other.Counter = a.Counter
-	return proto.Equal(a, other)
+	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Ready == b.Ready && a.Leaving == b.Leaving &&
+		a.Address == b.Address && a.CallerAddress == b.CallerAddress && a.Region == b.Region && a.Zone == b.Zone &&
+		a.Core == b.Core && a.Front == b.Front && a.Standing == b.Standing && a.Formation == b.Formation &&
+		a.DiskLife == b.DiskLife && slices.Equal(a.Voters, b.Voters)
 }
 
 // before tells whether a record is an older one than another of the process.
--- a/internal/core/merge/merge.go
+++ b/internal/core/merge/merge.go
@@ -103,6 +103,7 @@
 	servers map[string]*entry
 	dirty   map[string]bool
 	folded  map[string]*wire.ServerStatus
+	version uint64 // of folded
 	// listedAt is the newest instant, in ms of fleet time, at which a watcher saw
 	// the platform's list.
 	listedAt int64
@@ -194,10 +195,14 @@
 	clear(r.dirty)
 	if changed {
 		r.folded = next
+		r.version++
 	}
 	return r.folded
 }
 
+// Version counts the changes of what Servers returns.
+func (r *Reports) Version() uint64 { return r.version }
+
 // Reports returns all held reports in the order of server and watcher, as for
 // a snapshot.
 func (r *Reports) Reports() []*wire.Report {
--- /dev/null
+++ b/internal/core/rendezvous/rendezvous_test.go
@@ -0,0 +1,18 @@
+package rendezvous_test
+
+import (
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"stepwick/internal/core/rendezvous"
+)
+
+func TestWeight(t *testing.T) {
+	Convey("A weight is that of name and subject together, and costs no memory", t, func() {
+		So(rendezvous.Weight("front-1", "tenant"), ShouldEqual, xxhash.Sum64String("front-1\x00tenant"))
+		So(rendezvous.Weight("front-1t", "enant"), ShouldNotEqual, rendezvous.Weight("front-1", "tenant"))
+		So(testing.AllocsPerRun(100, func() { rendezvous.Weight("front-1", "tenant") }), ShouldEqual, 0)
+	})
+}
--- a/internal/core/tally/book.go
+++ b/internal/core/tally/book.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"stepwick/internal/core/rendezvous"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
 )
@@ -63,9 +64,9 @@
 }
 
 func (b *Book) turnOf(tenant string) float64 {
-	own, rank := weigh(b.self, tenant), 0
+	own, rank := rendezvous.Weight(b.self, tenant), 0
 	for _, name := range b.roster {
-		if weigh(name, tenant) > own {
+		if rendezvous.Weight(name, tenant) > own {
 			rank++
 		}
 	}
@@ -243,6 +244,9 @@
 	return max(e.blend, e.recent) < quietBelow*e.limit
 }
 
+// Hurries tells whether some counts should not wait for the next interval.
+func (b *Book) Hurries() bool { return len(b.urgent) > 0 }
+
 // Urgent returns the counts that should not wait for the next interval, by
 // holder, for which ready holds; the others stay urgent.
 func (b *Book) Urgent(now kernel.Time, holderOf func(tenant string) string, ready func(holder string) bool) map[string][]*wire.Count {
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -7,8 +7,7 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"stepwick/internal/core/rendezvous"
 	"stepwick/internal/kernel"
 )
 
@@ -114,7 +113,7 @@
 	var best string
 	var highest uint64
 	for _, name := range roster {
-		if h := weigh(name, tenant); best == "" || h > highest || (h == highest && name < best) {
+		if h := rendezvous.Weight(name, tenant); best == "" || h > highest || (h == highest && name < best) {
 			best, highest = name, h
 		}
 	}
@@ -136,12 +135,3 @@
 	}
 	return left
 }
-
-func weigh(name, tenant string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(name)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(tenant)
-	return d.Sum64()
-}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -44,7 +44,7 @@
 	p.follower = follow.New(follow.Config{
 		Self: p.self, LeaseTTL: values.Duration("lease.ttl"), RenewEvery: values.Duration("lease.renew"),
 		PingEvery: values.Duration("ping.interval"), FeedWait: values.Duration("feed.wait"),
-		Sighted: p.sighted, CoreStaleFor: coreStaleFor, Attest: p.directory.Attest,
+		Sighted: p.directory.Sights, CoreStaleFor: coreStaleFor, Attest: p.directory.Attest,
 	}, p.directory, clock, log)
 
 	registry := prometheus.NewRegistry()
--- a/internal/node/core/fleet_test.go
+++ b/internal/node/core/fleet_test.go
@@ -18,6 +18,7 @@
 	"stepwick/internal/kernel"
 	"stepwick/internal/node/core"
 	"stepwick/internal/node/follow"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -91,7 +92,7 @@
 	}
 	f.fronts[name] = follow.New(follow.Config{Self: f.records[name].Load, LeaseTTL: 2 * time.Second,
 		RenewEvery: 500 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second, CoreStaleFor: time.Second,
-		Sighted: func() []follow.Sight { return nil }}, peers, kernel.System(), events.Discard)
+		Sighted: func() []port.Sight { return nil }}, peers, kernel.System(), events.Discard)
 }
 
 func (f *fleet) mark(set *atomic.Pointer[map[string]bool], on bool, names ...string) {
@@ -183,6 +184,8 @@
 	return p, ok
 }
 
+func (l links) Cores() []*wire.Process { return port.CoresOf(l.Processes()) }
+
 func (l links) Processes() []*wire.Process {
 	var all []*wire.Process
 	for _, p := range l.f.processes {
--- a/internal/node/follow/feed.go
+++ b/internal/node/follow/feed.go
@@ -66,7 +66,7 @@
 			return p, true
 		}
 	}
-	others := slices.DeleteFunc(f.cores(), func(core *wire.Process) bool { return core.Name == f.unfed })
+	others := slices.DeleteFunc(slices.Clone(f.peers.Cores()), func(core *wire.Process) bool { return core.Name == f.unfed })
 	near := f.near(others, now)
 	if core, ok := f.chooseOf(near, now); ok {
 		return core, true
@@ -77,7 +77,7 @@
 	if core, ok := f.chooseOf(others, now); ok {
 		return core, true
 	}
-	return f.chooseOf(f.cores(), now)
+	return f.chooseOf(f.peers.Cores(), now)
 }
 
 // nearFirst is how long a process that starts waits for a core of its region.
@@ -193,17 +193,3 @@
 	}
 	return plan.Number
 }
-
-func (f *Follower) publish() {
-	old := f.view.Load()
-	view := &View{State: f.state, Index: old.Index.For(f.state), Plan: f.plan,
-		Servers: f.reports.Servers(), Verdict: f.holder.Ruling(f.clock.Now()),
-		Fronts: f.fronts(), Roster: old.Roster}
-	if old.State.Epoch != f.state.Epoch {
-		view.Roster = rosterNames(f.state)
-	}
-	view.Live, view.Silent = f.split(view.Roster)
-	f.view.Store(view)
-	next := make(chan struct{})
-	close(*f.changed.Swap(&next))
-}
--- a/internal/node/follow/feed_test.go
+++ b/internal/node/follow/feed_test.go
@@ -13,6 +13,7 @@
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/node/follow"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -59,6 +60,8 @@
 	return nil, false
 }
 
+func (c feeders) Cores() []*wire.Process { return port.CoresOf(c.Processes()) }
+
 func (c feeders) Processes() (all []*wire.Process) {
 	for _, core := range c {
 		p, _ := c.Process(core.name)
@@ -87,7 +90,7 @@
 		change(cores[1])
 		f := follow.New(follow.Config{Self: func() *wire.Process { return &wire.Process{Name: "f1", Region: "north", Front: true} },
 			LeaseTTL: 2 * time.Second, RenewEvery: 100 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second,
-			Sighted: func() []follow.Sight { return nil }, CoreStaleFor: time.Second}, cores, kernel.System(), events.Discard)
+			Sighted: func() []port.Sight { return nil }, CoreStaleFor: time.Second}, cores, kernel.System(), events.Discard)
 		begun := time.Now()
 		go f.Serve(ctx)
 		for range wanted {
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -19,19 +19,13 @@
 	RenewEvery   kernel.Duration
 	PingEvery    kernel.Duration
 	FeedWait     kernel.Duration
-	Sighted      func() []Sight  // processes known to the directory, by name
-	CoreStaleFor kernel.Duration // silence after which another core is followed
+	Sighted      func() []port.Sight // processes known to the directory, by name
+	CoreStaleFor kernel.Duration     // silence after which another core is followed
 	// Attest takes every process that the feed says is live, after each change;
 	// nil lets it be.
 	Attest func(live []*wire.Process)
 }
 
-// Sight is a process and when it was last seen to live, by the clock.
-type Sight struct {
-	Process *wire.Process
-	Seen    kernel.Time
-}
-
 // How long a front counts as live after its last sign, which is a ping for a
 // member of the roster and a directory's sight for one that isn't on it yet.
 const (
@@ -75,6 +69,7 @@
 	fedAt    kernel.Time            // when a core last answered with the feed
 	words    map[string]word        // what each peer last said of itself
 	turn     int
+	rested   int         // intervals in which a large roster was not pinged as a whole
 	wave     []string    // peers still to be pinged at this pace
 	waved    kernel.Time // when the whole of a large roster was last begun
 	failing  map[string]bool
@@ -90,6 +85,9 @@
 	lives    map[string]uint64
 	tell     map[string]bool // peers to be pinged again once the ping under way ends
 	left     bool
+	found    found
+	// published tells that a view was handed out, so that the first is, whatever it says.
+	published bool
 }
 
 type place struct {
--- a/internal/node/follow/members.go
+++ b/internal/node/follow/members.go
@@ -1,11 +1,6 @@
 package follow
 
 import (
-	"slices"
-	"strings"
-
-	"google.golang.org/protobuf/proto"
-
 	"stepwick/internal/core/lease"
 	"stepwick/internal/kernel"
 	"stepwick/internal/wire"
@@ -108,53 +103,16 @@
 	return lives
 }
 
-// fronts returns the live fronts that don't leave, in the order of their
-// names: ready ones and those that will be.
-func (f *Follower) fronts() []*wire.Process {
-	now := f.clock.Now()
-	var live []*wire.Process
-	take := func(p *wire.Process, seen kernel.Time) {
-		word, said := f.said(p.Name, now)
-		if said && later(word.process, p) {
-			p = word.process
-		}
-		if met, ok := f.words[p.Name]; ok && met.incarnation >= p.Incarnation && !(said && word.at.After(met.at)) &&
-			(met.ready != p.Ready || met.leaving != p.Leaving) {
-			p = proto.Clone(p).(*wire.Process)
-			p.Ready, p.Leaving = met.ready, met.leaving
-		}
-		if !p.Front || p.Leaving || f.fate(p.Name, now) != lives {
-			return
-		}
-		if _, pinged := f.asked[p.Name]; p.Name != f.name && !said && !pinged &&
-			now.Sub(f.contact[p.Name]) >= sightFresh && now.Sub(seen) >= sightFresh {
-			return
-		}
-		live = append(live, p)
-	}
-	known := map[string]bool{}
-	for _, s := range f.config.Sighted() {
-		known[s.Process.Name] = true
-		take(s.Process, s.Seen)
-	}
-	for name, t := range f.told {
-		if !known[name] && t.process.Address != "" {
-			take(t.process, t.at)
-		}
-	}
-	slices.SortFunc(live, func(a, b *wire.Process) int { return strings.Compare(a.Name, b.Name) })
-	return live
-}
-
 func later(a, b *wire.Process) bool {
 	return a.Incarnation > b.Incarnation || (a.Incarnation == b.Incarnation && a.Counter > b.Counter)
 }
 
-// split tells of the roster who is not known to be gone, and who of those is
-// silent. A peer that refuses connections, or of which a core says that it does
-// or has left, is gone until it answers again.
-func (f *Follower) split(roster []string) (live, silent []string) {
+// splitRoster finds those of the roster who are not known to be gone, and who of
+// them is silent. A peer that refuses connections, or of which a core says that
+// it does or has left, is gone until it answers again.
+func (f *Follower) splitRoster(roster []string) {
 	now := f.clock.Now()
+	live, silent := f.found.live[:0], f.found.silent[:0]
 	for _, name := range roster {
 		switch f.fate(name, now) {
 		case isGone:
@@ -164,5 +122,5 @@
 		}
 		live = append(live, name)
 	}
-	return live, silent
+	f.found.live, f.found.silent = live, silent
 }
--- a/internal/node/follow/ping.go
+++ b/internal/node/follow/ping.go
@@ -10,15 +10,15 @@
 )
 
 // A roster of up to pingWhole members is pinged as a whole at each interval.
-// Of a larger one only pingShare members are, in turn, and a few that did not
-// answer, while the lease stands, so that the cost of a node does not grow with
-// the fleet. Once no majority of cores has renewed for half of the TTL, and a
+// Of a larger one only one member is, in turn and at each pingSeldom intervals, and
+// a few that did not answer, while the lease stands, so that the cost of a node does
+// not grow with the fleet: each of these pings opens a connection. Once no majority of cores has renewed for half of the TTL, and a
 // majority fails to answer, all are, once in half a TTL, pingBurst at once.
 const (
-	pingWhole = 32
-	pingShare = 1
-	pingAgain = 2
-	pingBurst = 64
+	pingWhole  = 32
+	pingSeldom = 4
+	pingAgain  = 2
+	pingBurst  = 64
 )
 
 // Ping answers a peer with the epoch that this front has confirmed.
@@ -34,13 +34,13 @@
 // pingAll pings those whose turn it is; see pingWhole.
 func (f *Follower) pingAll() {
 	now := f.clock.Now()
-	roster := rosterNames(f.state)
+	roster := f.view.Load().Roster
 	switch {
 	case len(roster) <= pingWhole:
 		f.wave = append(f.wave[:0], roster...)
 	case !f.wavering(now):
 		f.wave = f.wave[:0]
-		for range pingShare {
+		if f.rested++; f.rested%pingSeldom == 0 {
 			f.turn = (f.turn + 1) % len(roster)
 			f.wave = append(f.wave, roster[f.turn])
 		}
@@ -146,7 +146,7 @@
 // spread tells the peers of a small roster of a new epoch at once, so that none
 // of them goes on by the roster without it when all who know it are lost next.
 func (f *Follower) spread() {
-	roster := rosterNames(f.state)
+	roster := f.view.Load().Roster
 	if len(roster) > pingWhole || f.holder.Unconfirmed() {
 		return
 	}
--- a/internal/node/follow/renew.go
+++ b/internal/node/follow/renew.go
@@ -8,20 +8,10 @@
 	"stepwick/internal/wire"
 )
 
-func (f *Follower) cores() []*wire.Process {
-	var cores []*wire.Process
-	for _, p := range f.peers.Processes() {
-		if p.Core {
-			cores = append(cores, p)
-		}
-	}
-	return cores
-}
-
 // voters returns the names that a majority is counted over: those of the
 // formation, as any core tells them.
 func (f *Follower) voters() []string {
-	for _, p := range f.cores() {
+	for _, p := range f.peers.Cores() {
 		if len(p.Voters) > 0 {
 			return p.Voters
 		}
@@ -31,7 +21,7 @@
 
 func (f *Follower) renewAll() {
 	f.holder.SetCores(f.voters())
-	for _, core := range f.cores() {
+	for _, core := range f.peers.Cores() {
 		f.renew(core)
 	}
 	f.judge()
@@ -107,7 +97,7 @@
 		f.holder.Asked(core.Name, resp.Learned)
 	}
 	if wasUnconfirmed && !f.holder.Unconfirmed() {
-		for _, p := range f.cores() {
+		for _, p := range f.peers.Cores() {
 			f.renew(p)
 		}
 	}
--- a/internal/node/follow/state.go
+++ b/internal/node/follow/state.go
@@ -97,7 +97,7 @@
 	f.holder.Confirm(state.Epoch)
 	f.noticeState(old, state)
 	f.judge()
-	for _, core := range f.cores() {
+	for _, core := range f.peers.Cores() {
 		f.renew(core)
 	}
 	f.spread()
--- a/internal/node/follow/time_test.go
+++ b/internal/node/follow/time_test.go
@@ -11,6 +11,7 @@
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
 	"stepwick/internal/node/follow"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -34,6 +35,8 @@
 	return &wire.Process{Name: name, Address: name, Core: true, Voters: []string{"c1", "c2", "c3"}}, true
 }
 
+func (c cores) Cores() []*wire.Process { return port.CoresOf(c.Processes()) }
+
 func (c cores) Processes() (all []*wire.Process) {
 	for _, name := range []string{"c1", "c2", "c3"} {
 		p, _ := c.Process(name)
@@ -50,7 +53,7 @@
 		peers := cores{"c1": {name: "c1", step: time.Hour}, "c2": {name: "c2", after: 200 * time.Millisecond}, "c3": {name: "c3", after: 300 * time.Millisecond}}
 		f := follow.New(follow.Config{Self: func() *wire.Process { return &wire.Process{Name: "f1", Front: true} },
 			LeaseTTL: 2 * time.Second, RenewEvery: 500 * time.Millisecond, PingEvery: 500 * time.Millisecond, FeedWait: time.Second,
-			Sighted: func() []follow.Sight { return nil }, CoreStaleFor: time.Second}, peers, kernel.System(), events.Discard)
+			Sighted: func() []port.Sight { return nil }, CoreStaleFor: time.Second}, peers, kernel.System(), events.Discard)
 		go f.Serve(ctx)
 		<-time.After(100 * time.Millisecond)
 		if f.Timed() {
--- a/internal/node/follow/view.go
+++ b/internal/node/follow/view.go
@@ -25,6 +25,8 @@
 	Roster  []string        // names of the fronts on the roster, sorted
 	Live    []string        // those of them that are not known to be gone
 	Silent  []string        // those of the live ones that don't answer
+
+	version uint64 // of Servers
 }
 
 // Status is the JSON form of a front's control state.
--- a/internal/node/front/bench_test.go
+++ b/internal/node/front/bench_test.go
@@ -26,6 +26,8 @@
 type nobody struct{}
 
 func (nobody) Process(string) (*wire.Process, bool) { return nil, false }
+func (n nobody) Cores() []*wire.Process             { return port.CoresOf(n.Processes()) }
+
 func (nobody) Processes() []*wire.Process           { return nil }
 func (nobody) Client(string) wireconnect.PeerClient { return nil }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,15 +157,6 @@
 	return p.front.Ready()
 }
 
-func (p *process) sighted() []follow.Sight {
-	sights := p.directory.Sights()
-	out := make([]follow.Sight, len(sights))
-	for i, s := range sights {
-		out[i] = follow.Sight{Process: s.Process, Seen: s.Seen}
-	}
-	return out
-}
-
 // run serves until the context ends, then hands over: new requests are
 // refused, running ones finish within the grace, the spend is sent on, the
 // leases are released.
@@ -234,12 +225,7 @@
 	_ = p.spend.Flush(ctx)
 	_ = p.follower.Leave(ctx)
 	released := make(chan struct{})
-	var cores []*wire.Process
-	for _, known := range p.directory.Processes() {
-		if known.Core {
-			cores = append(cores, known)
-		}
-	}
+	cores := p.directory.Cores()
 	for _, known := range cores {
 		go func() {
 			_, _ = p.pool.Client(known.Address).Release(ctx, connect.NewRequest(&wire.ReleaseRequest{Name: p.base.Name, Incarnation: p.base.Incarnation}))
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"strings"
 
@@ -129,12 +130,7 @@
 
 // cores returns the known cores: this process first, then those that vote.
 func (r *relay) cores() []*wire.Process {
-	var cores []*wire.Process
-	for _, p := range r.peers.Processes() {
-		if p.Core {
-			cores = append(cores, p)
-		}
-	}
+	cores := slices.Clone(r.peers.Cores())
 	rank := func(p *wire.Process) int {
 		switch {
 		case p.Standing != wire.Standing_STANDING_VOTING:
--- a/internal/node/replica/formation.go
+++ b/internal/node/replica/formation.go
@@ -27,8 +27,8 @@
 func (r *Replica) seekFormation(ctx kernel.Context, state ballot.State) {
 	present := map[string]*wire.RecoverResponse{}
 	var cores []string
-	for _, process := range r.peers.Processes() {
-		if process.Core && process.Name != r.cfg.Self {
+	for _, process := range r.peers.Cores() {
+		if process.Name != r.cfg.Self {
 			cores = append(cores, process.Name)
 			present[process.Name] = nil
 		}
--- a/internal/node/replica/loopback_test.go
+++ b/internal/node/replica/loopback_test.go
@@ -14,6 +14,7 @@
 	"stepwick/internal/adapter/disklog"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -21,6 +22,8 @@
 type directory map[string]*wire.Process
 
 func (d directory) Process(name string) (*wire.Process, bool) { p, ok := d[name]; return p, ok }
+func (d directory) Cores() []*wire.Process                    { return port.CoresOf(d.Processes()) }
+
 func (d directory) Processes() []*wire.Process {
 	return []*wire.Process{d["a"], d["b"], d["c"]}
 }
--- a/internal/node/replica/replica_test.go
+++ b/internal/node/replica/replica_test.go
@@ -20,6 +20,7 @@
 	"stepwick/internal/core/sheet"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -121,6 +122,8 @@
 	return &wire.Process{Name: name, Address: name, Core: true}, known
 }
 
+func (p peers) Cores() []*wire.Process { return port.CoresOf(p.Processes()) }
+
 func (p peers) Processes() (all []*wire.Process) {
 	for _, name := range []string{"a", "b", "c"} {
 		process, _ := p.Process(name)
--- a/internal/node/spend/shard.go
+++ b/internal/node/spend/shard.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	paces    = 10 // paces of an interval: urgent counts and held requests are looked at on each
-	inFlight = 8  // exchanges with one holder at a time
+	// pacesPerInterval is how often within an interval urgent counts and held
+	// requests are looked at.
+	pacesPerInterval = 10
+	inFlight         = 8 // exchanges with one holder at a time
 )
 
 type ask struct {
@@ -52,10 +54,13 @@
 	answers  chan learned
 
 	roster  []string
-	reached []string          // without the silent ones
-	holders map[string]string // tenant -> holder
-	flying  map[string]int    // holder -> exchanges
-	paced   map[string]bool   // holders that were sent to on this pace
+	reached []string           // without the silent ones
+	holders map[string]string  // tenant -> holder
+	flying  map[string]int     // holder -> exchanges
+	paced   map[string]bool    // holders that were sent to on this pace
+	pacedAt kernel.Time        // when this pace began
+	paces   <-chan kernel.Time // wakes at each pace while something hurries, nil else
+	rest    func()             // ends that
 	silent  map[string]bool
 	holds   []hold
 	flush   []flush
@@ -70,29 +75,34 @@
 	return &shard{spend: s, name: "spend-" + strconv.Itoa(number), book: tally.NewBook(s.config.Self, s.config.Tally),
 		asks: make(chan *ask, 64), inspects: make(chan chan []tally.TenantView), flushes: make(chan chan error),
 		answers: make(chan learned, 64), holders: map[string]string{}, flying: map[string]int{},
-		paced: map[string]bool{}, silent: map[string]bool{}}
+		paced: map[string]bool{}, rest: func() {}, silent: map[string]bool{}}
 }
 
 func (o *shard) String() string { return o.name }
 
 // Serve runs the owner until the context ends.
 func (o *shard) Serve(ctx kernel.Context) error {
-	ticker := o.spend.clock.Ticker(o.spend.config.Tally.Interval / paces)
+	ticker := o.spend.clock.Ticker(o.spend.config.Tally.Interval)
 	defer ticker.Stop()
+	defer func() { o.rest() }()
 	o.follow()
-	for pace := 0; ; {
+	for {
+		o.pace()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case ask := <-o.asks:
 			o.decide(ask)
+			o.hurryIfPaced(ctx)
 		case <-ticker.C():
-			clear(o.paced)
-			if pace++; pace%paces == 0 {
-				o.follow()
-				o.send(ctx, o.book.Outgoing(o.spend.fleetNow(), o.holderOf))
-				o.spend.metrics.active(o.name, o.book.Active())
-			}
+			o.follow()
+			o.beginPace()
+			o.send(ctx, o.book.Outgoing(o.spend.fleetNow(), o.holderOf))
+			o.spend.metrics.active(o.name, o.book.Active())
+			o.hurry(ctx)
+			o.retry()
+		case <-o.paces:
+			o.beginPace()
 			o.hurry(ctx)
 			o.retry()
 		case answer := <-o.answers:
@@ -110,6 +120,35 @@
 	}
 }
 
+// pace has the owner woken at each pace while counts are urgent or requests are
+// held, and at none else.
+func (o *shard) pace() {
+	busy := len(o.holds) > 0 || o.book.Hurries()
+	switch {
+	case busy && o.paces == nil:
+		pacer := o.spend.clock.Ticker(o.spend.paceEvery())
+		o.paces, o.rest = pacer.C(), pacer.Stop
+	case !busy && o.paces != nil:
+		o.rest()
+		o.paces, o.rest = nil, func() {}
+	}
+}
+
+// beginPace lets each holder be sent to once more.
+func (o *shard) beginPace() {
+	clear(o.paced)
+	o.pacedAt = o.spend.clock.Now()
+}
+
+// hurryIfPaced sends urgent counts at once when the last pace is over.
+func (o *shard) hurryIfPaced(ctx kernel.Context) {
+	if !o.book.Hurries() || o.spend.clock.Now().Sub(o.pacedAt) < o.spend.paceEvery() {
+		return
+	}
+	o.beginPace()
+	o.hurry(ctx)
+}
+
 func (o *shard) follow() {
 	roster := o.spend.roster()
 	if reached := tally.Reached(roster, o.spend.config.Silent()); !slices.Equal(reached, o.reached) {
--- a/internal/node/spend/spend.go
+++ b/internal/node/spend/spend.go
@@ -99,6 +99,9 @@
 
 func (s *Spend) String() string { return "spend" }
 
+// paceEvery is the least time between two sends of urgent counts to a holder.
+func (s *Spend) paceEvery() kernel.Duration { return s.config.Tally.Interval / pacesPerInterval }
+
 func (s *Spend) shardOf(tenant string) *shard {
 	return s.shards[xxhash.Sum64String(tenant)%uint64(len(s.shards))]
 }
--- a/internal/node/spend/spend_test.go
+++ b/internal/node/spend/spend_test.go
@@ -16,6 +16,7 @@
 	"stepwick/internal/core/tally"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -44,6 +45,8 @@
 	return &wire.Process{Name: name, Address: name}, f.spends[name] != nil
 }
 
+func (f *fleet) Cores() []*wire.Process { return port.CoresOf(f.Processes()) }
+
 func (f *fleet) Processes() []*wire.Process { return nil }
 
 func (f *fleet) Client(address string) wireconnect.PeerClient {
--- a/internal/node/watch/list.go
+++ b/internal/node/watch/list.go
@@ -91,10 +91,8 @@
 	}
 	unchanged := &wire.Unchanged{Watcher: merge.Watcher(w.cfg.Self, merge.Listed), Incarnation: w.cfg.Incarnation,
 		Digest: uint64(digest), AtMs: at.UnixMilli()}
-	for _, p := range w.peers.Processes() {
-		if p.Core {
-			w.box(p.Name).unchanged = unchanged
-		}
+	for _, core := range w.peers.Cores() {
+		w.box(core.Name).unchanged = unchanged
 	}
 }
 
--- a/internal/node/watch/outbox.go
+++ b/internal/node/watch/outbox.go
@@ -32,10 +32,7 @@
 // send hands what waits to every core, one batch under way at each. What was
 // not taken waits on, unless something newer has replaced it.
 func (w *Watcher) send(ctx kernel.Context, now kernel.Time) {
-	for _, p := range w.peers.Processes() {
-		if !p.Core {
-			continue
-		}
+	for _, p := range w.peers.Cores() {
 		box := w.box(p.Name)
 		if box.sending || len(box.reports) == 0 && box.unchanged == nil || now.Before(box.retryAt) {
 			continue
--- a/internal/node/watch/rank.go
+++ b/internal/node/watch/rank.go
@@ -1,8 +1,9 @@
 package watch
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"slices"
 
+	"stepwick/internal/core/rendezvous"
 	"stepwick/internal/wire"
 )
 
@@ -10,23 +11,19 @@
 // subject by rendezvous hashing. A front that is not among the candidates ranks
 // as if it were.
 func Ranks(self, subject string, candidates []string, count int) bool {
-	mine := weight(self, subject)
+	mine := rendezvous.Weight(self, subject)
 	above := 0
 	for _, name := range candidates {
 		if name == self {
 			continue
 		}
-		if other := weight(name, subject); other > mine || other == mine && name > self {
+		if other := rendezvous.Weight(name, subject); other > mine || other == mine && name > self {
 			above++
 		}
 	}
 	return above < count
 }
 
-func weight(front, subject string) uint64 {
-	return xxhash.Sum64String(front + "\x00" + subject)
-}
-
 // mine tells whether this front watches a subject at a place: by the fronts of
 // its zone, or of its region when the zone has none (or none is asked for), or
 // by all when the region has none.
@@ -54,3 +51,20 @@
 	}
 	return Ranks(w.cfg.Self, subject, all, count)
 }
+
+// readsList tells whether this front is among those of its region that read the
+// list. It is found out anew when other fronts are known.
+func (w *Watcher) readsList(fronts []*wire.Process) bool {
+	if known := w.readers; known.found && slices.Equal(known.fronts, fronts) {
+		return known.reads
+	}
+	w.readers = readers{found: true, fronts: fronts, reads: w.mine(fronts, "", w.cfg.Region, "", w.cfg.ListFronts)}
+	return w.readers.reads
+}
+
+// readers tells whether this front read the list when these fronts were known.
+type readers struct {
+	found  bool
+	fronts []*wire.Process
+	reads  bool
+}
--- a/internal/node/watch/sights.go
+++ b/internal/node/watch/sights.go
@@ -73,10 +73,8 @@
 		Counter: w.counter, Status: status, AtMs: at.UnixMilli()}
 	s.report = report
 	w.report(report)
-	for _, p := range w.peers.Processes() {
-		if p.Core {
-			w.box(p.Name).reports[waitingKey(report)] = report
-		}
+	for _, core := range w.peers.Cores() {
+		w.box(core.Name).reports[waitingKey(report)] = report
 	}
 }
 
--- a/internal/node/watch/standby.go
+++ b/internal/node/watch/standby.go
@@ -87,9 +87,9 @@
 // nearCore returns a core of the own region that votes, or any that does.
 func (w *Watcher) nearCore() *wire.Process {
 	var near, far *wire.Process
-	for _, p := range w.peers.Processes() {
+	for _, p := range w.peers.Cores() {
 		switch {
-		case !p.Core || p.Standing != wire.Standing_STANDING_VOTING:
+		case p.Standing != wire.Standing_STANDING_VOTING:
 		case p.Region == w.cfg.Region && near == nil:
 			near = p
 		case far == nil:
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -77,6 +77,7 @@
 	busy     int
 	listing  bool
 	failing  bool
+	readers  readers
 	missing  map[string]int
 	sights   map[sightKey]*sight
 	polls    map[string]*poll
@@ -152,7 +153,7 @@
 func (w *Watcher) step(ctx kernel.Context) {
 	now, v := w.clock.Now(), w.view()
 	w.size = len(v.Servers)
-	if !w.listing && !now.Before(w.listAt) && w.mine(v.Fronts, "", w.cfg.Region, "", w.cfg.ListFronts) {
+	if !w.listing && !now.Before(w.listAt) && w.readsList(v.Fronts) {
 		w.listAt = now.Add(w.cfg.ListEvery)
 		w.lookAtList(ctx, v.Fronts)
 	}
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -18,6 +18,7 @@
 	"stepwick/internal/core/merge"
 	"stepwick/internal/events"
 	"stepwick/internal/kernel"
+	"stepwick/internal/port"
 	"stepwick/internal/wire"
 	"stepwick/internal/wire/wireconnect"
 )
@@ -143,7 +144,9 @@
 type peers struct{ w *world }
 
 func (p peers) Process(string) (*wire.Process, bool) { return nil, false }
-func (p peers) Processes() []*wire.Process           { return p.w.fronts }
+func (p peers) Cores() []*wire.Process               { return port.CoresOf(p.Processes()) }
+
+func (p peers) Processes() []*wire.Process { return p.w.fronts }
 func (p peers) Client(address string) wireconnect.PeerClient {
 	return coreClient{w: p.w, name: address}
 }
