Read a long list of servers more seldom, and tell each second that it still stands

Change: the word is given each second (it is one message); a list is read again after 140 ms for each call that it took, at most 0.28 of the time in which a drain must bind.

--- a/internal/node/watch/list.go
+++ b/internal/node/watch/list.go
@@ -13,6 +13,20 @@
 	"stepwick/internal/wire"
 )
 
+// callCost is how long a list that takes many calls is not read again for each of
+// them: the platform bounds the calls of all nodes, and charges for them.
+const callCost = 140 * kernel.Millisecond
+
+// listShare is the part of DrainWithin that may pass between two readings.
+const listShare = 0.28
+
+// listEvery returns how often the list is read: more seldom where it is long, as
+// far as drains are still noticed in time.
+func (w *Watcher) listEvery() kernel.Duration {
+	most := kernel.Duration(listShare * float64(w.cfg.DrainWithin))
+	return max(w.cfg.ListEvery, min(kernel.Duration(w.calls)*callCost, most))
+}
+
 func (w *Watcher) pollList(ctx kernel.Context) {
 	w.listing = true
 	at := w.fleetNow()
@@ -35,6 +49,7 @@
 		w.failed(err.Error())
 		return
 	}
+	w.calls = listing.Calls
 	if w.failing {
 		w.failing = false
 		w.log.Emit(events.PlatformBack)
@@ -75,11 +90,15 @@
 	}
 }
 
-// stand tells the cores, at the pace of keep-alives, that what was reported of
-// the list still stands.
+// standEvery is how often the cores are told that what was reported of the list
+// still stands. It is one message whatever the number of servers, and fronts that
+// stand by for those who read the list go by it.
+const standEvery = kernel.Second
+
+// stand tells the cores that what was reported of the list still stands.
 func (w *Watcher) stand(at kernel.Time) {
 	now := w.clock.Now()
-	if now.Sub(w.stoodAt) < merge.KeepAlive(w.size) {
+	if now.Sub(w.stoodAt) < standEvery {
 		return
 	}
 	w.stoodAt, w.listedAt = now, at
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -78,6 +78,7 @@
 	listing  bool
 	failing  bool
 	readers  readers
+	calls    int // that the last list took
 	missing  map[string]int
 	sights   map[sightKey]*sight
 	polls    map[string]*poll
@@ -154,7 +155,7 @@
 	now, v := w.clock.Now(), w.view()
 	w.size = len(v.Servers)
 	if !w.listing && !now.Before(w.listAt) && w.readsList(v.Fronts) {
-		w.listAt = now.Add(w.cfg.ListEvery)
+		w.listAt = now.Add(w.listEvery())
 		w.lookAtList(ctx, v.Fronts)
 	}
 	if !w.cfg.ListOnly && !now.Before(w.pollAt) {
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -37,6 +37,7 @@
 	dark    map[string]platform.Reach
 	silent  bool
 	empty   bool
+	pages   int             // that the list has
 	down    map[string]bool // cores and fronts
 	asked   map[string]int
 	told    map[string]bool // events by name and server
@@ -80,6 +81,7 @@
 		if w.empty {
 			return
 		}
+		listing.Calls = w.pages
 		for _, s := range w.servers {
 			listing.Servers = append(listing.Servers, s)
 		}
@@ -364,6 +366,33 @@
 		So(listed(f)-before, ShouldBeBetweenOrEqual, 3*18, 3*22)
 		So(f.asked["inspect "+InspectListed], ShouldBeGreaterThan, 3*18)
 	})
+	bubbleWith(t, drainWithin, "read a list of many pages more seldom, and those of the other region still need not", func(f fleet) {
+		f.with(func() {
+			f.pages = 10
+			for i := range 240 {
+				name := fmt.Sprintf("many%d", i)
+				f.servers[name] = &wire.ServerStatus{Name: name, Address: name, Kind: "model", Services: []string{"chat"}, Region: "lagos", Zone: "a", State: ready}
+			}
+		})
+		pass(8 * time.Second)
+		before := listed(f)
+		pass(14 * time.Second)
+		So(listed(f)-before, ShouldBeBetweenOrEqual, 3*9, 3*11)
+	})
+	bubbleWith(t, drainWithin, "take over a list of many pages before a drain binds", func(f fleet) {
+		f.with(func() { f.pages = 10 })
+		pass(5 * time.Second)
+		for _, p := range f.fronts {
+			if p.Region == lead(f) {
+				f.stop[p.Name]()
+			}
+		}
+		f.set("m1", func(s *wire.ServerStatus) { s.State = draining })
+		pass(3800 * time.Millisecond)
+		for _, core := range f.cores {
+			So(core.Servers()["m1"].State, ShouldEqual, draining)
+		}
+	})
 	bubbleWith(t, drainWithin, "of the other region read it when nobody else does, before long", func(f fleet) {
 		var readers []string
 		for _, p := range f.fronts {
--- a/internal/port/servers.go
+++ b/internal/port/servers.go
@@ -20,6 +20,7 @@
 	Servers []*wire.ServerStatus
 	Bad     map[string]string
 	Cold    map[string]kernel.Duration
+	Calls   int // that it took to read the list; 0 counts as one
 }
 
 // Reach tells how a server took the question for its status.
