--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -70,14 +70,14 @@
 		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
 		hellos: make(chan []*wire.Process, 64), wake: make(chan struct{}, 1), reseed: make(chan []string),
 	}
-	d.table.Store(newTable(map[string]port.Sight{}))
+	d.table.Store(newTable(nil))
 	d.vouched.Store(&attested{})
 	return d
 }
 
 // Process returns what is known of a process by its name.
 func (d *Directory) Process(name string) (*wire.Process, bool) {
-	s, ok := d.table.Load().byName[name]
+	s, ok := d.table.Load().find(name)
 	return s.Process, ok
 }
 
@@ -133,7 +133,7 @@
 	for {
 		wait := helloInterval
 		switch {
-		case len(d.table.Load().byName) < 2:
+		case len(d.table.Load().sights) < 2:
 			wait = helloAlone
 		case d.clock.Now().Sub(d.news) < helloSettle:
 			wait = helloBusy
@@ -177,7 +177,7 @@
 	if len(targets) == 0 {
 		return
 	}
-	if len(d.table.Load().byName) >= 2 {
+	if len(d.table.Load().sights) >= 2 {
 		targets = targets[d.random.IntN(len(targets)):][:1]
 	}
 	known := d.sample()
@@ -208,7 +208,7 @@
 	switch {
 	case connect.CodeOf(err) == connect.CodePermissionDenied:
 		d.log.Emit(events.SecretRefused, "address", address)
-	case len(d.table.Load().byName) < 2:
+	case len(d.table.Load().sights) < 2:
 		d.log.Emit(events.SeedsUnreachable, "address", address, "error", err)
 	}
 }
@@ -243,12 +243,9 @@
 // forget drops processes that nobody has told of for long.
 func (d *Directory) forget(next *edit, own string, now kernel.Time) {
 	vouched := d.vouched.Load().names
-	for _, s := range next.base.sights {
-		name := s.Process.Name
-		if now.Sub(s.Seen) >= forgetAfter && name != own && !vouched[name] {
-			next.drop(name)
-		}
-	}
+	next.forget(func(s port.Sight) bool {
+		return now.Sub(s.Seen) >= forgetAfter && s.Process.Name != own && !vouched[s.Process.Name]
+	})
 }
 
 // Attest takes in all processes that a core's feed says are live: they are
--- a/internal/adapter/internalrpc/table.go
+++ b/internal/adapter/internalrpc/table.go
@@ -1,7 +1,6 @@
 package internalrpc
 
 import (
-	"maps"
 	"slices"
 	"strings"
 
@@ -12,17 +11,16 @@
 // table is an immutable view of the known processes, kept in the orders in which
 // it is read so that readers neither sort nor copy.
 type table struct {
-	byName    map[string]port.Sight
 	sights    []port.Sight    // by name
 	processes []*wire.Process // by name
 	cores     []*wire.Process // those with a disk, by name
 	others    []*wire.Process // the rest, by name
 }
 
-func newTable(byName map[string]port.Sight) *table {
-	t := &table{byName: byName, sights: slices.Collect(maps.Values(byName))}
-	slices.SortFunc(t.sights, func(a, b port.Sight) int { return strings.Compare(a.Process.Name, b.Process.Name) })
-	for _, s := range t.sights {
+// newTable returns the table of some sights, which are in the order of their names.
+func newTable(sights []port.Sight) *table {
+	t := &table{sights: sights, processes: make([]*wire.Process, 0, len(sights)), others: make([]*wire.Process, 0, len(sights))}
+	for _, s := range sights {
 		t.processes = append(t.processes, s.Process)
 		if s.Process.Core {
 			t.cores = append(t.cores, s.Process)
@@ -33,33 +31,69 @@
 	return t
 }
 
+// find returns the sight of a process.
+func (t *table) find(name string) (port.Sight, bool) {
+	at, found := place(t.sights, name)
+	if !found {
+		return port.Sight{}, false
+	}
+	return t.sights[at], true
+}
+
+// place returns where a process is among sights by name, or where it belongs.
+func place(sights []port.Sight, name string) (at int, found bool) {
+	return slices.BinarySearchFunc(sights, name, func(s port.Sight, name string) int {
+		return strings.Compare(s.Process.Name, name)
+	})
+}
+
 // edit returns changes to the table that cost nothing until there is one.
 func (t *table) edit() *edit { return &edit{base: t} }
 
 // edit gathers changes to a table, which is copied at the first of them.
 type edit struct {
 	base *table
-	next map[string]port.Sight // nil while nothing has changed
+	next []port.Sight // nil while nothing has changed
 }
 
-func (e *edit) get(name string) (port.Sight, bool) {
+func (e *edit) sights() []port.Sight {
 	if e.next != nil {
-		s, ok := e.next[name]
-		return s, ok
+		return e.next
+	}
+	return e.base.sights
+}
+
+func (e *edit) get(name string) (port.Sight, bool) {
+	at, found := place(e.sights(), name)
+	if !found {
+		return port.Sight{}, false
 	}
-	s, ok := e.base.byName[name]
-	return s, ok
+	return e.sights()[at], true
 }
 
-func (e *edit) put(s port.Sight) { e.writable()[s.Process.Name] = s }
+func (e *edit) put(s port.Sight) {
+	e.copy()
+	at, found := place(e.next, s.Process.Name)
+	if found {
+		e.next[at] = s
+		return
+	}
+	e.next = slices.Insert(e.next, at, s)
+}
 
-func (e *edit) drop(name string) { delete(e.writable(), name) }
+// forget drops the sights for which gone holds.
+func (e *edit) forget(gone func(port.Sight) bool) {
+	if !slices.ContainsFunc(e.sights(), gone) {
+		return
+	}
+	e.copy()
+	e.next = slices.DeleteFunc(e.next, gone)
+}
 
-func (e *edit) writable() map[string]port.Sight {
+func (e *edit) copy() {
 	if e.next == nil {
-		e.next = maps.Clone(e.base.byName)
+		e.next = append(make([]port.Sight, 0, len(e.base.sights)+1), e.base.sights...)
 	}
-	return e.next
 }
 
 // done returns the table with the changes; the same one when there is none.
--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -151,13 +151,19 @@
 	p.refused, p.contact = at, at
 }
 
-// Ruling tells whether the front may decide by its epoch at an instant.
+// Ruling tells whether the front may decide by its epoch at an instant. While a
+// lease stands for more than half of a TTL the roster isn't looked at, which takes
+// as long as it is large; it is again before the lease can lapse.
 func (h *Holder) Ruling(now kernel.Time) Verdict {
 	none := Verdict{By: ByNone, RetryAfter: h.ttl / 2}
 	if h.unconfirmed || h.epoch == 0 {
 		return none
 	}
-	byLease, byRoster := h.leaseUntil(), h.rosterUntil(now)
+	byLease := h.leaseUntil()
+	if byLease.Sub(now) > h.ttl/2 {
+		return Verdict{Ruling: true, By: ByLease, Until: byLease}
+	}
+	byRoster := h.rosterUntil(now)
 	switch {
 	case now.Before(byLease):
 		return Verdict{Ruling: true, By: ByLease, Until: later(byLease, byRoster)}
--- a/internal/node/follow/feed.go
+++ b/internal/node/follow/feed.go
@@ -84,13 +84,22 @@
 const nearFirst = 150 * kernel.Millisecond
 
 // near returns the cores of the own region, without those that have renewed
-// once but not of late.
+// once but not of late; in a large fleet only those of the own zone where there are
+// some, through which the front renews too.
 func (f *Follower) near(cores []*wire.Process, now kernel.Time) []*wire.Process {
-	region := f.config.Self().Region
-	return slices.DeleteFunc(slices.Clone(cores), func(core *wire.Process) bool {
+	own := f.config.Self()
+	inRegion := slices.DeleteFunc(slices.Clone(cores), func(core *wire.Process) bool {
 		renewed := f.holder.RenewedAt(core.Name)
-		return core.Region != region || !renewed.IsZero() && now.Sub(renewed) > f.config.CoreStaleFor
+		return core.Region != own.Region || !renewed.IsZero() && now.Sub(renewed) > f.config.CoreStaleFor
 	})
+	if !f.isLarge() {
+		return inRegion
+	}
+	inZone := slices.DeleteFunc(slices.Clone(inRegion), func(core *wire.Process) bool { return core.Zone != own.Zone })
+	if len(inZone) > 0 {
+		return inZone
+	}
+	return inRegion
 }
 
 // chooseOf returns the core of some that renewed last or, while none has, one
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -88,6 +88,7 @@
 	// directUntil is until when renewals go to every core instead of through one.
 	directUntil kernel.Time
 	found       found
+	expired     kernel.Time // when old reports were last let go
 	// published tells that a view was handed out, so that the first is, whatever it says.
 	published bool
 }
@@ -216,13 +217,24 @@
 		case <-ping.C():
 			f.pingAll()
 		case <-fold.C():
-			f.reports.Expire(f.FleetNow())
+			f.expire(f.clock.Now())
 			f.publish()
 		}
 		f.follow()
 	}
 }
 
+// expire lets old reports go, which is no matter of moments.
+func (f *Follower) expire(now kernel.Time) {
+	if now.Sub(f.expired) < expireEvery {
+		return
+	}
+	f.expired = now
+	f.reports.Expire(f.FleetNow())
+}
+
+const expireEvery = 2 * kernel.Second
+
 // hastenEvery is the pace of renewals of a process that is not confirmed yet:
 // after a start each moment counts in which it may not rule.
 const hastenEvery = 50 * kernel.Millisecond
--- a/internal/node/gateway/dispatcher.go
+++ b/internal/node/gateway/dispatcher.go
@@ -20,17 +20,19 @@
 
 // dispatcher owns the balancing table and the requests that wait for a server.
 type dispatcher struct {
-	table   *balance.Table
-	views   Views
-	clock   kernel.Clock
-	log     events.Log
-	client  *upstream.Client
-	asks    *stage.Queue[*ticket]
-	moves   *stage.Queue[move]
-	over    chan struct{} // closed when the owner has ended for good
-	seen    *follow.View
-	waiting []*ticket // the most urgent first, then the oldest
-	count   uint64
+	table  *balance.Table
+	views  Views
+	clock  kernel.Clock
+	log    events.Log
+	client *upstream.Client
+	asks   *stage.Queue[*ticket]
+	moves  *stage.Queue[move]
+	over   chan struct{} // closed when the owner has ended for good
+	seen   *follow.View
+	// unreachable are the servers that others call silent.
+	unreachable []string
+	waiting     []*ticket // the most urgent first, then the oldest
+	count       uint64
 
 	off       balance.Off
 	suspects  *suspects
@@ -157,6 +159,12 @@
 	if view == d.seen {
 		return
 	}
+	d.unreachable = d.unreachable[:0]
+	for name, status := range view.Servers {
+		if !status.Reachable {
+			d.unreachable = append(d.unreachable, name)
+		}
+	}
 	serversMoved := d.seen == nil || len(d.seen.Servers) != len(view.Servers)
 	d.seen = view
 	d.table.Update(balance.View{State: view.State, Servers: view.Servers, Fronts: view.Sharers(), Members: view.Roster, FleetNow: d.views.FleetNow()}, d.clock.Now())
@@ -193,8 +201,8 @@
 			d.suspects.back(upstream.Server{Name: name})
 		}
 	}
-	for name, status := range d.seen.Servers {
-		if _, still := silent[name]; !still && !status.Reachable && d.table.HeardSince(name, now.Add(-heardOfLate)) {
+	for _, name := range d.unreachable {
+		if _, still := silent[name]; !still && d.table.HeardSince(name, now.Add(-heardOfLate)) {
 			d.suspects.note(upstream.Server{Name: name}, true)
 		}
 	}
