--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -68,7 +68,7 @@
 
 // Admitter decides by the shared tally whether a tenant may spend tokens.
 type Admitter interface {
-	Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision
+	Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms, patience kernel.Duration) tally.Decision
 }
 
 // Front serves callers.
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -86,7 +86,7 @@
 	decide func(tenant string, tokens float64, terms tally.Terms) tally.Decision
 }
 
-func (f *fakeTally) Admit(_ context.Context, tenant string, tokens float64, terms tally.Terms) tally.Decision {
+func (f *fakeTally) Admit(_ context.Context, tenant string, tokens float64, terms tally.Terms, _ time.Duration) tally.Decision {
 	if f.decide == nil {
 		return tally.Decision{Pass: true, Limit: 810}
 	}
--- a/internal/node/front/serve.go
+++ b/internal/node/front/serve.go
@@ -191,7 +191,7 @@
 		}
 	}
 	c.request.Tokens, a.Tokens = tokens, tokens
-	decision := f.admit.Admit(ctx, tenant, tokens, tally.Terms{Rate: row.Rate, Burst: row.Burst})
+	decision := f.admit.Admit(ctx, tenant, tokens, tally.Terms{Rate: row.Rate, Burst: row.Burst}, 0)
 	a.tally(decision)
 	if !decision.Pass {
 		return (&kernel.Fault{Code: decision.Code, Detail: fmt.Sprintf("%s has %.0f tokens in a window", tenant, decision.Limit)}).After(decision.RetryAfter)
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -76,9 +76,13 @@
 	close(*v.changed.Swap(&fresh))
 }
 
-type admitter struct{ refused atomic.Bool }
+type admitter struct {
+	refused  atomic.Bool
+	patience atomic.Int64 // of the last request, nanoseconds
+}
 
-func (a *admitter) Admit(kernel.Context, string, float64, tally.Terms) tally.Decision {
+func (a *admitter) Admit(_ kernel.Context, _ string, _ float64, _ tally.Terms, patience kernel.Duration) tally.Decision {
+	a.patience.Store(int64(patience))
 	if a.refused.Load() {
 		return tally.Decision{Code: kernel.QuotaExceeded, RetryAfter: 700 * kernel.Millisecond}
 	}
@@ -490,6 +494,7 @@
 		for reached.Load() == 0 {
 			runtime.Gosched()
 		}
+		So(time.Duration(s.tally.patience.Load()), ShouldEqual, 2*time.Second)
 		conn := dial(s, "/safe/")
 		for s.gateway.inFlight.Load() < 2 {
 			runtime.Gosched()
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -357,7 +357,7 @@
 	ctx, cancel := kernel.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
 	defer cancel()
 	part := q.gateway.config.Quota.part(units, q.terms, q.route.Priority)
-	decision := q.gateway.admitter.Admit(ctx, q.tenant, units, tally.Terms{Rate: q.terms.Rate * part, Burst: q.terms.Burst * part})
+	decision := q.gateway.admitter.Admit(ctx, q.tenant, units, tally.Terms{Rate: q.terms.Rate * part, Burst: q.terms.Burst * part}, q.patience())
 	if decision.Pass {
 		return nil
 	}
@@ -365,6 +365,16 @@
 	return fault.After(max(decision.RetryAfter, leastPause))
 }
 
+// holdPart is the part of its objective that a request may be held for the holder
+// of its tenant's count: one that is let in then can still be answered in time.
+const holdPart = 0.5
+
+// patience returns how long the request may be held; 0 where its route has no
+// objective.
+func (q *request) patience() kernel.Duration {
+	return kernel.Duration(holdPart * float64(q.route.ObjectiveMS) * float64(kernel.Millisecond))
+}
+
 const leastPause = 50 * kernel.Millisecond
 
 func (q *request) tokens() float64 {
--- a/internal/node/spend/shard.go
+++ b/internal/node/spend/shard.go
@@ -23,7 +23,9 @@
 	tenant string
 	tokens float64
 	terms  tally.Terms
-	answer chan tally.Decision
+	// patience is how long it may be held.
+	patience kernel.Duration
+	answer   chan tally.Decision
 }
 
 func newAsks() *sync.Pool {
@@ -179,7 +181,7 @@
 		ask.answer <- decision
 		return
 	}
-	o.holds = append(o.holds, hold{ask, o.spend.clock.Now().Add(o.spend.config.HoldFor), decision})
+	o.holds = append(o.holds, hold{ask, o.spend.clock.Now().Add(ask.patience), decision})
 }
 
 func (o *shard) retry() {
--- a/internal/node/spend/spend_test.go
+++ b/internal/node/spend/spend_test.go
@@ -89,7 +89,7 @@
 		offer := func(name string, requests int, tokens float64) (passed float64, last kernel.Code) {
 			for range requests {
 				<-time.After(5 * time.Millisecond)
-				if d := f.spends[name].Admit(ctx, "press", tokens, terms); d.Pass {
+				if d := f.spends[name].Admit(ctx, "press", tokens, terms, 0); d.Pass {
 					passed += tokens
 				} else {
 					last = d.Code
@@ -112,7 +112,7 @@
 			Convey("which every front knows", func() {
 				<-time.After(time.Second)
 				for _, name := range names {
-					f.spends[name].Admit(ctx, "press", 1, terms)
+					f.spends[name].Admit(ctx, "press", 1, terms, 0)
 					<-time.After(time.Second)
 					views, err := f.spends[name].Inspect(ctx, "press")
 					So(err, ShouldBeNil)
@@ -156,7 +156,7 @@
 			So(code, ShouldEqual, kernel.OK)
 			So(first+second, ShouldEqual, 500)
 			<-time.After(time.Second)
-			So(f.spends[others[0]].Admit(ctx, "press", 1, terms).Pass, ShouldBeTrue)
+			So(f.spends[others[0]].Admit(ctx, "press", 1, terms, 0).Pass, ShouldBeTrue)
 			<-time.After(time.Second)
 			views, err := f.spends[others[0]].Inspect(ctx, "press")
 			So(err, ShouldBeNil)
@@ -172,9 +172,9 @@
 			if other == holder {
 				other = names[1]
 			}
-			So(f.spends[other].Admit(ctx, "press", 7, terms).Pass, ShouldBeTrue)
+			So(f.spends[other].Admit(ctx, "press", 7, terms, 0).Pass, ShouldBeTrue)
 			So(f.spends[other].Flush(ctx), ShouldBeNil)
-			f.spends[holder].Admit(ctx, "press", 1, terms)
+			f.spends[holder].Admit(ctx, "press", 1, terms, 0)
 			<-time.After(time.Second)
 			views, err := f.spends[holder].Inspect(ctx, "press")
 			So(err, ShouldBeNil)
@@ -183,7 +183,7 @@
 		Convey("A caller whose deadline passed is refused as such", t, func() {
 			gone, stop := kernel.WithCancel(ctx)
 			stop()
-			So(f.spends["a"].Admit(gone, "press", 1e9, terms).Pass, ShouldBeFalse)
+			So(f.spends["a"].Admit(gone, "press", 1e9, terms, 0).Pass, ShouldBeFalse)
 		})
 		cancel()
 	})
@@ -201,8 +201,58 @@
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				f.spends["a"].Admit(ctx, names[i%tenants], 1, tally.Terms{Rate: 1e9})
+				f.spends["a"].Admit(ctx, names[i%tenants], 1, tally.Terms{Rate: 1e9}, 0)
 			}
 		})
 	}
 }
+
+func TestPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := kernel.WithCancel(kernel.Background())
+		var names []string
+		for i := range 40 {
+			names = append(names, "f"+strconv.Itoa(i))
+		}
+		f := start(t, ctx, names...)
+		terms := tally.Terms{Rate: 1000}
+		<-time.After(time.Second)
+		spend := func() {
+			for _, name := range names[:30] {
+				f.spends[name].Admit(ctx, "press", 50, terms, 0)
+			}
+		}
+		spend()
+		<-time.After(600 * time.Millisecond)
+		spend()
+		Convey("Where many fronts spend, a large request at one that the tenant comes to anew waits for its share", t, func() {
+			large := func(name string, patience time.Duration) bool {
+				return f.spends[name].Admit(ctx, "press", 800, terms, patience).Pass
+			}
+			passed, short := 0, 0
+			for _, name := range names[30:] {
+				if large(name, 100*time.Millisecond) {
+					short++
+				}
+				<-time.After(9 * time.Second)
+				spend()
+				<-time.After(600 * time.Millisecond)
+				spend()
+				begun := time.Now()
+				if large(name, 400*time.Millisecond) {
+					passed++
+				}
+				So(time.Since(begun), ShouldBeLessThanOrEqualTo, 400*time.Millisecond)
+				<-time.After(9 * time.Second)
+				spend()
+				<-time.After(600 * time.Millisecond)
+				spend()
+			}
+			So(short, ShouldBeLessThan, 6)
+			So(passed, ShouldBeGreaterThanOrEqualTo, 9)
+		})
+		cancel()
+		<-time.After(5 * time.Second)
+		synctest.Wait()
+	})
+}
