--- a/sim/fleet/faults.go
+++ b/sim/fleet/faults.go
@@ -101,7 +101,7 @@
 	if !w.fleet.Running(i) {
 		return
 	}
-	w.lose(i, now.Add(2*kernel.Second), i < small.Cores && w.wipeable(i))
+	w.lose(i, now.Add(2*kernel.Second), i < w.fleet.config.Cores && w.wipeable(i))
 	w.turnAt = now.Add(5 * kernel.Second)
 }
 
@@ -112,7 +112,7 @@
 		return
 	}
 	back := w.clock.Now().Add(kernel.Duration(1+w.random.IntN(12)) * kernel.Second)
-	w.lose(i, back, i < small.Cores && w.random.IntN(3) == 0 && w.wipeable(i))
+	w.lose(i, back, i < w.fleet.config.Cores && w.random.IntN(3) == 0 && w.wipeable(i))
 }
 
 func (w *walk) lose(i int, back kernel.Time, wiped bool) {
@@ -133,7 +133,7 @@
 
 // wipeable tells whether the disks of all other cores are whole and voting.
 func (w *walk) wipeable(i int) bool {
-	for c := range small.Cores {
+	for c := range w.fleet.config.Cores {
 		if c == i {
 			continue
 		}
--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -54,6 +54,10 @@
 // small is the fleet of the first deployment: three cores, all of which vote.
 var small = Config{Nodes: 9, Cores: 3, Voters: 3}
 
+// Relayed is the least fleet with three cores whose fronts renew their leases
+// through one core.
+var Relayed = Config{Nodes: 36, Cores: 3, Voters: 3}
+
 // Fleet is a number of nodes with one web server and a platform beside them.
 type Fleet struct {
 	Net    *memnet.Network
--- a/sim/fleet/fleet_test.go
+++ b/sim/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"stepwick/internal/events"
+	"stepwick/internal/kernel"
 	"stepwick/sim/fleet"
 )
 
@@ -21,14 +22,24 @@
 
 // TestWalk walks whole nodes through faults in virtual time. A longer run:
 // go test ./sim/fleet -run Walk -args -seeds 200 -span 60s
-func TestWalk(t *testing.T) {
+func TestWalk(t *testing.T) { walk(t, fleet.Walk) }
+
+// TestWalkOfAFleetThatRelays walks a fleet large enough that its fronts renew
+// their leases through one core.
+func TestWalkOfAFleetThatRelays(t *testing.T) {
+	walk(t, func(ctx kernel.Context, seed uint64, folder string, span kernel.Duration) (fleet.Tally, error) {
+		return fleet.WalkIn(ctx, fleet.Relayed, seed, folder, span)
+	})
+}
+
+func walk(t *testing.T, play func(kernel.Context, uint64, string, kernel.Duration) (fleet.Tally, error)) {
 	for seed := *from; seed < *from+uint64(*seeds); seed++ {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
 			folder := t.TempDir()
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
-				result, err := fleet.Walk(ctx, seed, folder, *span)
+				result, err := play(ctx, seed, folder, *span)
 				cancel()
 				<-time.After(time.Minute)
 				if err != nil {
--- a/sim/fleet/walk.go
+++ b/sim/fleet/walk.go
@@ -20,20 +20,25 @@
 	Violations   []string
 }
 
-// Walk drives a fleet of nine through random faults for a span while operators
+// Walk drives a fleet of the first deployment's size through faults; see WalkIn.
+func Walk(ctx kernel.Context, seed uint64, folder string, span kernel.Duration) (Tally, error) {
+	return WalkIn(ctx, small, seed, folder, span)
+}
+
+// WalkIn drives a fleet through random faults for a span while operators
 // replace the only key again and again, now and then two of them on one base,
 // and judges: no node takes an older key 2.5 s after a newer one was
 // acknowledged, none steps back, of a race one operator wins and the other's key
 // is never taken, and what was acknowledged is read back at the end.
-func Walk(ctx kernel.Context, seed uint64, folder string, span kernel.Duration) (t Tally, err error) {
+func WalkIn(ctx kernel.Context, config Config, seed uint64, folder string, span kernel.Duration) (t Tally, err error) {
 	t.Seed = seed
 	random := Draw(seed)
-	f, err := Start(ctx, small, folder)
+	f, err := Start(ctx, config, folder)
 	if err != nil {
 		return t, err
 	}
 	defer f.Close()
-	w := &walk{fleet: f, random: random, clock: kernel.System(), tally: &t, took: map[int]int{}, lost: map[int]bool{}, leaving: map[int]bool{}, n: small.Nodes}
+	w := &walk{fleet: f, random: random, clock: kernel.System(), tally: &t, took: map[int]int{}, lost: map[int]bool{}, leaving: map[int]bool{}, n: config.Nodes}
 	w.start = w.clock.Now()
 	if !w.form() {
 		t.Violations = append(t.Violations, "no first sheet in force within 30 s")
