--- a/internal/node/core/relay.go
+++ b/internal/node/core/relay.go
@@ -60,6 +60,18 @@
 	for _, p := range c.others() {
 		c.flushRelay(p)
 	}
+	c.dropRelays()
+}
+
+// dropRelays gives up what waits for cores that are not known any more: it must
+// not reach one that comes back when its members may have left.
+func (c *Core) dropRelays() {
+	for _, batch := range c.relays {
+		for _, one := range batch {
+			one.answers <- relayedAnswer{}
+		}
+	}
+	clear(c.relays)
 }
 
 func (c *Core) flushRelay(p *wire.Process) {
