Keep the tally's pace and hold of small fleets, and look at their members at each report

Change: in a fleet of up to 32 fronts each report has the members looked at, counts are looked at at each pace while there are tenants, and a request is held for tally.hold, 150 ms on the platform, as before. From 33 on a request may be held for half of its objective, 400 ms at most.

Ruled out: pacing on demand without an immediate send (TestSpend is red with it: 1,150 of at most 1,150).

--- a/internal/node/follow/publish.go
+++ b/internal/node/follow/publish.go
@@ -26,9 +26,17 @@
 	f.handOut(view)
 }
 
-// publishServers is publish where only servers were told of: the members are taken
-// to be as they were at the last look.
-func (f *Follower) publishServers() { f.handOut(f.nextView()) }
+// publishServers is publish where only servers were told of. In a large fleet, where
+// the feed tells who falls silent, the members are taken to be as they were at the
+// last look. In a small one each node finds that out by its own pings, as time
+// passes, and a look costs little.
+func (f *Follower) publishServers() {
+	if !f.isLarge() {
+		f.publish()
+		return
+	}
+	f.handOut(f.nextView())
+}
 
 // nextView returns a view of what is held now, with the members of the last one.
 func (f *Follower) nextView() *View {
--- a/internal/node/spend/shard.go
+++ b/internal/node/spend/shard.go
@@ -122,10 +122,16 @@
 	}
 }
 
-// pace has the owner woken at each pace while counts are urgent or requests are
-// held, and at none else.
+// many tells whether the fleet has so many fronts that nearly each request of a
+// tenant is its first at a front, so that it has no share by demand there yet.
+func (o *shard) many() bool { return len(o.roster) >= manyFronts }
+
+const manyFronts = 33
+
+// pace has the owner woken at each pace while it has tenants. Where fronts are many,
+// each of which has few requests, it is only while counts are urgent or requests held.
 func (o *shard) pace() {
-	busy := len(o.holds) > 0 || o.book.Hurries()
+	busy := len(o.holds) > 0 || o.book.Hurries() || !o.many() && o.book.Active() > 0
 	switch {
 	case busy && o.paces == nil:
 		pacer := o.spend.clock.Ticker(o.spend.paceEvery())
@@ -142,9 +148,10 @@
 	o.pacedAt = o.spend.clock.Now()
 }
 
-// hurryIfPaced sends urgent counts at once when the last pace is over.
+// hurryIfPaced sends urgent counts at once, where fronts are many and the last pace
+// is over: none may be under way that would.
 func (o *shard) hurryIfPaced(ctx kernel.Context) {
-	if !o.book.Hurries() || o.spend.clock.Now().Sub(o.pacedAt) < o.spend.paceEvery() {
+	if !o.many() || !o.book.Hurries() || o.spend.clock.Now().Sub(o.pacedAt) < o.spend.paceEvery() {
 		return
 	}
 	o.beginPace()
@@ -181,9 +188,23 @@
 		ask.answer <- decision
 		return
 	}
-	o.holds = append(o.holds, hold{ask, o.spend.clock.Now().Add(ask.patience), decision})
+	o.holds = append(o.holds, hold{ask, o.spend.clock.Now().Add(o.patience(ask)), decision})
+}
+
+// patience returns how long a request may be held. In a small fleet a front has a
+// share by demand of nearly each tenant, and holding for longer lets more pass in a
+// jump than there is room for.
+func (o *shard) patience(ask *ask) kernel.Duration {
+	if !o.many() {
+		return o.spend.config.HoldFor
+	}
+	return max(o.spend.config.HoldFor, min(ask.patience, holdMost))
 }
 
+// holdMost is how long a request may be held at most where fronts are many: until
+// its share by demand counts, and a way to another region and back.
+const holdMost = 400 * kernel.Millisecond
+
 func (o *shard) retry() {
 	if len(o.holds) == 0 {
 		return
--- a/internal/node/spend/spend.go
+++ b/internal/node/spend/spend.go
@@ -107,16 +107,13 @@
 }
 
 // Admit decides one request of so many tokens. It may hold a tenant that is
-// well below its limit for an exchange with the holder, for patience and HoldFor at
-// the longest; patience 0 sets no bound of its own. When ctx ends first the request
-// is refused and adds nothing.
+// well below its limit for an exchange with the holder, HoldFor at the longest or,
+// where fronts are many, for patience. When ctx ends first the request is refused and
+// adds nothing.
 func (s *Spend) Admit(ctx kernel.Context, tenant string, tokens float64, terms tally.Terms, patience kernel.Duration) tally.Decision {
 	ask := s.asks.Get().(*ask)
 	ask.ended, ask.tenant, ask.tokens, ask.terms = ctx.Done(), tenant, tokens, terms
-	ask.patience = s.config.HoldFor
-	if patience > 0 {
-		ask.patience = min(patience, s.config.HoldFor)
-	}
+	ask.patience = patience
 	select {
 	case s.shardOf(tenant).asks <- ask:
 	case <-ctx.Done():
--- a/internal/node/spend/spend_test.go
+++ b/internal/node/spend/spend_test.go
@@ -65,9 +65,13 @@
 }
 
 func start(t testing.TB, ctx kernel.Context, names ...string) *fleet {
+	return startHolding(t, ctx, 0, names...)
+}
+
+func startHolding(t testing.TB, ctx kernel.Context, hold time.Duration, names ...string) *fleet {
 	f := &fleet{spends: map[string]*Spend{}}
 	for _, name := range names {
-		s, err := New(Config{Self: name, Incarnation: 1, Silent: f.silent}, f, kernel.System(), time.Now, func() []string { return names }, events.Discard)
+		s, err := New(Config{Self: name, Incarnation: 1, Silent: f.silent, HoldFor: hold}, f, kernel.System(), time.Now, func() []string { return names }, events.Discard)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -214,7 +218,7 @@
 		for i := range 40 {
 			names = append(names, "f"+strconv.Itoa(i))
 		}
-		f := start(t, ctx, names...)
+		f := startHolding(t, ctx, 100*time.Millisecond, names...)
 		terms := tally.Terms{Rate: 1000}
 		<-time.After(time.Second)
 		spend := func() {
@@ -231,7 +235,7 @@
 			}
 			passed, short := 0, 0
 			for _, name := range names[30:] {
-				if large(name, 100*time.Millisecond) {
+				if large(name, 0) {
 					short++
 				}
 				<-time.After(9 * time.Second)
