--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -380,3 +380,19 @@
 		})
 	})
 }
+
+func TestSameProcess(t *testing.T) {
+	Convey("Two records say the same only if every field but the counter does", t, func() {
+		whole := func() *wire.Process {
+			return &wire.Process{Name: "a", Address: "b", CallerAddress: "c", Region: "d", Zone: "e", Core: true, Front: true, Incarnation: 1,
+				Counter: 2, Standing: wire.Standing_STANDING_VOTING, Formation: "f", Ready: true, Leaving: true, Voters: []string{"g"}, DiskLife: 3}
+		}
+		fields := whole().ProtoReflect().Descriptor().Fields()
+		for i := range fields.Len() {
+			other := whole()
+			other.ProtoReflect().Clear(fields.Get(i))
+			So(SameProcess(whole(), other), ShouldEqual, fields.Get(i).Name() == "counter")
+		}
+		So(SameProcess(whole(), nil), ShouldBeFalse)
+	})
+}
