--- a/sim/quota/demand.go
+++ b/sim/quota/demand.go
@@ -15,17 +15,28 @@
 )
 
 // evenly spreads a demand over all fronts.
-func evenly(multiple float64) Demand {
-	return func(time.Duration, int) float64 { return multiple / defaultFronts }
+func evenly(fronts int, multiple float64) Demand {
+	return func(time.Duration, int) float64 { return multiple / float64(fronts) }
 }
 
 // jump changes an even demand at an instant.
-func jump(at time.Duration, before, after float64) Demand {
+func jump(fronts int, at time.Duration, before, after float64) Demand {
 	return func(now time.Duration, _ int) float64 {
 		if now < at {
-			return before / defaultFronts
+			return before / float64(fronts)
 		}
-		return after / defaultFronts
+		return after / float64(fronts)
+	}
+}
+
+// pulse raises an even demand for a time.
+func pulse(fronts int, at, length time.Duration, otherwise, raised float64) Demand {
+	isRaised := during(at, length)
+	return func(now time.Duration, _ int) float64 {
+		if isRaised(now) {
+			return raised / float64(fronts)
+		}
+		return otherwise / float64(fronts)
 	}
 }
 
@@ -41,22 +52,22 @@
 }
 
 // mostlyAt sends one share of the demand to one front, and the other to all others.
-func mostlyAt(hot int, hotShare, otherShare, multiple float64) Demand {
+func mostlyAt(fronts, hot int, hotShare, otherShare, multiple float64) Demand {
 	return func(_ time.Duration, front int) float64 {
 		if front == hot {
 			return hotShare * multiple
 		}
-		return otherShare / (defaultFronts - 1) * multiple
+		return otherShare / float64(fronts-1) * multiple
 	}
 }
 
 // byRegion spreads one demand over the fronts of each region.
-func byRegion(firstRegion int, first, other float64) Demand {
+func byRegion(fronts, firstRegion int, first, other float64) Demand {
 	return func(_ time.Duration, front int) float64 {
 		if front < firstRegion {
 			return first / float64(firstRegion)
 		}
-		return other / float64(defaultFronts-firstRegion)
+		return other / float64(fronts-firstRegion)
 	}
 }
 
--- a/sim/quota/fleet.go
+++ b/sim/quota/fleet.go
@@ -25,6 +25,9 @@
 	RegionDelay  time.Duration // longest delay between regions; defaults to 150 ms
 	Loss         float64       // probability that a message is lost
 	RequestSize  float64       // mean tokens of a request; defaults to 0.004
+	Sizes        SizeMix       // kinds of requests, in place of RequestSize
+	Retries      int           // times that a client repeats a refused request after its RetryAfter, at any front
+	AddTime      time.Duration // that a counter takes for one request with counts, one after the other; zero: none
 	Length       time.Duration
 	Poisson      bool                                            // requests arrive at random instead of at regular intervals
 	QueueTimeout time.Duration                                   // longest time that a front queues a request; defaults to 2.5 s
@@ -57,6 +60,7 @@
 	Front        int
 	Tokens       float64
 	Decision     quota.Decision
+	retries      int // left after a refusal
 }
 
 const (
@@ -79,6 +83,8 @@
 	names    []string
 	limit    float64
 	requests []Request
+
+	healthyOwner string // of the tenant while all fronts can be reached
 }
 
 // Run simulates the fleet and returns every request in the order of arrival.
@@ -102,7 +108,7 @@
 	f.Fronts = cmp.Or(f.Fronts, 9)
 	f.FirstRegion = cmp.Or(f.FirstRegion, 6)
 	f.RegionDelay = cmp.Or(f.RegionDelay, 150*time.Millisecond)
-	f.RequestSize = cmp.Or(f.RequestSize, 0.004)
+	f.RequestSize = cmp.Or(f.Sizes.mean(), f.RequestSize, 0.004)
 	f.QueueTimeout = cmp.Or(f.QueueTimeout, 2500*time.Millisecond)
 	f.Config.Window = cmp.Or(f.Config.Window, defaultWindow)
 	f.Config.Interval = cmp.Or(f.Config.Interval, 200*time.Millisecond)
@@ -119,6 +125,7 @@
 		owner := r.index(quota.OwnerOf(tenant, r.names))
 		r.names[0], r.names[owner] = r.names[owner], r.names[0]
 	}
+	r.healthyOwner = quota.OwnerOf(tenant, r.names)
 	for _, name := range r.names {
 		r.fronts = append(r.fronts, &front{name: name})
 	}
@@ -155,7 +162,12 @@
 
 func (r *run) index(name string) int { return max(0, slices.Index(r.names, name)) }
 
-func (r *run) drawSize() float64 { return r.RequestSize * (0.5 + r.random.Float64()) }
+func (r *run) drawSize() float64 {
+	if len(r.Sizes) > 0 {
+		return r.Sizes.draw(r.random)
+	}
+	return r.RequestSize * (0.5 + r.random.Float64())
+}
 
 // arrive offers the demand at front i, again and again.
 func (r *run) arrive(i int) {
@@ -168,7 +180,7 @@
 		} else {
 			f.untilNext += 0.5 + r.random.Float64()
 		}
-		r.request(i, r.drawSize())
+		r.request(i, r.drawSize(), r.Retries)
 	}
 }
 
@@ -177,6 +189,6 @@
 	for remaining := burst.Tokens; remaining > 0; {
 		tokens := min(remaining, r.drawSize())
 		remaining -= tokens
-		r.request(burst.Front, tokens)
+		r.request(burst.Front, tokens, r.Retries)
 	}
 }
--- a/sim/quota/front.go
+++ b/sim/quota/front.go
@@ -11,6 +11,8 @@
 	maxPending  = 256 // requests that a front queues
 	maxInFlight = 8   // exchanges of a front with one owner
 	resumeGrace = 200 * time.Millisecond
+
+	minRetryAfter = 50 * time.Millisecond // shortest that a client is told
 )
 
 // front is one front of the fleet with its limiter and, for the tenants that it
@@ -26,7 +28,8 @@
 	sentTo      map[string]bool // owners that an exchange was sent to since the last tick
 	inFlight    map[string]int  // exchanges by owner
 	pending     []pendingRequest
-	untilNext   float64 // requests until the next one arrives
+	untilNext   float64       // requests until the next one arrives
+	busyUntil   time.Duration // when the counter has handled all requests that arrived
 }
 
 // pendingRequest is a queued request; request is its index in run.requests.
@@ -110,17 +113,30 @@
 
 // request admits, queues or rejects a request at front i or, when that one
 // doesn't run, at the next one that does.
-func (r *run) request(i int, tokens float64) {
+func (r *run) request(i int, tokens float64, retries int) {
 	i = r.nextRunning(i)
 	f := r.fronts[i]
 	number := len(r.requests)
-	r.requests = append(r.requests, Request{At: r.now, Answered: r.now, Front: i, Tokens: tokens})
+	r.requests = append(r.requests, Request{At: r.now, Answered: r.now, Front: i, Tokens: tokens, retries: retries})
 	decision := f.limiter.Admit(tenant, tokens*r.limit, r.Allowance, r.clock(i))
 	if decision.Queue && len(f.pending) < maxPending {
 		f.pending = append(f.pending, pendingRequest{request: number, tokens: tokens, deadline: r.now + r.QueueTimeout})
 		return
 	}
-	r.requests[number].Decision = decision
+	r.answer(number, decision)
+}
+
+// answer gives a request's caller the decision.
+func (r *run) answer(number int, decision quota.Decision) {
+	request := &r.requests[number]
+	request.Decision = decision
+	request.Answered = r.now
+	if decision.Allowed || request.retries == 0 {
+		return
+	}
+	tokens, retries := request.Tokens, request.retries-1
+	delay := max(decision.RetryAfter, minRetryAfter)
+	r.after(delay, func() { r.request(r.random.IntN(len(r.fronts)), tokens, retries) })
 }
 
 func (r *run) nextRunning(i int) int {
@@ -143,8 +159,7 @@
 			stillPending = append(stillPending, p)
 			continue
 		}
-		r.requests[p.request].Decision = decision
-		r.requests[p.request].Answered = r.now
+		r.answer(p.request, decision)
 	}
 	f.pending = stillPending
 }
--- a/sim/quota/network.go
+++ b/sim/quota/network.go
@@ -12,7 +12,10 @@
 // reachability returns the fronts that front i takes for members, and which of
 // those it finds unresponsive.
 func (r *run) reachability(i int) (live, unresponsive []string) {
-	skew := time.Duration(i) * 60 * time.Millisecond
+	if !r.hasFaults() {
+		return r.names, nil
+	}
+	skew := time.Duration(i%defaultFronts) * 60 * time.Millisecond
 	forgetAfter, detectAfter := r.ForgetAfter, 2*time.Second
 	if r.FollowFaults {
 		forgetAfter, detectAfter = 500*time.Millisecond+skew, 1500*time.Millisecond+skew
@@ -29,6 +32,9 @@
 	return live, unresponsive
 }
 
+// hasFaults reports whether any front may be out of reach at any time.
+func (r *run) hasFaults() bool { return r.Down != nil || r.Frozen != nil || r.Partitioned != nil }
+
 // unresponsive reports whether front i finds front j unresponsive: behind a
 // partition, frozen or just resumed, or all others after a freeze of its own.
 func (r *run) unresponsive(i, j int, detectAfter time.Duration) bool {
@@ -64,8 +70,12 @@
 
 // ownerOf returns front i's choice of a tenant's owner.
 func (r *run) ownerOf(i int) func(tenant string) string {
-	reachable := quota.Reachable(r.reachability(i))
-	return func(tenant string) string { return quota.OwnerOf(tenant, reachable) }
+	if !r.hasFaults() {
+		return func(string) string { return r.healthyOwner }
+	}
+	return func(tenant string) string {
+		return quota.OwnerOf(tenant, quota.Reachable(r.reachability(i)))
+	}
 }
 
 // exchange is one request with counts from a front to an owner, by index.
@@ -74,6 +84,8 @@
 	from, to    int
 	incarnation uint64 // of the sender
 	sentAt      time.Time
+	began       time.Duration
+	ended       bool // answered or given up
 	request     *wire.AddRequest
 }
 
@@ -83,7 +95,7 @@
 	for owner, counts := range batches {
 		f.sentTo[owner] = true
 		f.inFlight[owner]++
-		x := &exchange{run: r, from: i, to: r.index(owner), incarnation: f.incarnation, sentAt: r.clock(i),
+		x := &exchange{run: r, from: i, to: r.index(owner), incarnation: f.incarnation, sentAt: r.clock(i), began: r.now,
 			request: &wire.AddRequest{Front: f.name, Incarnation: f.incarnation, Counts: counts}}
 		x.start()
 	}
@@ -111,6 +123,16 @@
 		r.whenResumed(x.to, func() { x.handle() })
 		return
 	}
+	if r.AddTime > 0 {
+		x.enqueue()
+		return
+	}
+	x.complete()
+}
+
+// complete handles the request and sends the response.
+func (x *exchange) complete() {
+	r := x.run
 	resp := x.handle()
 	if r.lost(x.to, x.from) {
 		x.timeOut()
@@ -124,6 +146,9 @@
 }
 
 func (x *exchange) respond(resp *wire.AddResponse) {
+	if x.ended {
+		return
+	}
 	x.done()
 	x.run.whenResumed(x.from, func() { x.run.applyTotals(x.from, x.incarnation, resp, x.sentAt) })
 }
@@ -131,6 +156,10 @@
 func (x *exchange) timeOut() { x.run.after(exchangeTimeout, x.done) }
 
 func (x *exchange) done() {
+	if x.ended {
+		return
+	}
+	x.ended = true
 	f := x.run.fronts[x.from]
 	if f.incarnation == x.incarnation {
 		f.inFlight[x.run.names[x.to]]--
--- a/sim/quota/scenarios_demand.go
+++ b/sim/quota/scenarios_demand.go
@@ -29,7 +29,7 @@
 }
 
 func steadyExcess(random *rand.Rand) Setup {
-	return Setup{Fleet: Fleet{Demand: evenly(between(random, 1.2, 5)), Length: 60 * second}, ExcessUntil: 60 * second}
+	return Setup{Fleet: Fleet{Demand: evenly(defaultFronts, between(random, 1.2, 5)), Length: 60 * second}, ExcessUntil: 60 * second}
 }
 
 func steadyExcessAfterStart(random *rand.Rand) Setup {
@@ -46,7 +46,7 @@
 
 func tenfoldJump(random *rand.Rand) Setup {
 	at, before := faultStart(random), between(random, 0.12, 1)
-	return Setup{Fleet: Fleet{Demand: jump(at, before, 10*before), Length: 60 * second}, ExcessFrom: at, ExcessUntil: 60 * second}
+	return Setup{Fleet: Fleet{Demand: jump(defaultFronts, at, before, 10*before), Length: 60 * second}, ExcessFrom: at, ExcessUntil: 60 * second}
 }
 
 func tenfoldJumpAtRandom(random *rand.Rand) Setup {
@@ -57,12 +57,12 @@
 
 func excessAtOneFront(random *rand.Rand) Setup {
 	hot, multiple := random.IntN(defaultFronts), between(random, 1.2, 5)
-	return Setup{Fleet: Fleet{Demand: mostlyAt(hot, 1, 0, multiple), Length: 60 * second}, ExcessUntil: 60 * second}
+	return Setup{Fleet: Fleet{Demand: mostlyAt(defaultFronts, hot, 1, 0, multiple), Length: 60 * second}, ExcessUntil: 60 * second}
 }
 
 func excessMostlyAtOneFront(random *rand.Rand) Setup {
 	hot, multiple := random.IntN(defaultFronts), between(random, 1.3, 5)
-	return Setup{Fleet: Fleet{Demand: mostlyAt(hot, 0.9, 0.1, multiple), Length: 60 * second}, ExcessUntil: 60 * second}
+	return Setup{Fleet: Fleet{Demand: mostlyAt(defaultFronts, hot, 0.9, 0.1, multiple), Length: 60 * second}, ExcessUntil: 60 * second}
 }
 
 func movingZonesInExcess(random *rand.Rand) Setup {
@@ -97,12 +97,12 @@
 }
 
 func excessOfLargeRequests(random *rand.Rand) Setup {
-	demand := evenly(between(random, 1.5, 10))
+	demand := evenly(defaultFronts, between(random, 1.5, 10))
 	return Setup{Fleet: Fleet{Demand: demand, RequestSize: between(random, 0.02, 0.05), Length: 60 * second}, ExcessUntil: 60 * second}
 }
 
 func underEvenly(random *rand.Rand) Setup {
-	return Setup{Fleet: Fleet{Demand: evenly(between(random, 0.3, 0.75)), Length: 80 * second}}
+	return Setup{Fleet: Fleet{Demand: evenly(defaultFronts, between(random, 0.3, 0.75)), Length: 80 * second}}
 }
 
 func underMovingZones(random *rand.Rand) Setup {
--- a/sim/quota/scenarios_faults.go
+++ b/sim/quota/scenarios_faults.go
@@ -68,14 +68,14 @@
 	at, before := faultStart(random), between(random, 0.1, 0.75)
 	firstRegion := drawFirstRegion(random)
 	jumpAt := at + durationBetween(random, 0, 4*second)
-	return Setup{Fleet: Fleet{FirstRegion: firstRegion, Demand: jump(jumpAt, before, 10*before), Length: 60 * second, FollowFaults: true,
+	return Setup{Fleet: Fleet{FirstRegion: firstRegion, Demand: jump(defaultFronts, jumpAt, before, 10*before), Length: 60 * second, FollowFaults: true,
 		Partitioned: during(at, partitionTime)}}
 }
 
 func partition(random *rand.Rand) Setup {
 	first, other := between(random, 1.5, 5), between(random, 1.5, 5)
 	firstRegion := drawFirstRegion(random)
-	fleet := Fleet{FirstRegion: firstRegion, Length: 70 * second, Demand: byRegion(firstRegion, first, other),
+	fleet := Fleet{FirstRegion: firstRegion, Length: 70 * second, Demand: byRegion(defaultFronts, firstRegion, first, other),
 		Partitioned: during(faultStart(random), partitionTime)}
 	return Setup{Fleet: fleet, ExcessFrom: 8 * second, ExcessUntil: 70 * second}
 }
@@ -86,7 +86,7 @@
 	multiple, firstBefore := between(random, 1.5, 5), random.IntN(2) == 0
 	firstRegion := drawFirstRegion(random)
 	at := faultStart(random)
-	both := byRegion(firstRegion, multiple, multiple)
+	both := byRegion(defaultFronts, firstRegion, multiple, multiple)
 	demand := func(now time.Duration, front int) float64 {
 		if now < at+2*second && (front < firstRegion) != firstBefore {
 			return 0
@@ -98,13 +98,13 @@
 }
 
 func ownerKilled(random *rand.Rand) Setup {
-	fleet := Fleet{Demand: evenly(between(random, 1.5, 5)), Length: 60 * second, ForgetAfter: rosterExpiry, OwnerFirst: true}
+	fleet := Fleet{Demand: evenly(defaultFronts, between(random, 1.5, 5)), Length: 60 * second, ForgetAfter: rosterExpiry, OwnerFirst: true}
 	fleet.Down = downFrom(faultStart(random))
 	return Setup{Fleet: fleet, ExcessUntil: 60 * second}
 }
 
 func ownerKilledUnderLimit(random *rand.Rand) Setup {
-	fleet := Fleet{Demand: evenly(between(random, 0.3, 0.75)), Length: 60 * second, ForgetAfter: rosterExpiry, OwnerFirst: true}
+	fleet := Fleet{Demand: evenly(defaultFronts, between(random, 0.3, 0.75)), Length: 60 * second, ForgetAfter: rosterExpiry, OwnerFirst: true}
 	fleet.Down = downFrom(faultStart(random))
 	return Setup{Fleet: fleet}
 }
@@ -135,7 +135,7 @@
 }
 
 func ownerFrozen(random *rand.Rand) Setup {
-	fleet := Fleet{Demand: evenly(between(random, 1.5, 5)), Length: 60 * second, FollowFaults: true, OwnerFirst: true}
+	fleet := Fleet{Demand: evenly(defaultFronts, between(random, 1.5, 5)), Length: 60 * second, FollowFaults: true, OwnerFirst: true}
 	fleet.Frozen = frozenFrom(faultStart(random))
 	return Setup{Fleet: fleet, ExcessUntil: 60 * second}
 }
@@ -143,19 +143,19 @@
 func ownerFrozenDuringJump(random *rand.Rand) Setup {
 	at, before := faultStart(random), between(random, 0.1, 0.75)
 	jumpAt := at + durationBetween(random, 0, 4*second)
-	return Setup{Fleet: Fleet{Demand: jump(jumpAt, before, 10*before), Length: 50 * second, FollowFaults: true, OwnerFirst: true,
+	return Setup{Fleet: Fleet{Demand: jump(defaultFronts, jumpAt, before, 10*before), Length: 50 * second, FollowFaults: true, OwnerFirst: true,
 		Frozen: frozenFrom(at)}}
 }
 
 func ownerDownForLong(random *rand.Rand) Setup {
-	fleet := Fleet{Demand: evenly(between(random, 1.5, 5)), Length: 60 * second, OwnerFirst: true}
+	fleet := Fleet{Demand: evenly(defaultFronts, between(random, 1.5, 5)), Length: 60 * second, OwnerFirst: true}
 	down := during(faultStart(random), 20*second)
 	fleet.Down = func(now time.Duration, front int) bool { return front == owner && down(now) }
 	return Setup{Fleet: fleet, ExcessUntil: 60 * second}
 }
 
 func rollingRestart(random *rand.Rand) Setup {
-	fleet := Fleet{Demand: evenly(between(random, 1.5, 5)), Length: 80 * second, FlushOnStop: random.IntN(2) == 0}
+	fleet := Fleet{Demand: evenly(defaultFronts, between(random, 1.5, 5)), Length: 80 * second, FlushOnStop: random.IntN(2) == 0}
 	gap := durationBetween(random, 3*second, 6*second)
 	fleet.Down = func(now time.Duration, front int) bool {
 		return during(12*second+time.Duration(front)*gap, restartTime)(now)
@@ -164,7 +164,7 @@
 }
 
 func clockStep(random *rand.Rand) Setup {
-	fleet := Fleet{Demand: evenly(between(random, 1.5, 5)), Length: 60 * second}
+	fleet := Fleet{Demand: evenly(defaultFronts, between(random, 1.5, 5)), Length: 60 * second}
 	stepped := during(durationBetween(random, 10*second, 20*second), 20*second)
 	front, step := random.IntN(defaultFronts), time.Duration(between(random, -1, 1)*float64(second))
 	fleet.ClockOffset = func(now time.Duration, i int) time.Duration {
