quota: bound the counts that an owner receives, and let it slow the fronts down

Cause: congestion collapse of the front that owns the tenant's count. Each of 300 fronts sent counts five times a second, and up to fifty times where requests were over its share; an owner with 0.192 of a core handles about 1,000 a second. The shares assume that a front's spend is in the totals 300 ms later (MaxLag); nothing enforced or measured that.

Change: an owner reports the spacing of requests to the fronts: active fronts / 400 a second, doubled each second while counts are handled later than MaxLag on average. Fronts keep to it, also for urgent counts, and cover the spacing when they judge what of their spend may be missing in the totals. A count taken over from another owner is not divided before each front had time to report. A flush no longer skips tenants that sent recently.

--- a/internal/decision/quota/account.go
+++ b/internal/decision/quota/account.go
@@ -118,12 +118,23 @@
 	slice, elapsed := grid.position(now)
 	oldest := slice - grid.slicesPerWindow
 	newest := max(a.spend.all.newest, slice)
-	if confirmed, part := grid.position(a.sync.totalsAsOf.Add(-config.MaxLag)); confirmed > oldest && a.sync.hasTotals() {
+	if confirmed, part := grid.position(a.confirmedUntil(config)); confirmed > oldest && a.sync.hasTotals() {
 		return a.spend.own.sum(confirmed+1, newest) + a.spend.own.get(confirmed)*(1-part)
 	}
 	return a.spend.own.sum(oldest+1, newest) + a.spend.own.get(oldest)*(1-elapsed)
 }
 
+// maySendUrgently reports whether the tenant's counts may be sent before the next
+// interval, as far as the owner's load allows.
+func (a *account) maySendUrgently(now time.Time) bool {
+	return now.Sub(a.sync.lastSent) >= a.allocation.sendSpacing
+}
+
+// confirmedUntil returns the instant up to which the totals have all fronts' spend.
+func (a *account) confirmedUntil(config *Config) time.Time {
+	return a.sync.totalsAsOf.Add(-config.MaxLag - a.allocation.sendSpacing)
+}
+
 // budget returns how much this front may spend before the owner's totals include it:
 // its share of the capacity that is known to be left. While the owner is unresponsive
 // the share is the middle between the last one and an even one, at least an even one;
--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -20,6 +20,7 @@
 		share:         to.share,
 		reserved:      tenant.reservation.fraction,
 		reservedSpent: tenant.reservation.spent,
+		sendSpacing:   c.load.spacing(&c.config, tenant.demand.fronts),
 	}
 }
 
--- a/internal/decision/quota/config.go
+++ b/internal/decision/quota/config.go
@@ -48,9 +48,14 @@
 	Interval time.Duration
 
 	// MaxLag is how long a front's spend may take to appear in the totals that an
-	// owner reports; 300 ms by default.
+	// owner reports, beyond the spacing of its requests; 300 ms by default.
 	MaxLag time.Duration
 
+	// MaxAddRate is how many requests with counts an owner receives in a second from
+	// all fronts together; 400 by default. With more active fronts than that allows in
+	// an interval each of them sends less often.
+	MaxAddRate float64
+
 	// Overshoot is the fraction of the limit by which the spend within one window's
 	// length may exceed it while the estimate is below; 0.08 by default.
 	Overshoot float64
@@ -72,6 +77,7 @@
 	c.Slices = positiveOr(c.Slices, 50)
 	c.Interval = positiveOr(c.Interval, 200*time.Millisecond)
 	c.MaxLag = positiveOr(c.MaxLag, 300*time.Millisecond)
+	c.MaxAddRate = positiveOr(c.MaxAddRate, 400)
 	c.Overshoot = positiveOr(c.Overshoot, 0.08)
 	c.EvenFraction = positiveOr(c.EvenFraction, 0.5)
 	c.Overspend = positiveOr(c.Overspend, 0.07)
--- a/internal/decision/quota/counter.go
+++ b/internal/decision/quota/counter.go
@@ -22,6 +22,7 @@
 	grid        timeGrid
 	membership  membership
 	uptime      uptime
+	load        addLoad
 	tenants     map[string]*tenantCount
 }
 
@@ -34,6 +35,7 @@
 		config:      config,
 		grid:        newTimeGrid(config),
 		membership:  membership{unresponsive: map[string]time.Time{}},
+		load:        addLoad{congestion: 1},
 		tenants:     map[string]*tenantCount{},
 	}
 }
@@ -75,6 +77,7 @@
 // without being known to be down: capacity is reserved for what these may be spending.
 func (c *Counter) SetMembership(fronts, unresponsive []string, now time.Time) {
 	c.observe(now)
+	c.load.update(&c.config, now)
 	c.membership.setFronts(fronts)
 	if c.justStarted(now) {
 		unresponsive = nil
@@ -173,6 +176,9 @@
 	if at.After(a.now) {
 		at = a.now
 	}
+	if !report.idle {
+		a.counter.load.observeLag(a.now.Sub(at))
+	}
 	from.demand.record(report.tokens, at, a.counter.config.Interval/demandReportSpacing)
 }
 
@@ -187,13 +193,25 @@
 		from.previousSentAt = a.now
 		a.respond(tenant, from, name, a.window-1)
 	}
-	// Before the grace ends this front's view, not the caller's, may be out of date.
-	if !tenant.countedForOther || a.now.Sub(tenant.startedAt) > ownerUnresponsiveAfter.in(&a.counter.config) {
+	if a.counter.mayAllocate(tenant, a.now) {
 		report := a.counter.allocate(tenant, from, a.now)
 		a.response.Totals = append(a.response.Totals, report.total(name))
 	}
 }
 
+// mayAllocate reports whether the count is complete enough to divide the capacity. At
+// first a count on behalf of another front isn't, since this front's view, not the
+// caller's, may be out of date; nor is one taken over from another owner before each
+// front has sent its part.
+func (c *Counter) mayAllocate(tenant *tenantCount, now time.Time) bool {
+	age := now.Sub(tenant.startedAt)
+	if tenant.countedForOther {
+		return age > ownerUnresponsiveAfter.in(&c.config)
+	}
+	spacing := c.load.spacing(&c.config, len(c.membership.fronts))
+	return !tenant.totalsReported || spacing == 0 || age > spacing+c.config.Interval
+}
+
 // open returns a tenant's count, new if there is none.
 func (c *Counter) open(name string, now time.Time) *tenantCount {
 	tenant := c.tenants[name]
--- a/internal/decision/quota/limiter.go
+++ b/internal/decision/quota/limiter.go
@@ -112,9 +112,12 @@
 			all: newSliceRing(l.grid),
 		},
 		allocation: allocation{
-			allocationReport: allocationReport{share: l.evenShare()},
-			evenShare:        l.evenShare(),
-			rank:             l.rank(tenant),
+			allocationReport: allocationReport{
+				share:       l.evenShare(),
+				sendSpacing: (&addLoad{congestion: 1}).spacing(&l.config, len(l.fronts)),
+			},
+			evenShare: l.evenShare(),
+			rank:      l.rank(tenant),
 		},
 	}
 }
--- a/internal/decision/quota/limiter_exchange.go
+++ b/internal/decision/quota/limiter_exchange.go
@@ -33,16 +33,40 @@
 		switch {
 		case l.sentRecently(account, now):
 		case l.needsSending(account, now):
+			account.sync.urgent = false
 			l.appendCounts(batches, ownerOf(tenant), account, now)
 		case !account.sync.reportedIdle:
 			account.sync.reportedIdle = true
 			batches.add(ownerOf(tenant), demandReport{idle: true}.count(tenant))
 		}
 	}
+	l.retainUrgent(now)
+	batches.sort()
+	return batches
+}
+
+// retainUrgent leaves among the urgent accounts those that may not send yet.
+func (l *Limiter) retainUrgent(now time.Time) {
+	waiting := l.urgent[:0]
 	for _, account := range l.urgent {
-		account.sync.urgent = false
+		account.sync.urgent = account.sync.urgent && !account.maySendUrgently(now)
+		if account.sync.urgent {
+			waiting = append(waiting, account)
+		}
+	}
+	l.urgent = waiting
+}
+
+// CountsToFlush returns, by owner, the counts of all tenants with tokens that no owner
+// is known to have.
+func (l *Limiter) CountsToFlush(now time.Time, ownerOf func(tenant string) string) map[string][]*wire.Count {
+	now = l.advance(now)
+	batches := countBatches{}
+	for tenant, account := range l.accounts {
+		if account.sync.unsent > 0 || account.sync.waiting() {
+			l.appendCounts(batches, ownerOf(tenant), account, now)
+		}
 	}
-	l.urgent = l.urgent[:0]
 	batches.sort()
 	return batches
 }
@@ -53,10 +77,15 @@
 	return now.Sub(account.lastUsed) <= requestTotalsFor.in(&l.config) || account.sync.unsent > 0 || account.sync.waiting()
 }
 
-// sentRecently reports whether the counts of a tenant far below its limit were sent
-// so recently that they can wait.
+// sentRecently reports whether the counts of a tenant were sent so recently that they
+// can wait: it is far below its limit, or the owner receives many fronts' counts.
 func (l *Limiter) sentRecently(account *account, now time.Time) bool {
-	if now.Sub(account.sync.lastSent) >= (calmSendIntervals-1).in(&l.config)+l.config.Interval/2 {
+	sinceSent := now.Sub(account.sync.lastSent)
+	tolerance := l.config.Interval / 2
+	if sinceSent < account.allocation.sendSpacing-tolerance {
+		return true
+	}
+	if sinceSent >= calmSendIntervals.in(&l.config)-tolerance {
 		return false
 	}
 	estimate := account.estimate(&l.config, l.grid, now)
@@ -76,7 +105,7 @@
 	batches := countBatches{}
 	waiting := l.urgent[:0]
 	for _, account := range l.urgent {
-		if !ready(ownerOf(account.tenant)) {
+		if !account.maySendUrgently(now) || !ready(ownerOf(account.tenant)) {
 			waiting = append(waiting, account)
 			continue
 		}
--- a/internal/decision/quota/messages.go
+++ b/internal/decision/quota/messages.go
@@ -47,10 +47,14 @@
 //
 // On the wire it is a Total of reportWindow with the share in Acked, the reserved
 // fraction in Total and, if that is above zero, the tokens spent of it in Slices.
+// AckedSlices holds sendSpacing in microseconds, if it is above zero.
 type allocationReport struct {
 	share         float64 // fraction of the remaining capacity that is the front's
 	reserved      float64 // fraction of the limit reserved for unresponsive fronts
 	reservedSpent float64 // tokens of it that these are known to have spent
+
+	// sendSpacing is the least time between two requests to the owner; zero: not limited.
+	sendSpacing time.Duration
 }
 
 func isAllocationReport(total *wire.Total) bool { return total.Window == reportWindow }
@@ -65,6 +69,9 @@
 	if r.reserved > 0 {
 		total.Slices = []float64{r.reservedSpent}
 	}
+	if r.sendSpacing > 0 {
+		total.AckedSlices = []float64{float64(r.sendSpacing.Microseconds())}
+	}
 	return total
 }
 
@@ -73,5 +80,8 @@
 	if len(total.Slices) > 0 {
 		report.reservedSpent = total.Slices[0]
 	}
+	if len(total.AckedSlices) > 0 {
+		report.sendSpacing = time.Duration(total.AckedSlices[0]) * time.Microsecond
+	}
 	return report
 }
--- a/internal/node/quotasync/exchange.go
+++ b/internal/node/quotasync/exchange.go
@@ -68,9 +68,8 @@
 	err      error
 }
 
-// sendCounts sends the counts that are due and returns the number of exchanges begun.
-func (s *shard) sendCounts(ctx context.Context) int {
-	return s.send(ctx, s.limiter.CountsToSend(s.service.fleetNow(), s.ownerOf))
+func (s *shard) sendCounts(ctx context.Context) {
+	s.send(ctx, s.limiter.CountsToSend(s.service.fleetNow(), s.ownerOf))
 }
 
 func (s *shard) sendUrgent(ctx context.Context) {
@@ -142,7 +141,7 @@
 }
 
 func (s *shard) flush(ctx context.Context, done chan error) {
-	sent := s.sendCounts(ctx)
+	sent := s.send(ctx, s.limiter.CountsToFlush(s.service.fleetNow(), s.ownerOf))
 	s.flushing = append(s.flushing, pendingFlush{done, sent})
 	if sent == 0 {
 		s.completeFlushes(nil)
