quotasync: report how late counts reach their owner

The owner now publishes the mean lag of counts (stepwick_tally_count_lag_seconds) and logs 7005 counts_late and 7006 counts_prompt when it passes MaxLag.

--- a/internal/decision/quota/load.go
+++ b/internal/decision/quota/load.go
@@ -26,6 +26,7 @@
 	adaptedAt  time.Time
 	lag        time.Duration // summed since adaptedAt
 	counts     int
+	lastLag    time.Duration // mean of the period before adaptedAt
 }
 
 // observeLag records the time between a count's departure and its handling.
@@ -47,9 +48,20 @@
 	} else {
 		l.congestion = max(1, l.congestion*congestionDecay)
 	}
-	*l = addLoad{congestion: min(l.congestion, maxCongestion), adaptedAt: now}
+	*l = addLoad{
+		congestion: min(l.congestion, maxCongestion),
+		adaptedAt:  now,
+		lastLag:    l.meanLag(),
+	}
 }
 
+// Lag returns the mean time between the departure of a count and its handling here,
+// over the last complete period of a second by default; zero if there was none.
+func (c *Counter) Lag() time.Duration { return c.load.lastLag }
+
+// Late reports whether the counts' lag exceeds what the fronts' shares assume.
+func (c *Counter) Late() bool { return c.load.lastLag > c.config.MaxLag }
+
 // spacing returns the least time between two requests of each of a number of fronts;
 // zero if it isn't limited.
 func (l *addLoad) spacing(config *Config, fronts int) time.Duration {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -171,4 +171,6 @@
 var (
 	HolderUnresponsive = add(7003, "holder_silent", Warn, "The holder of a tenant's count doesn't answer; the node's share of the allowance rules.", "See peer_silent and peer_refused for the holder.")
 	HolderRecovered    = add(7004, "holder_back", Info, "The holder of a tenant's count answers again.", "")
+	CountsLate         = add(7005, "counts_late", Warn, "Counts reach this node, the holder, later than the shares assume; nodes send theirs less often.", "Look for a lack of processor time at this node; while it lasts tenants may get more or less than their allowance.")
+	CountsPrompt       = add(7006, "counts_prompt", Info, "Counts reach this node in time again.", "")
 )
--- a/internal/node/quotasync/counter_owner.go
+++ b/internal/node/quotasync/counter_owner.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"stepwick/internal/decision/quota"
+	"stepwick/internal/events"
 	"stepwick/internal/wire"
 )
 
@@ -20,6 +21,7 @@
 	service *Service
 	counter *quota.Counter
 	adds    chan addRequest
+	late    bool // as last logged
 }
 
 type addRequest struct {
@@ -50,6 +52,7 @@
 			add.response <- c.counter.Add(add.request, c.service.fleetNow())
 		case <-ticker.C():
 			c.counter.SetMembership(c.service.fronts(), c.service.config.Unresponsive(), c.service.fleetNow())
+			c.reportLag()
 			interval++
 			if interval%expireIntervals == 0 {
 				c.prune()
@@ -58,6 +61,23 @@
 	}
 }
 
+// reportLag publishes how late counts are handled here, and logs when that becomes
+// later than the fronts' shares assume, or no longer is.
+func (c *counterOwner) reportLag() {
+	lag := c.counter.Lag()
+	c.service.metrics.setCountLag(lag)
+	late := c.counter.Late()
+	if late == c.late {
+		return
+	}
+	c.late = late
+	if late {
+		c.service.log.Emit(events.CountsLate, "lag", lag)
+	} else {
+		c.service.log.Emit(events.CountsPrompt, "lag", lag)
+	}
+}
+
 func (c *counterOwner) prune() {
 	c.counter.Prune(c.service.fleetNow())
 	c.service.metrics.setCounts(c.counter.Tenants())
--- a/internal/node/quotasync/metrics.go
+++ b/internal/node/quotasync/metrics.go
@@ -1,6 +1,8 @@
 package quotasync
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"stepwick/internal/apierror"
@@ -17,6 +19,7 @@
 	failures       prometheus.Counter
 	tenants        *prometheus.GaugeVec // by shard
 	counts         prometheus.Gauge
+	countLag       prometheus.Gauge
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -33,6 +36,7 @@
 		failures:       counter("stepwick_tally_exchange_failures_total", "Exchanges that failed: a holder out of reach."),
 		tenants:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "stepwick_tally_active_tenants", Help: "Tenants active on this front."}, []string{"owner"}),
 		counts:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "stepwick_tally_held_counts", Help: "Tenants whose count this front holds."}),
+		countLag:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "stepwick_tally_count_lag_seconds", Help: "Mean time from the departure of a count to its handling at this front, its holder, over the last second."}),
 	}
 	if registry == nil {
 		return created, nil
@@ -56,6 +60,7 @@
 		m.failures,
 		m.tenants,
 		m.counts,
+		m.countLag,
 	}
 }
 
@@ -92,3 +97,5 @@
 }
 
 func (m *metrics) setCounts(counts int) { m.counts.Set(float64(counts)) }
+
+func (m *metrics) setCountLag(lag time.Duration) { m.countLag.Set(lag.Seconds()) }
