quota: count the spacing of counts when totals are judged stale

A front took totals for stale after 1 s, and a counter took a front for missing after 0.8 s, although an owner of many fronts may ask them to send only each 0.75 to 1.2 s: budgets were cut to a tenth, and capacity reserved, in normal operation. Both now add the spacing.

--- a/internal/decision/quota/account.go
+++ b/internal/decision/quota/account.go
@@ -142,7 +142,8 @@
 // limit for spent, less and less over one window (assumedSpent).
 func (a *account) budget(config *Config, estimate *estimate, now time.Time) float64 {
 	unresponsive := a.sync.ownerUnresponsive(config, now)
-	uninformed := !a.sync.hasTotals() || a.sync.waitingSince.Sub(a.sync.totalsAsOf) > ownerUnresponsiveAfter.in(config)
+	maxAge := ownerUnresponsiveAfter.in(config) + a.allocation.sendSpacing
+	uninformed := !a.sync.hasTotals() || a.sync.waitingSince.Sub(a.sync.totalsAsOf) > maxAge
 	spent := estimate.recent - estimate.unconfirmed
 	if unresponsive && uninformed {
 		spent = max(spent, estimate.limit*assumedSpent(a.sync.waitingSince, now, config.Window))
@@ -152,7 +153,7 @@
 		share = (share + a.allocation.evenShare) / 2
 	}
 	budget := share * max(0, estimate.limit+estimate.overspend-estimate.reserved-spent)
-	stale := uninformed || now.Sub(a.sync.totalsAsOf) > ownerUnresponsiveAfter.in(config)
+	stale := uninformed || now.Sub(a.sync.totalsAsOf) > maxAge
 	if stale && !unresponsive {
 		budget *= uncertainBudgetFraction
 	}
--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -104,8 +104,9 @@
 	considered := make(map[string]bool, len(tenant.fronts))
 	newest := c.grid.slice(now)
 	oldest := newest - c.grid.slicesPerWindow + 1
+	heardWithin := frontMissingAfter.in(&c.config) + c.load.spacing(&c.config, tenant.demand.fronts)
 	for front, contribution := range tenant.fronts {
-		if now.Sub(contribution.lastReceived) <= frontMissingAfter.in(&c.config) {
+		if now.Sub(contribution.lastReceived) <= heardWithin {
 			considered[front.name] = true
 			continue
 		}
