Skip owners with eight exchanges under way in the simulated large fleet

Cause: production marks due counts as sent and drops them while eight exchanges with their owner are under way; the simulator sends them all the same.

Change: Fleet.SkipFull does as production; the large scenarios set it.

--- a/sim/quota/fleet.go
+++ b/sim/quota/fleet.go
@@ -28,6 +28,7 @@
 	Sizes        SizeMix       // kinds of requests, in place of RequestSize
 	Retries      int           // times that a client repeats a refused request after its RetryAfter, at any front
 	AddTime      time.Duration // that a counter takes for one request with counts, one after the other; zero: none
+	SkipFull     bool          // counts that are due are not sent to an owner with maxInFlight exchanges, as in production
 	Length       time.Duration
 	Poisson      bool                                            // requests arrive at random instead of at regular intervals
 	QueueTimeout time.Duration                                   // longest time that a front queues a request; defaults to 2.5 s
--- a/sim/quota/network.go
+++ b/sim/quota/network.go
@@ -93,6 +93,9 @@
 func (r *run) send(i int, batches map[string][]*wire.Count) {
 	f := r.fronts[i]
 	for owner, counts := range batches {
+		if r.SkipFull && f.inFlight[owner] >= maxInFlight {
+			continue
+		}
 		f.sentTo[owner] = true
 		f.inFlight[owner]++
 		x := &exchange{run: r, from: i, to: r.index(owner), incarnation: f.incarnation, sentAt: r.clock(i), began: r.now,
--- a/sim/quota/scenarios_large.go
+++ b/sim/quota/scenarios_large.go
@@ -81,6 +81,7 @@
 		Retries:      largeRetries,
 		Poisson:      true,
 		OwnerFirst:   true,
+		SkipFull:     true,
 		Length:       until + afterLargeJump,
 		Demand:       pulse(largeFronts, at, largeJumpLength, before, largeJumpFactor*before),
 	}
