quota: an even share, and reservations, while counts are handled late

Cause: (1) the fronts' last shares add up to 2.0 to 2.7 in a fleet of 300, not to one: a front where the tenant is idle leaves the owner's sum but retains its share. A front goes by it once the owner is unresponsive. (2) An owner that hears only some fronts in time gives these the rest of the capacity, which the others are spending as well.

Change: under an unresponsive owner each front has an even share of the roster. While counts are handled late, capacity is reserved for active fronts that weren't heard, as for unresponsive ones. Counts that arrive in the two seconds after a start or suspension of the owner say nothing about its load.

--- a/internal/decision/quota/account.go
+++ b/internal/decision/quota/account.go
@@ -137,8 +137,8 @@
 
 // budget returns how much this front may spend before the owner's totals include it:
 // its share of the capacity that is known to be left. While the owner is unresponsive
-// the share is the mean of the last one and an even one, so that the fronts' shares
-// still add up to one; and a front that had no recent totals when the owner stopped answering takes the
+// the share is an even one, since the last ones may add up to more than one: a front
+// where the tenant was idle retains its own. A front that had no recent totals when the owner stopped answering takes the
 // limit for spent, less and less over one window (assumedSpent).
 func (a *account) budget(config *Config, estimate *estimate, now time.Time) float64 {
 	unresponsive := a.sync.ownerUnresponsive(config, now)
@@ -150,7 +150,7 @@
 	}
 	share := a.allocation.share
 	if unresponsive {
-		share = (share + a.allocation.evenShare) / 2
+		share = a.allocation.evenShare
 	}
 	budget := share * max(0, estimate.limit+estimate.overspend-estimate.reserved-spent)
 	stale := uninformed || now.Sub(a.sync.totalsAsOf) > maxAge
--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -97,8 +97,8 @@
 }
 
 // missingFronts returns the fronts that are unresponsive or, if the tenant is counted
-// on behalf of another front, just not heard. Fronts that were removed or restarted, or
-// where the tenant is idle, spend nothing.
+// on behalf of another front or counts are handled late, just not heard. Fronts that
+// were removed or restarted, or where the tenant is idle, spend nothing.
 func (c *Counter) missingFronts(tenant *tenantCount, now time.Time) missingFronts {
 	var missing missingFronts
 	considered := make(map[string]bool, len(tenant.fronts))
@@ -111,7 +111,7 @@
 			continue
 		}
 		inactive := contribution.idle || !c.membership.isFront[front.name] || tenant.superseded(front)
-		if inactive || considered[front.name] || !c.mayBeSpending(tenant, front.name, now) {
+		if inactive || considered[front.name] || !(c.load.congested() || c.mayBeSpending(tenant, front.name, now)) {
 			continue
 		}
 		considered[front.name] = true
--- a/internal/decision/quota/counter.go
+++ b/internal/decision/quota/counter.go
@@ -176,7 +176,7 @@
 	if at.After(a.now) {
 		at = a.now
 	}
-	if !report.idle {
+	if !report.idle && !a.counter.justStarted(a.now) {
 		a.counter.load.observeLag(a.now.Sub(at))
 	}
 	from.demand.record(report.tokens, at, a.counter.config.Interval/demandReportSpacing)
--- a/internal/decision/quota/load.go
+++ b/internal/decision/quota/load.go
@@ -38,6 +38,10 @@
 // meanLag returns the counts' mean lag since congestion was adapted.
 func (l *addLoad) meanLag() time.Duration { return l.lag / time.Duration(max(1, l.counts)) }
 
+// congested reports whether counts were handled late, and fronts aren't known to have
+// adapted to that.
+func (l *addLoad) congested() bool { return l.congestion > 1 }
+
 // update adapts the congestion once in a congestionPeriod.
 func (l *addLoad) update(config *Config, now time.Time) {
 	if now.Sub(l.adaptedAt) < congestionPeriod.in(config) {
