Keep a silent server's request until another server is assigned to it

Cause: after the stall time-out the gateway ended the attempt first and looked for another server then. With the retry budget spent, no other server, no lease or a changed route it had none, and broke the client's connection in the middle of an answer that the first server would have gone on with. A time-out that passed while the response arrived ended it too. Change: stallWatch checks the admission and has a server assigned before it ends the attempt; else the silent server keeps the request, and the next time-out looks again. Figures: TestStalledServerWithoutReplacement, four cases: broken connection before, whole answer now; go test -race ./internal/node/gateway green, TestStalled* and TestStreams 8 times. Conclusion: a stall alone ends no answer any more.

--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -35,6 +35,7 @@
 func (q *request) run() *apierror.Error {
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.gateway.clock.Now()))
 	defer cancel()
+	defer q.releaseReplacement()
 	toClient := &relay{request: q, ctx: ctx, lastEventID: q.call.LastEventID}
 	var previous *apierror.Error
 	for first := true; ; first = false {
@@ -87,7 +88,7 @@
 // attempt sends the request to one server. retry reports that another may be tried.
 func (q *request) attempt(ctx context.Context, toClient *relay, first bool) (apiErr *apierror.Error, retry bool) {
 	dispatcher := q.gateway.dispatcher
-	assigned := dispatcher.assign(ctx, q.selection, first)
+	assigned := q.nextAssignment(ctx, first)
 	if assigned.apiErr != nil {
 		return q.contextError(ctx, assigned.apiErr), false
 	}
@@ -96,17 +97,18 @@
 	if apiErr := q.checkAdmission(); apiErr != nil {
 		return apiErr, false
 	}
+	q.exclude(assigned.server)
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, failure := q.send(ctx, sendCtx, cancel, assigned.server, toClient.lastEventID)
 	if failure != nil {
 		q.gateway.metrics.attemptFailed(q.service, failure.Kind)
-		return q.sendFailed(ctx, assigned.server, failure, &outcome)
+		return q.sendFailed(ctx, failure, &outcome)
 	}
 	defer response.Close()
 	metadata := q.gateway.dialect.ReadResponse(response.Status, response.Header)
 	if metadata.NotExecuted || metadata.WrongServer {
-		return q.rejected(assigned.server, response, metadata, &outcome)
+		return q.rejected(response, metadata, &outcome)
 	}
 	q.executions++
 	apiErr, retry = toClient.relay(response, assigned.attempt)
@@ -118,27 +120,26 @@
 	case ctx.Err() == nil && !toClient.clientDisconnected:
 		outcome = balance.OutcomeFailed
 	}
-	if retry {
-		q.exclude(assigned.server)
-		retry = q.prepareRetry()
-	}
-	return apiErr, retry
+	return apiErr, retry && q.prepareRetry()
 }
 
-// send sends the request by sendCtx, which it cancels when the server stalls. Only
-// a context that ended by itself is the caller's withdrawal.
+// send sends the request by sendCtx, which is cancelled when another server replaces
+// this one.
 func (q *request) send(ctx, sendCtx context.Context, cancel func(), server upstream.Server, lastEventID string) (*upstream.Response, *upstream.Failure) {
-	stall := q.startStallTimer(q.executions+1, cancel)
+	watch := q.watchStall(ctx, q.executions+1, cancel)
 	response, failure := q.gateway.client.Send(sendCtx, server, q.upstreamRequest(server, lastEventID))
-	stall.Stop()
-	if failure != nil && failure.Kind == upstream.Cancelled && ctx.Err() == nil {
-		return nil, &upstream.Failure{Kind: upstream.Lost, Sent: true, Cause: errStalled}
+	replaced := q.stopWatch(watch)
+	if !replaced || ctx.Err() != nil {
+		return response, failure
+	}
+	if response != nil {
+		response.Close()
 	}
-	return response, failure
+	return nil, &upstream.Failure{Kind: upstream.Lost, Sent: true, Cause: errStalled}
 }
 
 // sendFailed decides on an attempt without a response.
-func (q *request) sendFailed(ctx context.Context, server upstream.Server, failure *upstream.Failure, outcome *balance.Outcome) (apiErr *apierror.Error, retry bool) {
+func (q *request) sendFailed(ctx context.Context, failure *upstream.Failure, outcome *balance.Outcome) (apiErr *apierror.Error, retry bool) {
 	switch failure.Kind {
 	case upstream.Refused:
 		*outcome = balance.OutcomeRefused
@@ -154,7 +155,6 @@
 	if ctx.Err() != nil {
 		return q.contextError(ctx, nil), false
 	}
-	q.exclude(server)
 	if !failure.Sent {
 		return apierror.Errorf(apierror.NotRun, "%s", failure).WithRetryAfter(minRetryAfter), true
 	}
@@ -162,10 +162,9 @@
 }
 
 // rejected decides on an attempt that the server did not execute.
-func (q *request) rejected(server upstream.Server, response *upstream.Response, metadata port.ResponseMetadata, outcome *balance.Outcome) (apiErr *apierror.Error, retry bool) {
+func (q *request) rejected(response *upstream.Response, metadata port.ResponseMetadata, outcome *balance.Outcome) (apiErr *apierror.Error, retry bool) {
 	q.gateway.metrics.attemptRejected(q.service)
 	_, _ = io.CopyN(io.Discard, response, rejectionBodyLimit)
-	q.exclude(server)
 	q.selection.Retry = true
 	*outcome = balance.OutcomeRejected
 	reason := "the server is full"
--- a/internal/node/gateway/fixture_test.go
+++ b/internal/node/gateway/fixture_test.go
@@ -102,6 +102,8 @@
 	address  string
 	servers  map[string]*wire.ServerStatus
 	clock    clock.Clock // the machine's when nil
+	// retrySlack is the fixed part of the gateway's retry budget.
+	retrySlack float64
 }
 
 // endlessGraceClock is the machine's clock on which startupGrace never ends.
@@ -149,7 +151,7 @@
 }
 
 func newTestFleet(t *testing.T) *testFleet {
-	s := &testFleet{t: t, views: &testViews{}, admitter: &testAdmitter{}, servers: map[string]*wire.ServerStatus{}}
+	s := &testFleet{t: t, views: &testViews{}, admitter: &testAdmitter{}, servers: map[string]*wire.ServerStatus{}, retrySlack: 100}
 	state := statemachine.State{Version: 1, Sheet: &sheet.Sheet{
 		Services: map[string]sheet.Service{"pool": {Kind: sheet.KindHTTP}},
 		Tenants:  map[string]sheet.Tenant{"press": {Rate: 10, KeyHashes: []string{sheet.HashKey("k")}}},
@@ -176,7 +178,7 @@
 	if s.clock == nil {
 		s.clock = clock.System()
 	}
-	s.gateway, err = New(Config{Balance: balance.Config{Self: "f", Region: "north", Zone: "z", RetrySlack: 100}},
+	s.gateway, err = New(Config{Balance: balance.Config{Self: "f", Region: "north", Zone: "z", RetrySlack: s.retrySlack}},
 		testDialect{}, s.views, s.admitter, s.clock, events.Discard, prometheus.NewRegistry())
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -30,6 +30,8 @@
 	service       string
 	selection     balance.Request
 	executions    int // servers that may have executed it
+	// replacement is the server assigned in place of one that was silent.
+	replacement *assignment
 }
 
 // admission is what the configuration says of a request that was admitted.
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -15,12 +15,12 @@
 	var events eventSplitter
 	var chunk [readChunkSize]byte
 	controller := http.NewResponseController(r.writer())
-	stall := r.request.startStallTimer(r.request.executions, response.Abort)
-	defer stall.Stop()
+	watch := r.request.watchStall(r.ctx, r.request.executions, response.Abort)
+	defer r.request.stopWatch(watch)
 	for first := true; ; {
 		count, err := response.Read(chunk[:])
 		if count > 0 {
-			stall.Reset(r.request.stallTimeout(r.request.executions))
+			watch.progress()
 			if first {
 				r.request.gateway.dispatcher.responseStarted(attempt)
 				first = false
