Tell the core that two founders leave over that it has no place

Cause: where two cores found a formation at once, the core that is only in the one that loses waited there for good and never became a standby. Beside it, found by reading: a core committed what it had decided on its state before a probe, so that a late answer undid a join of meanwhile, and it could change over to another formation after it had announced its disk incarnation. Change: Replica.excludedFrom covers a core that never announced itself; decisions are taken on the state in which they are committed; State.JoinProbed keeps a core that announced itself. TestLosses says of each core what it is in when no sheet comes into force.

--- a/internal/decision/paxos/formation.go
+++ b/internal/decision/paxos/formation.go
@@ -28,7 +28,9 @@
 // JoinProbed decides whether a core that doesn't vote yet joins the formation of
 // a probe's answer. A blank core joins any that names it. One that waits in
 // another formation changes over only if that one has voting cores and its own
-// has none or, with none in either, if that one's id is the lower.
+// has none or, with none in either, if that one's id is the lower. It stays
+// once it has announced its own disk incarnation, which others may have recorded: it
+// would forget it, and come back as a core that lost its disk.
 func (s State) JoinProbed(probe *wire.RecoverResponse) (Record, bool) {
 	if s.Incarnation() != 0 || probe.Formation == "" || probe.Formation == s.Formation {
 		return nil, false
@@ -37,7 +39,7 @@
 		return nil, false
 	}
 	if s.Formation != "" {
-		enteredHere := len(s.Incarnations) > 0
+		enteredHere := len(s.Incarnations) > 0 || s.AnnouncedIncarnation > 0
 		enteredThere := len(probe.Lives) > 0
 		if enteredHere || !enteredThere && probe.Formation > s.Formation {
 			return nil, false
--- a/internal/decision/paxos/formation_test.go
+++ b/internal/decision/paxos/formation_test.go
@@ -23,3 +23,28 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+func TestJoinProbed(t *testing.T) {
+	waiting := FormationJoined{Formation: "b-1", Voters: voters}.Apply(Blank("b"))
+	lower := &wire.RecoverResponse{Ok: true, Formation: "a-1", Voters: voters}
+	higher := &wire.RecoverResponse{Ok: true, Formation: "c-1", Voters: voters}
+	joins := func(s State, probe *wire.RecoverResponse) bool {
+		_, ok := s.JoinProbed(probe)
+		return ok
+	}
+	Convey("A core that waits in a formation changes over to the lower one", t, func() {
+		So(joins(Blank("b"), higher), ShouldBeTrue)
+		So(joins(waiting, lower), ShouldBeTrue)
+		So(joins(waiting, higher), ShouldBeFalse)
+		So(joins(waiting, &wire.RecoverResponse{Ok: true, Formation: "a-1", Voters: []string{"a", "c", "d"}}), ShouldBeFalse)
+	})
+	Convey("A core that has announced its incarnation, or recorded another one's, stays", t, func() {
+		entered := &wire.RecoverResponse{Ok: true, Formation: "a-1", Voters: voters, Lives: map[string]uint64{"a": 1}}
+		for _, core := range []string{"a", "b"} {
+			bound := IncarnationRecorded{Core: core, Incarnation: firstIncarnation}.Apply(waiting)
+			So(joins(bound, lower), ShouldBeFalse)
+			So(joins(bound, entered), ShouldBeFalse)
+		}
+		So(joins(waiting, entered), ShouldBeTrue)
+	})
+}
--- a/internal/node/replica/recovery.go
+++ b/internal/node/replica/recovery.go
@@ -31,8 +31,12 @@
 func (r *Replica) recoverState(ctx context.Context, state paxos.State) {
 	probes := r.probeCores(ctx, state.Others())
 	for _, resp := range probes {
-		if record, ok := state.JoinProbed(resp); ok {
-			r.commitUnlessVoting(ctx, record, fmt.Sprintf("joins the formation %s", resp.Formation))
+		if _, ok := state.JoinProbed(resp); ok {
+			r.joinProbed(ctx, state, resp)
+			return
+		}
+		if r.excludedFrom(state, resp) {
+			r.reportExcluded(resp)
 			return
 		}
 	}
@@ -87,7 +91,10 @@
 		return true
 	}
 	record := paxos.IncarnationRecorded{Core: r.cfg.Self, Incarnation: incarnation}
-	if !r.commitUnlessVoting(ctx, record, "announces its disk life") {
+	committed := r.commitUnlessVoting(ctx, "announces its disk life", func(current paxos.State) (paxos.Record, bool) {
+		return record, current.Formation == state.Formation
+	})
+	if !committed {
 		return false
 	}
 	if incarnation > firstIncarnation {
@@ -121,11 +128,13 @@
 	})
 }
 
-// commitUnlessVoting commits a record of a core that doesn't vote yet, and
-// reports whether it did. Waiting is what the core waits for from then on.
-func (r *Replica) commitUnlessVoting(ctx context.Context, record paxos.Record, waiting string) bool {
+// commitUnlessVoting commits what decide returns for the state of a core that doesn't
+// vote yet, and reports whether it did. The state may be newer than the one in which
+// other cores were asked. Waiting is what the core waits for from then on.
+func (r *Replica) commitUnlessVoting(ctx context.Context, waiting string, decide func(paxos.State) (paxos.Record, bool)) bool {
 	committed, err := callOwner(ctx, r, func(o *owner, reply func(bool, error)) {
-		if o.state.Incarnation() != 0 {
+		record, ok := decide(o.state)
+		if !ok || o.state.Incarnation() != 0 {
 			reply(false, nil)
 			return
 		}
--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -337,25 +337,48 @@
 // Draw returns a random source that a seed reproduces.
 func Draw(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0x5749434b)) }
 
+// formation describes how far the cores have formed: of each its standing and its
+// formation, or the error that it ended with.
+func (f *Fleet) formation() string {
+	var cores []string
+	for i := range f.config.Cores {
+		ended, err := f.Ended(i)
+		if ended {
+			cores = append(cores, fmt.Sprintf("n%d ended with %v", i, err))
+			continue
+		}
+		status := f.status(i)
+		cores = append(cores, fmt.Sprintf("n%d is %q in %q", i, status.Standing, status.Formation))
+	}
+	return strings.Join(cores, ", ")
+}
+
 // standing asks core i for its standing.
-func (f *Fleet) standing(i int) string {
+func (f *Fleet) standing(i int) string { return f.status(i).Standing }
+
+// coreStatus is what a core says of itself.
+type coreStatus struct {
+	Standing  string `json:"standing"`
+	Formation string `json:"formation"`
+}
+
+// status asks core i for its status, which is empty where it doesn't answer.
+func (f *Fleet) status(i int) coreStatus {
 	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host(i)+":7000/v1/control/status", nil)
 	if err != nil {
-		return ""
+		return coreStatus{}
 	}
 	req.Header.Set("Authorization", "Bearer "+operatorKey)
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return ""
+		return coreStatus{}
 	}
 	defer resp.Body.Close()
 	var status struct {
-		Node struct {
-			Standing string `json:"standing"`
-		} `json:"node"`
+		Node coreStatus `json:"node"`
 	}
 	_ = json.NewDecoder(resp.Body).Decode(&status)
-	return status.Node.Standing
+	return status.Node
 }
--- a/sim/fleet/losses.go
+++ b/sim/fleet/losses.go
@@ -38,7 +38,7 @@
 	w.start = w.clock.Now()
 	w.note("seeds %v", config.Seeds)
 	if !w.form() {
-		w.violate("no first sheet in force within 30 s")
+		w.violate("no first sheet in force within 30 s: %s", w.fleet.formation())
 		return report, nil
 	}
 	w.pause(3 * time.Second)
