Find relays to an owner that only some fronts reach; simulate such partitions

Cause: a front that doesn't reach the owner of a tenant's count uses the next owner, though others still use the first: two sums of one tenant. If the next owner doesn't reach the owner either, it counts as if it were gone.

Change: quota.Relays decides which indirect probes (SWIM) to send for an owner that doesn't answer counts for two intervals, or is unresponsive, and which relay is in use; the owner stays the owner. sim/quota plays it, with partitions between pairs of fronts and six scenarios of them.

--- a/sim/quota/fleet.go
+++ b/sim/quota/fleet.go
@@ -33,10 +33,12 @@
 	Down         func(at time.Duration, front int) bool          // the front's process is not running
 	Frozen       func(at time.Duration, front int) bool          // the front's process is suspended; its callers go to the next one
 	Partitioned  func(at time.Duration) bool                     // messages between the regions are dropped
+	Unreachable  func(at time.Duration, from, to int) bool       // messages from one front to another are dropped
 	ClockOffset  func(at time.Duration, front int) time.Duration // error of the front's clock
 	ForgetAfter  time.Duration                                   // time after which fronts remove a dead front from the roster; zero: never
 	FlushOnStop  bool                                            // a front sends its counts before it stops
 	OwnerFirst   bool                                            // the first front owns the tenant's counter
+	SecondNext   bool                                            // the second front is the owner among all but the first
 
 	// FollowFaults makes fronts learn of refused connections after 0.5 to 1 s
 	// and of time-outs after 1.5 to 2 s. For 0.2 s after a freeze of its own a
@@ -72,13 +74,14 @@
 // run is the state of one simulation.
 type run struct {
 	Fleet
-	random   *rand.Rand
-	now      time.Duration
-	events   eventqueue.Queue[time.Duration]
-	fronts   []*front
-	names    []string
-	limit    float64
-	requests []Request
+	random      *rand.Rand
+	probeRandom *rand.Rand // for the relays' probes
+	now         time.Duration
+	events      eventqueue.Queue[time.Duration]
+	fronts      []*front
+	names       []string
+	limit       float64
+	requests    []Request
 }
 
 // Run simulates the fleet and returns every request in the order of arrival.
@@ -111,13 +114,20 @@
 }
 
 func newRun(f Fleet) *run {
-	r := &run{Fleet: f, random: rand.New(rand.NewPCG(f.Seed, 7)), limit: f.Allowance.TokensPerWindow(f.Config.Window)}
+	r := &run{
+		Fleet:       f,
+		random:      rand.New(rand.NewPCG(f.Seed, 7)),
+		probeRandom: rand.New(rand.NewPCG(f.Seed, 8)),
+		limit:       f.Allowance.TokensPerWindow(f.Config.Window),
+	}
 	for i := range f.Fronts {
 		r.names = append(r.names, fmt.Sprintf("front-%d-%d", i, f.Seed))
 	}
 	if f.OwnerFirst {
-		owner := r.index(quota.OwnerOf(tenant, r.names))
-		r.names[0], r.names[owner] = r.names[owner], r.names[0]
+		r.moveOwnerTo(0)
+	}
+	if f.SecondNext {
+		r.moveOwnerTo(1)
 	}
 	for _, name := range r.names {
 		r.fronts = append(r.fronts, &front{name: name})
@@ -125,6 +135,12 @@
 	return r
 }
 
+// moveOwnerTo makes the owner among the fronts from a position on the front there.
+func (r *run) moveOwnerTo(position int) {
+	owner := r.index(quota.OwnerOf(tenant, r.names[position:]))
+	r.names[position], r.names[owner] = r.names[owner], r.names[position]
+}
+
 // startFront starts front i and schedules its first tick and requests.
 func (r *run) startFront(i int) {
 	r.fronts[i].untilNext = r.random.Float64()
--- a/sim/quota/front.go
+++ b/sim/quota/front.go
@@ -19,12 +19,14 @@
 	name        string
 	limiter     *quota.Limiter
 	counter     *quota.Counter
+	relays      *quota.Relays
 	incarnation uint64
 	down        bool
 	frozen      bool
-	resumedAt   time.Duration   // end of the last freeze; zero: none
-	sentTo      map[string]bool // owners that an exchange was sent to since the last tick
-	inFlight    map[string]int  // exchanges by owner
+	resumedAt   time.Duration         // end of the last freeze; zero: none
+	sentTo      map[string]bool       // owners that an exchange was sent to since the last tick
+	inFlight    map[string]int        // exchanges by owner
+	unanswered  map[int]time.Duration // since when direct exchanges have had no answer, by owner
 	pending     []pendingRequest
 	untilNext   float64 // requests until the next one arrives
 }
@@ -43,8 +45,10 @@
 	f.incarnation++
 	f.limiter = quota.NewLimiter(f.name, r.Config)
 	f.counter = quota.NewCounter(f.name, f.incarnation, r.Config)
+	f.relays = quota.NewRelays(f.name, r.Config)
 	f.sentTo = map[string]bool{}
 	f.inFlight = map[string]int{}
+	f.unanswered = map[int]time.Duration{}
 	f.pending = nil
 }
 
@@ -57,8 +61,10 @@
 		return
 	}
 	clear(f.sentTo)
+	r.suspectOverdue(i)
 	if number%paceDivisor == 0 {
-		live, unresponsive := r.reachability(i)
+		r.probeRelays(i)
+		live, unresponsive := r.unreachable(i)
 		f.limiter.SetFronts(live)
 		f.counter.SetMembership(live, unresponsive, r.clock(i))
 		r.send(i, f.limiter.CountsToSend(r.clock(i), r.ownerOf(i)))
--- a/sim/quota/network.go
+++ b/sim/quota/network.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"stepwick/internal/decision/quota"
@@ -32,7 +33,7 @@
 // unresponsive reports whether front i finds front j unresponsive: behind a
 // partition, frozen or just resumed, or all others after a freeze of its own.
 func (r *run) unresponsive(i, j int, detectAfter time.Duration) bool {
-	if r.partitioned(i, j, r.now) && r.partitioned(i, j, r.now-detectAfter) && !r.isDown(r.now, j) {
+	if r.pingFails(i, j, r.now) && r.pingFails(i, j, r.now-detectAfter) && !r.isDown(r.now, j) {
 		return true
 	}
 	if r.isFrozen(r.now-detectAfter, j) && (r.isFrozen(r.now, j) || r.now-r.fronts[j].resumedAt < resumeGrace) {
@@ -42,29 +43,59 @@
 	return own > 0 && r.now-own < resumeGrace
 }
 
+// partitioned reports whether messages from front i to front j are dropped.
 func (r *run) partitioned(i, j int, at time.Duration) bool {
+	if r.Unreachable != nil && r.Unreachable(at, i, j) {
+		return true
+	}
 	return r.Partitioned != nil && r.crossesRegions(i, j) && r.Partitioned(at)
 }
 
+// pingFails reports whether front j doesn't answer front i across the network.
+func (r *run) pingFails(i, j int, at time.Duration) bool {
+	return r.partitioned(i, j, at) || r.partitioned(j, i, at)
+}
+
 func (r *run) crossesRegions(i, j int) bool { return (i < r.FirstRegion) != (j < r.FirstRegion) }
 
-func (r *run) delay(i, j int) time.Duration {
+func (x *exchange) delay(i, j int) time.Duration {
 	if i == j {
 		return 20 * time.Microsecond
 	}
+	r := x.run
 	if r.crossesRegions(i, j) {
-		return r.RegionDelay/2 + time.Duration(r.random.Int64N(int64(r.RegionDelay/2)))
+		return r.RegionDelay/2 + time.Duration(x.random().Int64N(int64(r.RegionDelay/2)))
 	}
-	return time.Millisecond + time.Duration(r.random.Int64N(int64(2*time.Millisecond)))
+	return time.Millisecond + time.Duration(x.random().Int64N(int64(2*time.Millisecond)))
 }
 
-func (r *run) lost(i, j int) bool {
-	return i != j && (r.random.Float64() < r.Loss || r.partitioned(i, j, r.now))
+func (x *exchange) lost(i, j int) bool {
+	r := x.run
+	return i != j && (x.random().Float64() < r.Loss || r.partitioned(i, j, r.now))
+}
+
+// random returns the source of an exchange's delays and losses. Probes have one of
+// their own, so that those without a consequence don't change a run.
+func (x *exchange) random() *rand.Rand {
+	if x.request == nil {
+		return x.run.probeRandom
+	}
+	return x.run.random
+}
+
+// deliver calls action once a message has come from front i to front j, or failed if
+// it does not.
+func (x *exchange) deliver(i, j int, action, failed func()) {
+	if x.lost(i, j) {
+		failed()
+		return
+	}
+	x.run.after(x.delay(i, j), action)
 }
 
 // ownerOf returns front i's choice of a tenant's owner.
 func (r *run) ownerOf(i int) func(tenant string) string {
-	reachable := quota.Reachable(r.reachability(i))
+	reachable := quota.Reachable(r.unreachable(i))
 	return func(tenant string) string { return quota.OwnerOf(tenant, reachable) }
 }
 
@@ -72,9 +103,10 @@
 type exchange struct {
 	run         *run
 	from, to    int
+	relay       int    // noRelay: direct
 	incarnation uint64 // of the sender
 	sentAt      time.Time
-	request     *wire.AddRequest
+	request     *wire.AddRequest // nil: a probe
 }
 
 // send sends counts to their owners.
@@ -83,19 +115,24 @@
 	for owner, counts := range batches {
 		f.sentTo[owner] = true
 		f.inFlight[owner]++
-		x := &exchange{run: r, from: i, to: r.index(owner), incarnation: f.incarnation, sentAt: r.clock(i),
+		to := r.index(owner)
+		x := &exchange{run: r, from: i, to: to, relay: r.relayTo(i, to), incarnation: f.incarnation, sentAt: r.clock(i),
 			request: &wire.AddRequest{Front: f.name, Incarnation: f.incarnation, Counts: counts}}
 		x.start()
 	}
 }
 
 func (x *exchange) start() {
-	r := x.run
-	if r.lost(x.from, x.to) || r.fronts[x.to].down {
+	x.begin()
+	if x.relay != noRelay {
+		x.startRelayed()
+		return
+	}
+	if x.lost(x.from, x.to) || x.run.fronts[x.to].down {
 		x.timeOut()
 		return
 	}
-	r.after(r.delay(x.from, x.to), x.arrive)
+	x.run.after(x.delay(x.from, x.to), x.arrive)
 }
 
 // arrive delivers the request. A frozen owner handles it once it resumes, after
@@ -112,28 +149,39 @@
 		return
 	}
 	resp := x.handle()
-	if r.lost(x.to, x.from) {
-		x.timeOut()
+	respond := func() { x.respond(resp) }
+	if x.relay != noRelay {
+		x.respondRelayed(respond)
 		return
 	}
-	r.after(r.delay(x.to, x.from), func() { x.respond(resp) })
+	x.deliver(x.to, x.from, respond, x.timeOut)
 }
 
 func (x *exchange) handle() *wire.AddResponse {
+	if x.request == nil {
+		return nil
+	}
 	return x.run.fronts[x.to].counter.Add(x.request, x.run.clock(x.to))
 }
 
 func (x *exchange) respond(resp *wire.AddResponse) {
-	x.done()
-	x.run.whenResumed(x.from, func() { x.run.applyTotals(x.from, x.incarnation, resp, x.sentAt) })
+	x.succeed()
+	if resp != nil {
+		x.run.whenResumed(x.from, func() { x.run.applyTotals(x.from, x.incarnation, resp, x.sentAt) })
+	}
 }
 
-func (x *exchange) timeOut() { x.run.after(exchangeTimeout, x.done) }
+func (x *exchange) timeOut() { x.run.after(exchangeTimeout, x.fail) }
 
 func (x *exchange) done() {
 	f := x.run.fronts[x.from]
-	if f.incarnation == x.incarnation {
-		f.inFlight[x.run.names[x.to]]--
+	if f.incarnation != x.incarnation || x.request == nil {
+		return
+	}
+	owner := x.run.names[x.to]
+	f.inFlight[owner]--
+	if f.inFlight[owner] == 0 {
+		delete(f.unanswered, x.to)
 	}
 }
 
--- a/sim/quota/scenarios.go
+++ b/sim/quota/scenarios.go
@@ -78,7 +78,7 @@
 
 // Scenarios returns all kinds of runs.
 func Scenarios() []Scenario {
-	return slices.Concat(excessScenarios, underLimitScenarios, networkScenarios, ownerScenarios, processScenarios)
+	return slices.Concat(excessScenarios, underLimitScenarios, networkScenarios, partialScenarios, ownerScenarios, processScenarios)
 }
 
 // between draws a number.
