Relay a front's counts to an owner that it doesn't reach itself

Change: quotasync sends the probes that quota.Relays decides on, and the counts through the relay in use. The new field AddRequest.relay_to names the owner; the process asked passes the request on once, without the field, if that owner is responsive to it, and else fails at once. A process of an older version ignores the field and answers for itself, which the prober takes for no relay: then the count moves as before.

--- a/internal/node/quotasync/counter_owner.go
+++ b/internal/node/quotasync/counter_owner.go
@@ -49,7 +49,7 @@
 		case add := <-c.adds:
 			add.response <- c.counter.Add(add.request, c.service.fleetNow())
 		case <-ticker.C():
-			c.counter.SetMembership(c.service.fronts(), c.service.config.Unresponsive(), c.service.fleetNow())
+			c.counter.SetMembership(c.service.fronts(), c.service.relayer.unreachable(), c.service.fleetNow())
 			interval++
 			if interval%expireIntervals == 0 {
 				c.prune()
--- a/internal/node/quotasync/exchange.go
+++ b/internal/node/quotasync/exchange.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"stepwick/internal/decision/quota"
 	"stepwick/internal/events"
 	"stepwick/internal/wire"
 )
@@ -17,7 +18,8 @@
 // exchanges is a shard's state of the exchanges with owners, by the owner's name.
 type exchanges struct {
 	inFlight     map[string]int
-	sentTo       map[string]bool // since the last tick
+	sentTo       map[string]bool      // since the last tick
+	unanswered   map[string]time.Time // since when direct exchanges in flight have had no answer; see takeOverdue
 	unresponsive map[string]bool
 }
 
@@ -25,6 +27,7 @@
 	return exchanges{
 		inFlight:     map[string]int{},
 		sentTo:       map[string]bool{},
+		unanswered:   map[string]time.Time{},
 		unresponsive: map[string]bool{},
 	}
 }
@@ -35,16 +38,35 @@
 
 func (e *exchanges) readyForUrgent(owner string) bool { return !e.sentTo[owner] && !e.full(owner) }
 
-func (e *exchanges) begin(owner string) {
-	e.inFlight[owner]++
-	e.sentTo[owner] = true
+func (e *exchanges) begin(way quota.Way, now time.Time) {
+	e.inFlight[way.Front]++
+	e.sentTo[way.Front] = true
+	if _, known := e.unanswered[way.Front]; way.Relay == "" && !known {
+		e.unanswered[way.Front] = now
+	}
+}
+
+func (e *exchanges) end(way quota.Way, err error) {
+	e.inFlight[way.Front]--
+	idle := e.inFlight[way.Front] <= 0
+	if idle {
+		delete(e.inFlight, way.Front)
+	}
+	if idle || err == nil {
+		delete(e.unanswered, way.Front)
+	}
 }
 
-func (e *exchanges) end(owner string) {
-	e.inFlight[owner]--
-	if e.inFlight[owner] <= 0 {
-		delete(e.inFlight, owner)
+// takeOverdue returns the owners that have not answered direct exchanges for a time, and restarts the time of these.
+func (e *exchanges) takeOverdue(after time.Duration, now time.Time) []string {
+	var owners []string
+	for owner, since := range e.unanswered {
+		if now.Sub(since) > after {
+			owners = append(owners, owner)
+			e.unanswered[owner] = now
+		}
 	}
+	return owners
 }
 
 // setUnresponsive records an owner's state and reports whether it changed.
@@ -62,7 +84,7 @@
 
 // exchangeResult is the outcome of one exchange.
 type exchangeResult struct {
-	owner    string
+	way      quota.Way
 	sentAt   time.Time // fleet time
 	response *wire.AddResponse
 	err      error
@@ -85,19 +107,20 @@
 		if s.exchanges.full(owner) {
 			continue
 		}
-		s.exchanges.begin(owner)
+		way := s.service.relayer.way(owner)
+		s.exchanges.begin(way, s.service.clock.Now())
 		sent++
 		sentAt := s.service.fleetNow()
-		go s.exchange(ctx, owner, counts, sentAt)
+		go s.exchange(ctx, way, counts, sentAt)
 	}
 	return sent
 }
 
 // exchange sends one batch of counts and passes the result to the shard.
-func (s *shard) exchange(ctx context.Context, owner string, counts []*wire.Count, sentAt time.Time) {
-	response, err := s.service.exchange(ctx, owner, counts)
+func (s *shard) exchange(ctx context.Context, way quota.Way, counts []*wire.Count, sentAt time.Time) {
+	response, err := s.service.exchange(ctx, way, counts)
 	result := exchangeResult{
-		owner:    owner,
+		way:      way,
 		sentAt:   sentAt,
 		response: response,
 		err:      err,
@@ -109,7 +132,7 @@
 }
 
 func (s *shard) handleResult(result exchangeResult) {
-	s.exchanges.end(result.owner)
+	s.exchanges.end(result.way, result.err)
 	s.service.metrics.countExchange(result.err)
 	if result.err == nil {
 		s.limiter.ApplyTotals(result.response, result.sentAt, s.service.fleetNow())
@@ -125,13 +148,13 @@
 // shard, the goroutine that owns the limiter.
 func (s *shard) logOwnerState(result exchangeResult) {
 	unresponsive := result.err != nil
-	if !s.exchanges.setUnresponsive(result.owner, unresponsive) {
+	if !s.exchanges.setUnresponsive(result.way.Front, unresponsive) {
 		return
 	}
 	if unresponsive {
-		s.service.log.Emit(events.HolderUnresponsive, "holder", result.owner, "owner", s.name, "error", result.err)
+		s.service.log.Emit(events.HolderUnresponsive, "holder", result.way.Front, "owner", s.name, "error", result.err)
 	} else {
-		s.service.log.Emit(events.HolderRecovered, "holder", result.owner, "owner", s.name)
+		s.service.log.Emit(events.HolderRecovered, "holder", result.way.Front, "owner", s.name)
 	}
 }
 
@@ -165,27 +188,48 @@
 }
 
 // exchange sends one batch of counts to an owner, which may be this front, and returns
-// its totals. It fails after Config.Timeout, without an address of the owner, and if
-// another process responds at that address.
-func (s *Service) exchange(ctx context.Context, owner string, counts []*wire.Count) (*wire.AddResponse, error) {
+// its totals. It fails after Config.Timeout.
+func (s *Service) exchange(ctx context.Context, way quota.Way, counts []*wire.Count) (*wire.AddResponse, error) {
+	if way.Front == s.config.Self {
+		ctx, cancel := context.WithTimeout(ctx, s.config.Timeout)
+		defer cancel()
+		return s.counter.add(ctx, s.addRequest(counts))
+	}
+	resp, err := s.exchangeThrough(ctx, way, counts)
+	if way.Relay != "" {
+		s.relayer.report(ctx, way, err)
+	}
+	return resp, err
+}
+
+func (s *Service) addRequest(counts []*wire.Count) *wire.AddRequest {
+	return &wire.AddRequest{Front: s.config.Self, Incarnation: s.config.Incarnation, Counts: counts}
+}
+
+// exchangeThrough sends one batch of counts to another front, directly or through a
+// relay, and returns its totals. It fails after Config.Timeout, without an address, and
+// if another process responds: a process of a version that doesn't relay does.
+func (s *Service) exchangeThrough(ctx context.Context, way quota.Way, counts []*wire.Count) (*wire.AddResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.Timeout)
 	defer cancel()
-	req := &wire.AddRequest{Front: s.config.Self, Incarnation: s.config.Incarnation, Counts: counts}
-	if owner == s.config.Self {
-		return s.counter.add(ctx, req)
+	req := s.addRequest(counts)
+	receiver := way.Front
+	if way.Relay != "" {
+		receiver = way.Relay
+		req.RelayTo = way.Front
 	}
-	process, known := s.peers.Process(owner)
+	process, known := s.peers.Process(receiver)
 	if !known {
-		return nil, errors.Errorf("no address of holder %s is known", owner)
+		return nil, errors.Errorf("no address of %s is known", receiver)
 	}
 	wire.PackCounts(req.Counts)
 	resp, err := s.peers.Client(process.Address).Add(ctx, connect.NewRequest(req))
 	if err != nil {
-		return nil, errors.Wrapf(err, "send counts to holder %s", owner)
+		return nil, errors.Wrapf(err, "send counts for holder %s to %s", way.Front, receiver)
 	}
 	wire.UnpackTotals(resp.Msg.Totals)
-	if resp.Msg.Holder != owner {
-		return nil, errors.Errorf("%s answered in place of holder %s", resp.Msg.Holder, owner)
+	if resp.Msg.Holder != way.Front {
+		return nil, errors.Errorf("%s answered in place of holder %s", resp.Msg.Holder, way.Front)
 	}
 	return resp.Msg, nil
 }
--- a/internal/node/quotasync/service.go
+++ b/internal/node/quotasync/service.go
@@ -1,10 +1,11 @@
 // Package quotasync runs the tenants' quotas on a front. Limiters decide the requests,
 // sharded by tenant, a counter sums the spend of the tenants that this front owns, and
-// the limiters exchange counts and totals with the owners' counters.
+// the limiters exchange counts and totals with the owners' counters, through a third
+// front where an owner isn't reached directly.
 //
-// Each limiter and the counter is owned by one goroutine and reached by channels. The
-// decisions themselves are those of internal/decision/quota; membership, the fleet's
-// time and the connections to other fronts are passed in.
+// Each limiter, the counter and the relays are owned by one goroutine each and reached
+// by channels. The decisions themselves are those of internal/decision/quota;
+// membership, the fleet's time and the connections to other fronts are passed in.
 package quotasync
 
 import (
@@ -109,6 +110,7 @@
 	metrics  *metrics
 	shards   []*shard
 	counter  *counterOwner
+	relayer  *relayer
 	requests *sync.Pool // of *admitRequest
 }
 
@@ -132,16 +134,18 @@
 		requests: newRequestPool(),
 	}
 	service.counter = newCounterOwner(service)
+	service.relayer = newRelayer(service)
 	for i := range config.Shards {
 		service.shards = append(service.shards, newShard(service, i))
 	}
 	return service, nil
 }
 
-// Serve runs the shards and the counter until the context ends.
+// Serve runs the shards, the counter and the relayer until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
 	supervisor := suture.New(serviceName, suture.Spec{EventHook: s.logPanic})
 	supervisor.Add(s.counter)
+	supervisor.Add(s.relayer)
 	for _, shard := range s.shards {
 		supervisor.Add(shard)
 	}
@@ -193,8 +197,12 @@
 }
 
 // Add applies another front's counts of tenants that this front owns and returns the
-// totals. The error is that of the context.
+// totals. Counts for the owner named in RelayTo are passed on to that one. The error is
+// that of the context, or of passing on.
 func (s *Service) Add(ctx context.Context, req *wire.AddRequest) (*wire.AddResponse, error) {
+	if req.RelayTo != "" && req.RelayTo != s.config.Self {
+		return s.relayer.passOn(ctx, req)
+	}
 	wire.UnpackCounts(req.Counts)
 	resp, err := s.counter.add(ctx, req)
 	if err == nil {
--- a/internal/node/quotasync/shard.go
+++ b/internal/node/quotasync/shard.go
@@ -101,7 +101,7 @@
 // updateFronts follows the membership.
 func (s *shard) updateFronts() {
 	fronts := s.service.fronts()
-	s.owners.setReachable(quota.Reachable(fronts, s.service.config.Unresponsive()))
+	s.owners.setReachable(quota.Reachable(fronts, s.service.relayer.unreachable()))
 	if !slices.Equal(fronts, s.fronts) {
 		s.fronts = slices.Clone(fronts)
 		s.limiter.SetFronts(s.fronts)
@@ -148,10 +148,14 @@
 	return len(s.pending) > 0 || s.limiter.HasUrgent() || !s.inLargeFleet() && s.limiter.ActiveTenants() > 0
 }
 
-// beginTick allows one more send of urgent counts to each owner.
+// beginTick allows one more send of urgent counts to each owner, and has ways sought to
+// owners that don't answer.
 func (s *shard) beginTick() {
+	now := s.service.clock.Now()
 	s.exchanges.beginTick()
-	s.ticker.lastTick = s.service.clock.Now()
+	s.ticker.lastTick = now
+	relayer := s.service.relayer
+	relayer.suspect(s.exchanges.takeOverdue(relayer.relays.SuspectAfter(), now))
 }
 
 // sendUrgentIfIdle sends urgent counts at once in a large fleet if the last tick is
