--- a/internal/decision/quota/limiter.go
+++ b/internal/decision/quota/limiter.go
@@ -114,7 +114,7 @@
 		allocation: allocation{
 			allocationReport: allocationReport{
 				share:       l.evenShare(),
-				sendSpacing: (&addLoad{congestion: 1}).spacing(&l.config, len(l.fronts)),
+				sendSpacing: baseSpacing(&l.config, len(l.fronts)),
 			},
 			evenShare: l.evenShare(),
 			rank:      l.rank(tenant),
--- a/internal/decision/quota/load.go
+++ b/internal/decision/quota/load.go
@@ -66,6 +66,12 @@
 // Late reports whether the counts' lag exceeds what the fronts' shares assume.
 func (c *Counter) Late() bool { return c.load.lastLag > c.config.MaxLag }
 
+// baseSpacing returns the spacing for an owner that handles counts in time.
+func baseSpacing(config *Config, fronts int) time.Duration {
+	load := addLoad{congestion: 1}
+	return load.spacing(config, fronts)
+}
+
 // spacing returns the least time between two requests of each of a number of fronts;
 // zero if it isn't limited.
 func (l *addLoad) spacing(config *Config, fronts int) time.Duration {
--- a/sim/quota/counter_queue.go
+++ b/sim/quota/counter_queue.go
@@ -7,7 +7,7 @@
 	owner := r.fronts[x.to]
 	incarnation := owner.incarnation
 	owner.busyUntil = max(owner.busyUntil, r.now) + r.AddTime(r.now)
-	r.after(max(0, x.began+exchangeTimeout-r.now), x.done)
+	r.after(max(0, x.began+exchangeTimeout-r.now), x.fail)
 	r.after(owner.busyUntil-r.now, func() {
 		if !x.ended && !owner.down && owner.incarnation == incarnation {
 			x.complete()
