Ping no whole roster before a majority has confirmed the front

Cause: after a restart of all, a front of a large fleet that has learned the configuration and is still unconfirmed took control for lost, as the cores are busy, and pinged its whole roster once in half a TTL, on a new connection each. What it hears gives it no authority while it is unconfirmed (lease.Holder.Authority).

Change: control is lost only by a front that was confirmed.

--- a/internal/node/control/fleet_test.go
+++ b/internal/node/control/fleet_test.go
@@ -92,9 +92,13 @@
 	if process.Core {
 		f.cores[name] = control.New(control.Config{Self: name, Incarnation: process.Incarnation}, atomicReplica{f}, peers, clock.System(), events.Discard)
 	}
-	f.fronts[name] = follower.New(follower.Config{Self: f.records[name].Load, LeaseTTL: 2 * time.Second,
+	f.fronts[name] = f.newFront(name)
+}
+
+func (f *fleet) newFront(name string) *follower.Follower {
+	return follower.New(follower.Config{Self: f.records[name].Load, LeaseTTL: 2 * time.Second,
 		RenewInterval: 500 * time.Millisecond, PingInterval: 500 * time.Millisecond, FeedWait: time.Second, CoreStaleAfter: time.Second,
-		KnownProcesses: func() []port.KnownProcess { return nil }}, peers, clock.System(), events.Discard)
+		KnownProcesses: func() []port.KnownProcess { return nil }}, memoryPeers{f, name}, clock.System(), events.Discard)
 }
 
 func (f *fleet) setFlag(set *atomic.Pointer[map[string]bool], on bool, names ...string) {
@@ -113,6 +117,16 @@
 	f.setFlag(&f.stopped, true, name)
 }
 
+// restartedFront kills a front and returns the next incarnation of it, which knows
+// nothing and serves its owner until the fleet ends. Others still call the killed one.
+func (f *fleet) restartedFront(name string) *follower.Follower {
+	f.kill(name)
+	f.changeRecord(name, func(p *wire.Process) { p.Incarnation++ })
+	front := f.newFront(name)
+	go func() { _ = front.Serve(f.ctx) }()
+	return front
+}
+
 // changeRecord changes what a process reports of itself.
 func (f *fleet) changeRecord(name string, change func(*wire.Process)) {
 	next := proto.Clone(f.records[name].Load()).(*wire.Process)
--- a/internal/node/control/lost_cores_test.go
+++ b/internal/node/control/lost_cores_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +24,35 @@
 	})
 }
 
+// pingedBy counts the members that a process pinged since the last forgetPings.
+func (f *fleet) pingedBy(from string) (count int) {
+	f.pingedVersions.Range(func(key, _ any) bool {
+		if strings.HasPrefix(key.(string), from+">") {
+			count++
+		}
+		return true
+	})
+	return count
+}
+
+func (f *fleet) forgetPings() { f.pingedVersions.Clear() }
+
+// Each of 300 restarted fronts pinged all others, which kept the cores from answering.
+func TestRestartedFrontDoesNotPingWholeRoster(t *testing.T) {
+	withFleet(t, 140, func(t *testing.T, f *fleet) {
+		Convey("A front of a large fleet that no majority has confirmed since its start pings a few members at each interval", t, func() {
+			f.kill("c2")
+			f.kill("c3")
+			front := f.restartedFront("f140")
+			f.forgetPings()
+			f.advance(3 * time.Second)
+			So(front.View().Roster, ShouldHaveLength, 140)
+			So(front.HasAuthority(), ShouldBeFalse)
+			So(f.pingedBy("f140"), ShouldBeLessThanOrEqualTo, 6*3)
+		})
+	})
+}
+
 func TestRefusingMemberStaysLost(t *testing.T) {
 	for _, delay := range []time.Duration{200, 350, 500} {
 		withFleet(t, 9, func(t *testing.T, f *fleet) {
--- a/internal/node/follower/pinger.go
+++ b/internal/node/follower/pinger.go
@@ -123,8 +123,12 @@
 
 // controlLost reports whether half of the lease has passed without a renewal and a
 // majority of the cores failed to answer. Cores that are merely late don't count
-// as failing.
+// as failing. A front that no majority has confirmed since its start has no control
+// to lose: what it hears from its roster gives it no authority.
 func (f *Follower) controlLost(now time.Time) bool {
+	if f.holder.Unconfirmed() {
+		return false
+	}
 	authority := f.holder.Authority(now)
 	if authority.Granted && authority.Source == lease.SourceLease && authority.Until.Sub(now) >= f.config.LeaseTTL/2 {
 		return false
