Send a seed no second hello while the first one waits

Cause: a process that knows no other sent each seed a hello each 50 ms whether the last one was answered or not, for up to 700 ms each.

Change: one hello at a time to an address; the interval while alone doubles from 50 ms to 250 ms, which is that of a process with news.

--- a/internal/adapter/internalrpc/gossip.go
+++ b/internal/adapter/internalrpc/gossip.go
@@ -17,7 +17,8 @@
 // random one that it knows, often while something is new and seldom after. A hello
 // carries the sender's own record, every core and a sample of the other processes.
 const (
-	// gossipIntervalAlone is the interval while no other process is known.
+	// gossipIntervalAlone is the first interval while no other process is known. Each
+	// next one is twice as long, up to gossipIntervalChanging.
 	gossipIntervalAlone = 50 * time.Millisecond
 	// gossipIntervalChanging is the interval until nothing was new for convergedAfter.
 	gossipIntervalChanging  = 250 * time.Millisecond
@@ -65,21 +66,25 @@
 	return sampled
 }
 
-// isAlone reports whether no other process is known.
-func (d *Directory) isAlone() bool { return len(d.table.Load().known) < 2 }
-
-func (d *Directory) gossipInterval() time.Duration {
+// nextGossipInterval returns how long after a hello the next one follows.
+func (d *Directory) nextGossipInterval() time.Duration {
 	switch {
 	case d.isAlone():
-		return gossipIntervalAlone
+		interval := d.aloneInterval
+		d.aloneInterval = min(2*interval, gossipIntervalChanging)
+		return interval
 	case d.clock.Now().Sub(d.lastChange) < convergedAfter:
 		return gossipIntervalChanging
 	}
 	return gossipIntervalConverged
 }
 
+// isAlone reports whether no other process is known.
+func (d *Directory) isAlone() bool { return len(d.table.Load().known) < 2 }
+
 // gossip exchanges hellos with a random seed or known process, or with every seed
-// while no other process is known.
+// while no other process is known. One that has not answered the last hello yet gets
+// no other: while a restarted seed is busy, those of the whole fleet would pile up.
 func (d *Directory) gossip(ctx context.Context) {
 	self, _ := d.Process(d.self().Name)
 	targets := slices.Clone(d.seeds)
@@ -96,6 +101,10 @@
 	}
 	known := d.sample()
 	for _, address := range targets {
+		if d.helloInFlight[address] {
+			continue
+		}
+		d.helloInFlight[address] = true
 		go d.exchangeHellos(ctx, address, &wire.HelloRequest{Self: self, Known: known})
 	}
 }
@@ -104,6 +113,7 @@
 func (d *Directory) exchangeHellos(ctx context.Context, address string, hello *wire.HelloRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
+	defer d.endHello(ctx, address)
 	resp, err := d.pool.Client(address).Hello(callCtx, connect.NewRequest(hello))
 	if err != nil {
 		d.logHelloFailure(address, err)
@@ -115,6 +125,14 @@
 	}
 }
 
+// endHello tells the owner that a hello was answered or has failed.
+func (d *Directory) endHello(ctx context.Context, address string) {
+	select {
+	case d.helloEnded <- address:
+	case <-ctx.Done():
+	}
+}
+
 // logHelloFailure logs a hello that was rejected for its secret and, while no other
 // process is known, any that failed.
 func (d *Directory) logHelloFailure(address string, err error) {
