--- a/internal/node/follower/feed_test.go
+++ b/internal/node/follower/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,9 +28,11 @@
 	down         bool          // answers nothing
 	withoutFeed  bool          // answers renewals only
 	requested    chan string
+	renewals     atomic.Int64 // calls that renew
 }
 
 func (c *feedCore) Renew(context.Context, *connect.Request[wire.RenewRequest]) (*connect.Response[wire.RenewResponse], error) {
+	c.renewals.Add(1)
 	<-time.After(c.delay)
 	if c.down {
 		return nil, errors.New("down")
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -158,7 +158,9 @@
 		case step := <-f.inbox:
 			step()
 		case <-renew.C():
-			f.renewAll()
+			if initialRenewals == nil {
+				f.renewAll()
+			}
 		case <-initialRenewals:
 			if !f.renewUnconfirmed() {
 				initialRenew.Stop()
