--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -52,6 +52,9 @@
 func (a *App) Serve(ctx context.Context, role string, values *settings.Values,
 	node func(context.Context, string, *settings.Values, events.Log) error) error {
 	debug.SetGCPercent(values.Int("memory.gc"))
+	if limit := values.Int("memory.limit"); limit > 0 {
+		debug.SetMemoryLimit(int64(limit))
+	}
 	eventLog, closeLog := a.openLog(values)
 	defer closeLog()
 	for _, name := range provingSettings {
--- a/internal/settings/table_process.go
+++ b/internal/settings/table_process.go
@@ -102,6 +102,14 @@
 		Check:   intBetween(5, 1000),
 		Help:    "By how much of what is in use the heap may grow until it is collected, in percent: less takes less memory and more processor time.",
 	},
+	{
+		Name:    "memory.limit",
+		Type:    Size,
+		Default: "0",
+		Rule:    "0 or more",
+		Check:   minInt(0),
+		Help:    "The memory of the Go runtime above which garbage is collected sooner than memory.gc says; 0 for none. The process may still use more.",
+	},
 	{
 		Name:    "log.level",
 		Type:    String,
