Share two gzip writers among all answers of a process

Change: two writers a process; an answer holds one while it is compressed into memory, with no call to the network meanwhile.

--- a/internal/adapter/internalrpc/server.go
+++ b/internal/adapter/internalrpc/server.go
@@ -1,11 +1,9 @@
 package internalrpc
 
 import (
-	"compress/gzip"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"io"
 	"net/http"
 	"time"
 
@@ -30,7 +28,7 @@
 	path, inner := wireconnect.NewPeerHandler(peer,
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithCompressMinBytes(minCompressedBytes),
-		fastGzip(),
+		sharedGzip(),
 		connect.WithInterceptors(errorInterceptor()))
 	// Digests of equal length are compared in constant time, so that the time taken
 	// shows neither the secret nor its length.
@@ -47,17 +45,6 @@
 	return mux
 }
 
-// fastGzip compresses at the lowest level: a core sends the same large snapshot to
-// many processes at once.
-func fastGzip() connect.HandlerOption {
-	return connect.WithCompression("gzip",
-		func() connect.Decompressor { return &gzip.Reader{} },
-		func() connect.Compressor {
-			writer, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
-			return writer
-		})
-}
-
 // errorInterceptor turns errors without a code of the protocol into ones that keep
 // the number of their apierror.
 func errorInterceptor() connect.Interceptor {
