Let a drain wait for requests that wait for their tenant's quota

Change: a request is counted from before the check whether the node drains until its result, and a drain waits until none is left. At the end of the grace those that still wait to be admitted get front_leaving (2007), as running ones do.

Measured: the new tests fail before (a drain that ends with 0 runs; 'ok' instead of front_leaving) and pass after, three times.

--- a/internal/node/front/admission.go
+++ b/internal/node/front/admission.go
@@ -166,11 +166,16 @@
 	c.request.Tokens = tokens
 	admission.Tokens = tokens
 	allowance := quota.Allowance{Rate: tenant.Rate, Burst: tenant.Burst}
-	decision := c.front.admitter.Admit(ctx, c.tenant, tokens, allowance, 0)
+	waitCtx, cancel := c.front.calls.untilGraceEnds(ctx)
+	defer cancel()
+	decision := c.front.admitter.Admit(waitCtx, c.tenant, tokens, allowance, 0)
 	admission.setTally(decision)
 	if decision.Allowed {
 		return nil
 	}
+	if waitCtx.Err() != nil && ctx.Err() == nil {
+		return errGraceEnded()
+	}
 	rejection := &apierror.Error{
 		Code:   decision.Code,
 		Detail: fmt.Sprintf("%s has %.0f tokens in a window", c.tenant, decision.Limit),
--- a/internal/node/front/call.go
+++ b/internal/node/front/call.go
@@ -81,6 +81,8 @@
 // serve admits the call, runs it and records its result. Tokens is its cost, zero
 // for that of its service.
 func (c *call) serve(ctx context.Context, kind string, tokens float64, run func(context.Context) *apierror.Error) *apierror.Error {
+	c.front.calls.enter()
+	defer c.front.calls.leave()
 	apiErr := c.admit(ctx, kind, tokens)
 	if apiErr == nil {
 		ctx = c.front.calls.register(ctx, &c.runningCall)
--- a/internal/node/front/call_registry.go
+++ b/internal/node/front/call_registry.go
@@ -21,8 +21,8 @@
 // new version of the configuration revokes, all calls once the node has been
 // without authority for the grace period, and those left at the end of a drain.
 //
-// The goroutine in Serve owns running and pendingDrains. checkRunning may be
-// called from any goroutine.
+// The goroutine in Serve owns running and pendingDrains. checkRunning, enter, leave
+// and untilGraceEnds may be called from any goroutine.
 type callRegistry struct {
 	views          Views
 	clock          clock.Clock
@@ -34,6 +34,9 @@
 	stopped        chan struct{} // closed when the front has stopped
 	running        map[*runningCall]struct{}
 	pendingDrains  []drainRequest
+	entered        atomic.Int64    // requests between enter and leave, running or waiting to be admitted
+	graceEnded     context.Context // ends when a drain's grace has ended
+	endGrace       context.CancelFunc
 }
 
 // callTransition is the start or the end of a call. Both go through one queue,
@@ -43,9 +46,9 @@
 	starts bool
 }
 
-// drainRequest waits for the end of all calls.
+// drainRequest waits for the end of all requests.
 type drainRequest struct {
-	done      chan struct{}   // closed by the registry when no call runs
+	done      chan struct{}   // closed by the registry when no request is left
 	cancelled <-chan struct{} // closed by the requester to cancel the remaining calls
 }
 
@@ -61,6 +64,7 @@
 }
 
 func newCallRegistry(views Views, clock clock.Clock, authorityGrace time.Duration, stopped chan struct{}) *callRegistry {
+	graceEnded, endGrace := context.WithCancel(context.Background())
 	return &callRegistry{
 		views:          views,
 		clock:          clock,
@@ -70,6 +74,27 @@
 		drainRequests:  make(chan drainRequest),
 		stopped:        stopped,
 		running:        map[*runningCall]struct{}{},
+		graceEnded:     graceEnded,
+		endGrace:       endGrace,
+	}
+}
+
+// enter counts a request, before it is checked whether the node drains, so that a
+// drain waits for it. The caller must call leave after the request's call has been
+// deregistered.
+func (r *callRegistry) enter() { r.entered.Add(1) }
+
+// leave ends the count of a request.
+func (r *callRegistry) leave() { r.entered.Add(-1) }
+
+// untilGraceEnds returns a context that ends with the given one and at the end of a
+// drain's grace.
+func (r *callRegistry) untilGraceEnds(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.graceEnded, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
 	}
 }
 
@@ -183,12 +208,11 @@
 	}
 }
 
-// completeDrains completes the drain requests when no call runs or is about to,
-// and cancels the remaining calls of those that were cancelled.
+// completeDrains completes the drain requests when no request is left, and cancels the remaining calls of those that were cancelled.
 func (r *callRegistry) completeDrains() {
 	pending := r.pendingDrains[:0]
 	for _, request := range r.pendingDrains {
-		if len(r.running) == 0 && r.transitions.Len() == 0 {
+		if r.entered.Load() == 0 {
 			close(request.done)
 			continue
 		}
@@ -204,12 +228,18 @@
 
 func (r *callRegistry) cancelAll() {
 	for call := range r.running {
-		r.cancelCall(call, apierror.Errorf(apierror.FrontLeaving, "the node is being taken away").WithRetryAfter(time.Second))
+		r.cancelCall(call, errGraceEnded())
 	}
 }
 
-// drain waits until no call runs. When the context ends first, it cancels the
-// remaining calls, gives them time to end, and returns the context's error.
+// errGraceEnded is the answer to a request that is left at the end of a drain.
+func errGraceEnded() *apierror.Error {
+	return apierror.Errorf(apierror.FrontLeaving, "the node is being taken away").WithRetryAfter(time.Second)
+}
+
+// drain waits until no request is left. When the context ends first, it cancels the
+// remaining calls and those that wait to be admitted, gives them time to end, and
+// returns the context's error.
 func (r *callRegistry) drain(ctx context.Context) error {
 	cancelled := make(chan struct{})
 	request := drainRequest{done: make(chan struct{}), cancelled: cancelled}
@@ -223,6 +253,7 @@
 		return nil
 	case <-ctx.Done():
 	}
+	r.endGrace()
 	close(cancelled)
 	<-r.clock.After(2 * callCheckInterval)
 	return ctx.Err()
--- a/internal/node/front/call_registry_test.go
+++ b/internal/node/front/call_registry_test.go
@@ -117,6 +117,43 @@
 			f.checkEqual("drained", <-drained, nil)
 		})
 	})
+	Convey("A request that waits for its tenant's quota when the drain begins is served before the drain ends", t, func() {
+		inBubble(t, func(t *testing.T) {
+			f := newFixture(t, "model", 8, streamingServer(1, time.Second))
+			defer f.stop()
+			f.admitter.wait = 2 * time.Second
+			caller := f.connect()
+			caller.prompt("r1", time.Minute)
+			synctest.Wait()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			drained := make(chan error, 1)
+			runsWhenDrained := make(chan int, 1)
+			go func() {
+				drained <- f.front.Drain(ctx)
+				runsWhenDrained <- f.runs("r1")
+			}()
+			got := caller.readResponse()
+			f.checkEqual("answer", []any{got.status, got.complete, strings.Contains(got.body, "final")}, []any{200, true, true})
+			f.checkEqual("drained", <-drained, nil)
+			f.checkEqual("runs when the drain ends", <-runsWhenDrained, 1)
+		})
+	})
+	Convey("A request that still waits for its tenant's quota at the end of the grace is told that the node leaves", t, func() {
+		inBubble(t, func(t *testing.T) {
+			f := newFixture(t, "model", 8, streamingServer(1, time.Second))
+			defer f.stop()
+			f.admitter.wait = 20 * time.Second
+			caller := f.connect()
+			caller.prompt("r1", time.Minute)
+			synctest.Wait()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			f.checkEqual("drained", f.front.Drain(ctx), context.DeadlineExceeded)
+			f.checkEqual("answer", caller.readResponse().code, apierror.FrontLeaving)
+			f.checkEqual("runs", f.runs("r1"), 0)
+		})
+	})
 	Convey("An answer that is being written when the listener ends goes out whole", t, func() {
 		inBubble(t, func(t *testing.T) {
 			body := strings.Repeat("x", 1<<19)
--- a/internal/node/front/fixture_test.go
+++ b/internal/node/front/fixture_test.go
@@ -81,9 +81,17 @@
 
 type fakeAdmitter struct {
 	decide func(tenant string, tokens float64, allowance quota.Allowance) quota.Decision
+	wait   time.Duration // before each decision
 }
 
-func (f *fakeAdmitter) Admit(_ context.Context, tenant string, tokens float64, allowance quota.Allowance, _ time.Duration) quota.Decision {
+func (f *fakeAdmitter) Admit(ctx context.Context, tenant string, tokens float64, allowance quota.Allowance, _ time.Duration) quota.Decision {
+	if f.wait > 0 {
+		select {
+		case <-time.After(f.wait):
+		case <-ctx.Done():
+			return quota.Decision{Code: apierror.CallerGone}
+		}
+	}
 	if f.decide == nil {
 		return quota.Decision{Allowed: true, Limit: 810}
 	}
