rig: a request is lost, too, if the node answered one that was sent 0.2 s later; soaked servers stay away for 1 s

Cause: lost_request knew that a node had read a request only if a server ran it or its answer had begun, so it did not see the requests that the drain cut while they waited for their quota; they were found by reading ledgers. And a soak let a crashed model server return after 0 to 0.5 s, within one status interval (watch.interval, 0.5 s), in which no node can know that it is cold.

Change: a request whose connection closes without an answer was read if the node answered another one that was sent 0.2 s later. A crashed server is away for 1 to 2 s, as in the case cold and the mix.

--- a/cmd/rig/checker/checker_test.go
+++ b/cmd/rig/checker/checker_test.go
@@ -85,6 +85,11 @@
 			recording.Attempts[1].Outcome = history.ConnectionBroken
 			recording.Interruptions = []history.Interruption{{At: second, Target: "front2"}}
 		}},
+		{"lost_request", "a request without an answer at a node that answered a later one", func(recording *history.Recording) {
+			recording.Attempts[2].Outcome, recording.Attempts[2].Code, recording.Attempts[2].Done = history.ConnectionBroken, 0, 3*second
+			recording.Attempts = append(recording.Attempts, history.Attempt{Token: "g3", Kind: "get", Front: "front1",
+				Sent: second + lostRequestSlack, Done: 2 * second, Outcome: history.Rejected, Status: 503, Code: int(apierror.FrontLeaving)})
+		}},
 		{"stream", "a gap", func(recording *history.Recording) { recording.Attempts[0].Events[1].Seq = 2 }},
 		{"stream", "a gap behind renumbered frames", func(recording *history.Recording) { recording.Attempts[0].Events[1].Index = 2 }},
 		{"stream", "a doubled event", func(recording *history.Recording) {
--- a/cmd/rig/checker/lost_requests.go
+++ b/cmd/rig/checker/lost_requests.go
@@ -2,14 +2,20 @@
 
 import (
 	"slices"
+	"time"
 
 	"stepwick/cmd/rig/history"
 )
 
-// checkLostRequests finds requests that a node had certainly read, as a server ran
-// them or their answer had begun, and whose connection it closed without a complete
-// answer although neither the node nor the server was interrupted meanwhile. A
-// request that a process leaves unread when it ends is no violation.
+// lostRequestSlack is how much later another request may be sent that the node still
+// answers before it closes the connection of one that it leaves unread.
+const lostRequestSlack = 200 * time.Millisecond
+
+// checkLostRequests finds requests that a node had read, and whose connection it
+// closed without a complete answer although neither the node nor the server was
+// interrupted meanwhile. It had read those that a server ran, those whose answer had
+// begun, and those that were sent well before another one that it answered. A request
+// that a process leaves unread when it ends is no violation.
 func checkLostRequests(recording *history.Recording) findings {
 	var found findings
 	runs := runsByToken(recording)
@@ -18,8 +24,7 @@
 			continue
 		}
 		ran := runs[attempt.Token]
-		wasRead := attempt.Status != 0 || slices.ContainsFunc(ran, func(run history.Run) bool { return run.Ran })
-		if !wasRead || interrupted(recording, attempt, ran) {
+		if !wasRead(recording, attempt, ran) || interrupted(recording, attempt, ran) {
 			continue
 		}
 		found.add("%s %s through %s, sent at %s, lost its connection at %s with status %d; %d servers ran it",
@@ -28,6 +33,17 @@
 	return found
 }
 
+// wasRead reports whether the recording shows that the node had read a request.
+func wasRead(recording *history.Recording, attempt history.Attempt, runs []history.Run) bool {
+	if attempt.Status != 0 || slices.ContainsFunc(runs, func(run history.Run) bool { return run.Ran }) {
+		return true
+	}
+	return slices.ContainsFunc(recording.Attempts, func(later history.Attempt) bool {
+		sentLater := later.Front == attempt.Front && later.Sent >= attempt.Sent+lostRequestSlack
+		return sentLater && later.Status != 0 && later.Done <= attempt.Done
+	})
+}
+
 func runsByToken(recording *history.Recording) map[string][]history.Run {
 	runs := map[string][]history.Run{}
 	for _, run := range recording.Runs {
--- a/cmd/rig/faultcase/soak_schedule.go
+++ b/cmd/rig/faultcase/soak_schedule.go
@@ -38,6 +38,11 @@
 	maxFreeze    = 2500 * time.Millisecond // somewhat more than a lease lasts
 	maxBurst     = 15                      // orders or signals of a step
 
+	// A crashed server is away for two status intervals (watch.interval) at least:
+	// nobody can know before that it is cold.
+	minServerDown = time.Second
+	maxServerDown = 2 * time.Second
+
 	// maxStepsOfNode bounds how far the steps of a node, which follow one another,
 	// can fall behind the schedule. The same holds for a server.
 	maxStepsOfNode   = 4
@@ -161,8 +166,11 @@
 }
 
 func (s *soakSchedule) drawLength(action soakAction) time.Duration {
-	if action == soakFreeze || action == soakRestartFrozen {
+	switch action {
+	case soakFreeze, soakRestartFrozen:
 		return s.draw(minStepGap, maxFreeze)
+	case soakCrashServer:
+		return s.draw(minServerDown, maxServerDown)
 	}
 	return s.draw(0, maxDownTime)
 }
