rig: lost_request infers reading only on open connections, from the moment of writing; storms fixed by the length

And the number of a soak's storms depended on how long each took.

Change: an attempt records when it had been written; only then, and on a connection that had carried a request before, does a later answered request show that it was read. A soak of a length always has the same storms.

--- a/cmd/rig/checker/checker_test.go
+++ b/cmd/rig/checker/checker_test.go
@@ -87,6 +87,7 @@
 		}},
 		{"lost_request", "a request without an answer at a node that answered a later one", func(recording *history.Recording) {
 			recording.Attempts[2].Outcome, recording.Attempts[2].Code, recording.Attempts[2].Done = history.ConnectionBroken, 0, 3*second
+			recording.Attempts[2].Reused, recording.Attempts[2].Written = true, second
 			recording.Attempts = append(recording.Attempts, history.Attempt{Token: "g3", Kind: "get", Front: "front1",
 				Sent: second + lostRequestSlack, Done: 2 * second, Outcome: history.Rejected, Status: 503, Code: int(apierror.FrontLeaving)})
 		}},
@@ -231,6 +232,13 @@
 			So(checkLostRequests(recording), ShouldBeEmpty)
 		})
 	})
+	Convey("A request on a new connection is no lost request because a later one on another was answered", t, func() {
+		recording := validRecording()
+		recording.Attempts[2].Outcome, recording.Attempts[2].Code, recording.Attempts[2].Done = history.ConnectionBroken, 0, 3*second
+		recording.Attempts[2].Written = second
+		recording.Attempts = append(recording.Attempts, history.Attempt{Token: "g3", Front: "front1", Sent: 2 * second, Done: 2 * second, Status: 503})
+		So(checkLostRequests(recording), ShouldBeEmpty)
+	})
 	Convey("A kill before or after the request does not excuse it", t, func() {
 		recording := broken()
 		recording.Interruptions = []history.Interruption{{At: second - 1, Target: "front1"}, {At: second + 1, Target: "front1"}}
--- a/cmd/rig/faultcase/soak_test.go
+++ b/cmd/rig/faultcase/soak_test.go
@@ -60,6 +60,10 @@
 			}
 		}
 	})
+	Convey("The storms of a soak depend on its length alone", t, func() {
+		So(stormLengths(25*time.Second), ShouldResemble, []time.Duration{stormLength, stormLength, 5 * time.Second})
+		So(stormLengths(10*time.Second), ShouldResemble, []time.Duration{stormLength})
+	})
 	Convey("A fleet of one front and one core has a schedule", t, func() {
 		smallest := soakTargets{cores: []string{"core1"}, fronts: []string{"front1"}, models: []string{"model1"}}
 		So(drawSoakSchedule(1, 0, smallest, stormLength), ShouldNotBeEmpty)
--- a/cmd/rig/history/recording.go
+++ b/cmd/rig/history/recording.go
@@ -96,6 +96,7 @@
 	BodyToken   string  `json:"body,omitempty"` // the token that the body carries
 	BodyIntact  bool    `json:"whole"`          // length and digest match
 	Reused      bool    `json:"kept,omitempty"` // the connection had carried another attempt before
+	Written     Instant `json:"written"`        // when the request had been handed over to the system; 0 if it was not
 }
 
 // Run is one request that a server accepted.
