--- a/internal/decision/quota/account.go
+++ b/internal/decision/quota/account.go
@@ -138,8 +138,9 @@
 // budget returns how much this front may spend before the owner's totals include it:
 // its share of the capacity that is known to be left. While the owner is unresponsive
 // the share is an even one, since the last ones may add up to more than one: a front
-// where the tenant was idle retains its own. A front that had no recent totals when the owner stopped answering takes the
-// limit for spent, less and less over one window (assumedSpent).
+// where the tenant was idle retains its own. A front that had no recent totals when the
+// owner stopped answering takes the limit for spent, less and less over one window
+// (assumedSpent).
 func (a *account) budget(config *Config, estimate *estimate, now time.Time) float64 {
 	unresponsive := a.sync.ownerUnresponsive(config, now)
 	maxAge := ownerUnresponsiveAfter.in(config) + a.allocation.sendSpacing
--- a/internal/node/quotasync/exchange.go
+++ b/internal/node/quotasync/exchange.go
@@ -17,9 +17,11 @@
 
 // exchanges is a shard's state of the exchanges with owners, by the owner's name.
 type exchanges struct {
-	inFlight     map[string]int
-	sentTo       map[string]bool      // since the last tick
-	unanswered   map[string]time.Time // since when direct exchanges in flight have had no answer; see takeOverdue
+	inFlight map[string]int
+	sentTo   map[string]bool // since the last tick
+
+	// unanswered holds since when direct exchanges in flight have had no answer.
+	unanswered   map[string]time.Time
 	unresponsive map[string]bool
 }
 
@@ -57,7 +59,8 @@
 	}
 }
 
-// takeOverdue returns the owners that have not answered direct exchanges for a time, and restarts the time of these.
+// takeOverdue returns the owners that have not answered direct exchanges for a time, and
+// restarts the time of these.
 func (e *exchanges) takeOverdue(after time.Duration, now time.Time) []string {
 	var owners []string
 	for owner, since := range e.unanswered {
@@ -90,10 +93,12 @@
 	err      error
 }
 
+// sendCounts sends the counts that are due.
 func (s *shard) sendCounts(ctx context.Context) {
 	s.send(ctx, s.limiter.CountsToSend(s.service.fleetNow(), s.ownerOf))
 }
 
+// sendUrgent sends the counts that don't wait for the next interval.
 func (s *shard) sendUrgent(ctx context.Context) {
 	s.send(ctx, s.limiter.UrgentCounts(s.service.fleetNow(), s.ownerOf, s.exchanges.readyForUrgent))
 }
@@ -163,6 +168,7 @@
 	pending int
 }
 
+// flush sends all counts that no owner is known to have, and has done told the result.
 func (s *shard) flush(ctx context.Context, done chan error) {
 	sent := s.send(ctx, s.limiter.CountsToFlush(s.service.fleetNow(), s.ownerOf))
 	s.flushing = append(s.flushing, pendingFlush{done, sent})
--- a/sim/quota/counter_queue.go
+++ b/sim/quota/counter_queue.go
@@ -1,7 +1,8 @@
 package quota
 
 // enqueue has the owner's counter handle the request after those that arrived before,
-// each of which takes AddTime as of its arrival. A request whose sender has given up by then is dropped.
+// each of which takes AddTime as of its arrival. A request whose sender has given up by
+// then is dropped.
 func (x *exchange) enqueue() {
 	r := x.run
 	owner := r.fronts[x.to]
