--- a/internal/decision/quota/load_test.go
+++ b/internal/decision/quota/load_test.go
@@ -88,3 +88,19 @@
 		})
 	})
 }
+
+// Guards against one front's late time that slows down the counts of all others.
+func TestOneFrontsClockDoesNotSpaceTheOthersCounts(t *testing.T) {
+	Convey("With three active fronts, of which one is a second behind, no sending is limited", t, func() {
+		fronts := []string{"a", "b", "c"}
+		counter := NewCounter(OwnerOf("t", fronts), 1, Config{})
+		longest := time.Duration(0)
+		for second := 0.0; second < 15; second += 0.2 {
+			counter.SetMembership(fronts, nil, after(second))
+			addAfter(counter, "a", second-1, second)
+			addAfter(counter, "b", second-0.02, second)
+			longest = max(longest, reportedSpacing(addAfter(counter, "c", second-0.02, second)))
+		}
+		So(longest, ShouldEqual, 0)
+	})
+}
