quota: limit an owner's counts over all its tenants, by most of its fronts

Change: the spacing belongs to the owner. A front sends it all tenants' counts that are due in one request; the owner counts the fronts that it hears of all tenants. Congestion doubles while more than half of the counts are late, halves otherwise, and is 8 at most. A request isn't queued where the owner's spacing leaves no exchange within an interval, since the queue would end first. A tenant's urgent counts wait for the spacing instead of being dropped at the next interval.

--- a/internal/decision/quota/account.go
+++ b/internal/decision/quota/account.go
@@ -124,12 +124,6 @@
 	return a.spend.own.sum(oldest+1, newest) + a.spend.own.get(oldest)*(1-elapsed)
 }
 
-// maySendUrgently reports whether the tenant's counts may be sent before the next
-// interval, as far as the owner's load allows.
-func (a *account) maySendUrgently(now time.Time) bool {
-	return now.Sub(a.sync.lastSent) >= a.allocation.sendSpacing
-}
-
 // confirmedUntil returns the instant up to which the totals have all fronts' spend.
 func (a *account) confirmedUntil(config *Config) time.Time {
 	return a.sync.totalsAsOf.Add(-config.MaxLag - a.allocation.sendSpacing)
--- a/internal/decision/quota/admission.go
+++ b/internal/decision/quota/admission.go
@@ -98,7 +98,7 @@
 	}
 	if a.exchangeExpected() {
 		decision.SendNow = true
-		decision.Queue = a.limiter.config.enabled(Queueing) && a.wellBelowLimit()
+		decision.Queue = a.limiter.config.enabled(Queueing) && a.wellBelowLimit() && a.exchangeSoon()
 		a.limiter.setUrgent(a.account)
 	}
 }
@@ -118,6 +118,12 @@
 	return a.estimate.previous < queueBelow*a.estimate.limit && !failedLongAgo
 }
 
+// exchangeSoon reports whether counts may be sent within an interval.
+func (a *admission) exchangeSoon() bool {
+	owner := a.account.sync.owner.name
+	return owner == "" || a.limiter.untilNextSend(owner, a.now) <= a.limiter.config.Interval
+}
+
 func (a *admission) wellBelowLimit() bool {
 	return a.estimate.recent+a.estimate.reserved+a.tokens/2 <= queueBelow*a.estimate.limit
 }
--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -20,7 +20,7 @@
 		share:         to.share,
 		reserved:      tenant.reservation.fraction,
 		reservedSpent: tenant.reservation.spent,
-		sendSpacing:   c.load.spacing(&c.config, tenant.demand.fronts),
+		sendSpacing:   c.load.spacing(&c.config),
 	}
 }
 
@@ -104,7 +104,7 @@
 	considered := make(map[string]bool, len(tenant.fronts))
 	newest := c.grid.slice(now)
 	oldest := newest - c.grid.slicesPerWindow + 1
-	heardWithin := frontMissingAfter.in(&c.config) + c.load.spacing(&c.config, tenant.demand.fronts)
+	heardWithin := frontMissingAfter.in(&c.config) + c.load.spacing(&c.config)
 	for front, contribution := range tenant.fronts {
 		if now.Sub(contribution.lastReceived) <= heardWithin {
 			considered[front.name] = true
--- a/internal/decision/quota/counter.go
+++ b/internal/decision/quota/counter.go
@@ -35,7 +35,7 @@
 		config:      config,
 		grid:        newTimeGrid(config),
 		membership:  membership{unresponsive: map[string]time.Time{}},
-		load:        addLoad{congestion: 1},
+		load:        newAddLoad(),
 		tenants:     map[string]*tenantCount{},
 	}
 }
@@ -115,6 +115,7 @@
 			Fresh:       c.justStarted(now),
 		},
 	}
+	c.load.observeSender(addition.front, now)
 	for i, count := range req.Counts {
 		lastOfTenant := i+1 == len(req.Counts) || req.Counts[i+1].Tenant != count.Tenant
 		addition.apply(count, lastOfTenant)
@@ -177,7 +178,7 @@
 		at = a.now
 	}
 	if !report.idle && !a.counter.justStarted(a.now) {
-		a.counter.load.observeLag(a.now.Sub(at))
+		a.counter.load.observeLag(&a.counter.config, a.now.Sub(at))
 	}
 	from.demand.record(report.tokens, at, a.counter.config.Interval/demandReportSpacing)
 }
@@ -208,7 +209,7 @@
 	if tenant.countedForOther {
 		return age > ownerUnresponsiveAfter.in(&c.config)
 	}
-	spacing := c.load.spacing(&c.config, len(c.membership.fronts))
+	spacing := baseSpacing(&c.config, len(c.membership.fronts))
 	return !tenant.totalsReported || spacing == 0 || age > spacing+c.config.Interval
 }
 
--- a/internal/decision/quota/limiter.go
+++ b/internal/decision/quota/limiter.go
@@ -17,14 +17,16 @@
 	fronts   []string
 	accounts map[string]*account
 	urgent   []*account
-	owners   map[string]ownerState
+	owners   map[string]*ownerState
 	now      time.Time // latest instant of a call
 }
 
-// ownerState is what an owner last reported of itself.
+// ownerState is what an owner last reported of itself, and when it was last sent to.
 type ownerState struct {
 	incarnation uint64
-	fresh       bool // it has just started and needs the totals that fronts know
+	fresh       bool          // it has just started and needs the totals that fronts know
+	sendSpacing time.Duration // least time between two requests to it
+	lastSent    time.Time
 }
 
 // NewLimiter returns an empty Limiter of the front named self.
@@ -36,7 +38,7 @@
 		grid:     newTimeGrid(config),
 		fronts:   []string{self},
 		accounts: map[string]*account{},
-		owners:   map[string]ownerState{},
+		owners:   map[string]*ownerState{},
 	}
 }
 
--- a/internal/decision/quota/limiter_exchange.go
+++ b/internal/decision/quota/limiter_exchange.go
@@ -25,31 +25,59 @@
 func (l *Limiter) CountsToSend(now time.Time, ownerOf func(tenant string) string) map[string][]*wire.Count {
 	now = l.advance(now)
 	batches := countBatches{}
+	early := l.config.Interval / 2
 	for tenant, account := range l.accounts {
 		if now.Sub(account.lastUsed) > 2*l.config.Window {
 			delete(l.accounts, tenant)
 			continue
 		}
+		owner := ownerOf(tenant)
 		switch {
+		case l.untilNextSend(owner, now) > early:
 		case l.sentRecently(account, now):
 		case l.needsSending(account, now):
 			account.sync.urgent = false
-			l.appendCounts(batches, ownerOf(tenant), account, now)
+			l.appendCounts(batches, owner, account, now)
 		case !account.sync.reportedIdle:
 			account.sync.reportedIdle = true
-			batches.add(ownerOf(tenant), demandReport{idle: true}.count(tenant))
+			batches.add(owner, demandReport{idle: true}.count(tenant))
 		}
 	}
-	l.retainUrgent(now)
+	l.retainUrgent(ownerOf)
+	l.recordSent(batches, now)
 	batches.sort()
 	return batches
 }
 
-// retainUrgent leaves among the urgent accounts those that may not send yet.
-func (l *Limiter) retainUrgent(now time.Time) {
+// owner returns the state of an owner, added if it is new.
+func (l *Limiter) owner(name string) *ownerState {
+	state := l.owners[name]
+	if state == nil {
+		state = &ownerState{sendSpacing: baseSpacing(&l.config, len(l.fronts))}
+		l.owners[name] = state
+	}
+	return state
+}
+
+// untilNextSend returns how long it takes until counts may be sent to an owner; zero or
+// less if they may be now.
+func (l *Limiter) untilNextSend(owner string, now time.Time) time.Duration {
+	state := l.owner(owner)
+	return state.sendSpacing - now.Sub(state.lastSent)
+}
+
+func (l *Limiter) recordSent(batches countBatches, now time.Time) {
+	for owner := range batches {
+		l.owner(owner).lastSent = now
+	}
+}
+
+// retainUrgent leaves among the urgent accounts those that were not sent because of
+// their owner's spacing.
+func (l *Limiter) retainUrgent(ownerOf func(tenant string) string) {
 	waiting := l.urgent[:0]
 	for _, account := range l.urgent {
-		account.sync.urgent = account.sync.urgent && !account.maySendUrgently(now)
+		account.sync.urgent = account.sync.urgent && l.owner(ownerOf(account.tenant)).sendSpacing > 0
 		if account.sync.urgent {
 			waiting = append(waiting, account)
 		}
@@ -67,6 +95,7 @@
 			l.appendCounts(batches, ownerOf(tenant), account, now)
 		}
 	}
+	l.recordSent(batches, now)
 	batches.sort()
 	return batches
 }
@@ -77,15 +106,10 @@
 	return now.Sub(account.lastUsed) <= requestTotalsFor.in(&l.config) || account.sync.unsent > 0 || account.sync.waiting()
 }
 
-// sentRecently reports whether the counts of a tenant were sent so recently that they
-// can wait: it is far below its limit, or the owner receives many fronts' counts.
+// sentRecently reports whether the counts of a tenant far below its limit were sent
+// so recently that they can wait.
 func (l *Limiter) sentRecently(account *account, now time.Time) bool {
-	sinceSent := now.Sub(account.sync.lastSent)
-	tolerance := l.config.Interval / 2
-	if sinceSent < account.allocation.sendSpacing-tolerance {
-		return true
-	}
-	if sinceSent >= calmSendIntervals.in(&l.config)-tolerance {
+	if now.Sub(account.sync.lastSent) >= (calmSendIntervals-1).in(&l.config)+l.config.Interval/2 {
 		return false
 	}
 	estimate := account.estimate(&l.config, l.grid, now)
@@ -105,14 +129,16 @@
 	batches := countBatches{}
 	waiting := l.urgent[:0]
 	for _, account := range l.urgent {
-		if !account.maySendUrgently(now) || !ready(ownerOf(account.tenant)) {
+		owner := ownerOf(account.tenant)
+		if l.untilNextSend(owner, now) > 0 || !ready(owner) {
 			waiting = append(waiting, account)
 			continue
 		}
 		account.sync.urgent = false
-		l.appendCounts(batches, ownerOf(account.tenant), account, now)
+		l.appendCounts(batches, owner, account, now)
 	}
 	l.urgent = waiting
+	l.recordSent(batches, now)
 	return batches
 }
 
@@ -158,7 +184,7 @@
 // needsTotals reports whether an owner may lack what this front knows of the other
 // fronts' spend: it has just started, or another one reported the totals.
 func (l *Limiter) needsTotals(owner string, account *account) bool {
-	state := l.owners[owner]
+	state := l.owner(owner)
 	return state.fresh || account.sync.owner != frontID{owner, state.incarnation}
 }
 
@@ -191,13 +217,16 @@
 	if sentAt.After(now) {
 		sentAt = now
 	}
-	l.owners[resp.Holder] = ownerState{incarnation: resp.Incarnation, fresh: resp.Fresh}
+	owner := l.owner(resp.Holder)
+	owner.incarnation = resp.Incarnation
+	owner.fresh = resp.Fresh
 	for _, total := range resp.Totals {
 		account := l.accounts[total.Tenant]
 		switch {
 		case account == nil:
 		case isAllocationReport(total):
 			account.allocation.allocationReport = readAllocationReport(total)
+			owner.sendSpacing = account.allocation.sendSpacing
 			account.sync.answered(frontID{resp.Holder, resp.Incarnation}, sentAt)
 		default:
 			l.applyTotal(account, total, now)
--- a/internal/decision/quota/load.go
+++ b/internal/decision/quota/load.go
@@ -15,68 +15,94 @@
 	congestionPeriod = ownerUnresponsiveAfter
 
 	congestionGrowth = 2.0
-	congestionDecay  = 0.9
-	maxCongestion    = 64
+	maxCongestion    = 8.0
 )
 
 // addLoad limits how often fronts send counts to an owner: by their number, and less
-// often while counts are handled later than MaxLag after they were sent.
+// often while most counts are handled later than MaxLag after they were sent.
 type addLoad struct {
-	congestion float64 // factor of the spacing; at least 1
+	senders    map[frontID]time.Time // when a front was last heard
+	congestion float64               // factor of the spacing; at least 1
 	adaptedAt  time.Time
-	lag        time.Duration // summed since adaptedAt
-	counts     int
-	lastLag    time.Duration // mean of the period before adaptedAt
+	lags       lagSample // since adaptedAt
+	previous   lagSample // of the period before
 }
 
-// observeLag records the time between a count's departure and its handling.
-func (l *addLoad) observeLag(lag time.Duration) {
-	l.lag += lag
-	l.counts++
+// lagSample sums up how long counts took from their departure to their handling.
+type lagSample struct {
+	counts int
+	late   int // later than MaxLag
+	sum    time.Duration
 }
 
-// meanLag returns the counts' mean lag since congestion was adapted.
-func (l *addLoad) meanLag() time.Duration { return l.lag / time.Duration(max(1, l.counts)) }
+func (s *lagSample) mean() time.Duration { return s.sum / time.Duration(max(1, s.counts)) }
 
-// congested reports whether counts were handled late, and fronts aren't known to have
-// adapted to that.
+// mostlyLate reports whether more than half of the counts were late, so that it isn't
+// the lag of a few fronts.
+func (s *lagSample) mostlyLate() bool { return 2*s.late > s.counts }
+
+func newAddLoad() addLoad {
+	return addLoad{senders: map[frontID]time.Time{}, congestion: 1}
+}
+
+func (l *addLoad) observeSender(front frontID, now time.Time) { l.senders[front] = now }
+
+// observeLag records the time between a count's departure and its handling. It counts
+// for no more than the time after which the sender gives up.
+func (l *addLoad) observeLag(config *Config, lag time.Duration) {
+	l.lags.counts++
+	l.lags.sum += min(lag, ownerUnresponsiveAfter.in(config))
+	if lag > config.MaxLag {
+		l.lags.late++
+	}
+}
+
+// congested reports whether counts are or were recently handled late: fronts that
+// aren't heard may be spending then.
 func (l *addLoad) congested() bool { return l.congestion > 1 }
 
-// update adapts the congestion once in a congestionPeriod.
+// update forgets the fronts that are no longer active, and adapts the congestion once
+// in a congestionPeriod.
 func (l *addLoad) update(config *Config, now time.Time) {
+	for front, heard := range l.senders {
+		if now.Sub(heard) > frontActiveFor.in(config) {
+			delete(l.senders, front)
+		}
+	}
 	if now.Sub(l.adaptedAt) < congestionPeriod.in(config) {
 		return
 	}
-	if l.meanLag() > config.MaxLag {
-		l.congestion *= congestionGrowth
+	if l.lags.mostlyLate() {
+		l.congestion = min(l.congestion*congestionGrowth, maxCongestion)
 	} else {
-		l.congestion = max(1, l.congestion*congestionDecay)
-	}
-	*l = addLoad{
-		congestion: min(l.congestion, maxCongestion),
-		adaptedAt:  now,
-		lastLag:    l.meanLag(),
+		l.congestion = max(1, l.congestion/congestionGrowth)
 	}
+	l.adaptedAt = now
+	l.previous = l.lags
+	l.lags = lagSample{}
 }
 
 // Lag returns the mean time between the departure of a count and its handling here,
 // over the last complete period of a second by default; zero if there was none.
-func (c *Counter) Lag() time.Duration { return c.load.lastLag }
+func (c *Counter) Lag() time.Duration { return c.load.previous.mean() }
+
+// Late reports whether most counts were handled later than the fronts' shares assume.
+func (c *Counter) Late() bool { return c.load.previous.mostlyLate() }
 
-// Late reports whether the counts' lag exceeds what the fronts' shares assume.
-func (c *Counter) Late() bool { return c.load.lastLag > c.config.MaxLag }
+// spacing returns the least time between two requests of each of the active fronts;
+// zero if it isn't limited.
+func (l *addLoad) spacing(config *Config) time.Duration {
+	return limitedSpacing(config, l.congestion*float64(len(l.senders)))
+}
 
-// baseSpacing returns the spacing for an owner that handles counts in time.
+// baseSpacing returns the spacing for an owner that a number of fronts send to and that
+// handles their counts in time.
 func baseSpacing(config *Config, fronts int) time.Duration {
-	load := addLoad{congestion: 1}
-	return load.spacing(config, fronts)
+	return limitedSpacing(config, float64(fronts))
 }
 
-// spacing returns the least time between two requests of each of a number of fronts;
-// zero if it isn't limited.
-func (l *addLoad) spacing(config *Config, fronts int) time.Duration {
-	seconds := l.congestion * float64(fronts) / config.MaxAddRate
-	spacing := time.Duration(seconds * float64(time.Second))
+func limitedSpacing(config *Config, fronts float64) time.Duration {
+	spacing := time.Duration(fronts / config.MaxAddRate * float64(time.Second))
 	if float64(spacing) <= minSendSpacing*float64(config.Interval) {
 		return 0
 	}
--- a/internal/decision/quota/load_test.go
+++ b/internal/decision/quota/load_test.go
@@ -31,11 +31,10 @@
 		fronts = append(fronts, "f"+strconv.Itoa(i))
 	}
 	Convey("Nine fronts aren't limited, 300 are limited to the rate of the configuration", t, func() {
-		load := addLoad{congestion: 1}
 		config := Config{}.withDefaults()
-		So(load.spacing(&config, 9), ShouldEqual, 0)
-		So(load.spacing(&config, 300), ShouldEqual, 750*time.Millisecond)
-		So(load.spacing(&config, 100_000), ShouldEqual, maxSendSpacing.in(&config))
+		So(baseSpacing(&config, 9), ShouldEqual, 0)
+		So(baseSpacing(&config, 300), ShouldEqual, 750*time.Millisecond)
+		So(baseSpacing(&config, 100_000), ShouldEqual, maxSendSpacing.in(&config))
 	})
 	Convey("An owner that handles counts late reports a longer spacing, and a shorter one once it doesn't", t, func() {
 		counter := NewCounter(OwnerOf("t", fronts), 1, Config{})
@@ -59,7 +58,7 @@
 		So(round(7.2, 0.1), ShouldEqual, time.Second)
 		So(counter.Late(), ShouldBeTrue)
 		So(counter.Lag(), ShouldAlmostEqual, 500*time.Millisecond, time.Millisecond)
-		So(round(8.4, 0.1), ShouldBeBetween, 500*time.Millisecond, time.Second)
+		So(round(8.4, 0.1), ShouldEqual, 500*time.Millisecond)
 		So(counter.Late(), ShouldBeFalse)
 	})
 }
