quota: leave fleets below 100 fronts without a spacing of counts

Spaced counts are judged with a longer lag, which costs capacity.

Change: 500 requests a second, and no spacing where periodic counts alone stay below that. Fleets up to 100 fronts send as before the incident; congestion still spaces them out. 300 fronts: 600 ms. Fronts probe a suspected owner as long as that takes a quarter of its rate at most (31 fronts); in larger fleets the membership alone tells who is unresponsive.

--- a/internal/decision/quota/config.go
+++ b/internal/decision/quota/config.go
@@ -52,7 +52,7 @@
 	MaxLag time.Duration
 
 	// MaxAddRate is how many requests with counts an owner receives in a second from
-	// all fronts together; 400 by default. With more active fronts than that allows in
+	// all fronts together; 500 by default. With more active fronts than that allows in
 	// an interval each of them sends less often.
 	MaxAddRate float64
 
@@ -77,7 +77,7 @@
 	c.Slices = positiveOr(c.Slices, 50)
 	c.Interval = positiveOr(c.Interval, 200*time.Millisecond)
 	c.MaxLag = positiveOr(c.MaxLag, 300*time.Millisecond)
-	c.MaxAddRate = positiveOr(c.MaxAddRate, 400)
+	c.MaxAddRate = positiveOr(c.MaxAddRate, 500)
 	c.Overshoot = positiveOr(c.Overshoot, 0.08)
 	c.EvenFraction = positiveOr(c.EvenFraction, 0.5)
 	c.Overspend = positiveOr(c.Overspend, 0.07)
--- a/internal/decision/quota/load.go
+++ b/internal/decision/quota/load.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// minSendSpacing is the fraction of an interval up to which fronts may send
-	// whenever they have something urgent.
-	minSendSpacing = 0.25
+	// minSendSpacing is the shortest spacing. Below it periodic counts alone don't
+	// exceed the owner's rate, and fronts may send whenever they have something urgent.
+	minSendSpacing intervals = 1
 
 	// maxSendSpacing is the longest spacing. A front has to be heard more than once in
 	// frontActiveFor.
@@ -103,7 +103,7 @@
 
 func limitedSpacing(config *Config, fronts float64) time.Duration {
 	spacing := time.Duration(fronts / config.MaxAddRate * float64(time.Second))
-	if float64(spacing) <= minSendSpacing*float64(config.Interval) {
+	if spacing <= minSendSpacing.in(config) {
 		return 0
 	}
 	return min(spacing, maxSendSpacing.in(config))
--- a/internal/decision/quota/relays.go
+++ b/internal/decision/quota/relays.go
@@ -24,6 +24,10 @@
 	// relayProbeEvery is the time between two probes for one front.
 	relayProbeEvery intervals = 5
 
+	// maxProbeFraction is the fraction of an owner's rate of requests up to which all
+	// fronts probe an owner that is suspected.
+	maxProbeFraction = 0.25
+
 	// relayTrustedFor is the time after its last answer in which a relay is used.
 	relayTrustedFor = 2 * relayProbeEvery
 )
@@ -71,11 +75,12 @@
 // suspected.
 func (r *Relays) SuspectAfter() time.Duration { return suspectAfter.in(&r.config) }
 
-// Suspect records that a front did not answer counts in time. Where owners limit how
-// often fronts send, it is rather slow than out of reach, and probes would slow it
-// further: there only the membership tells who is unresponsive.
+// Suspect records that a front did not answer counts in time. In a fleet whose probes
+// would take much of what an owner accepts, it is rather slow than out of reach, and
+// they would slow it further: there only the membership tells who is unresponsive.
 func (r *Relays) Suspect(name string) {
-	if baseSpacing(&r.config, r.fronts) > 0 {
+	probes := float64(r.fronts*(relayCandidates+1)) / relayProbeEvery.in(&r.config).Seconds()
+	if probes > maxProbeFraction*r.config.MaxAddRate {
 		return
 	}
 	if front := r.seek(name); front != nil {
