--- a/internal/node/follower/feed_test.go
+++ b/internal/node/follower/feed_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,11 +27,9 @@
 	down         bool          // answers nothing
 	withoutFeed  bool          // answers renewals only
 	requested    chan string
-	renewals     atomic.Int64 // calls that renew
 }
 
 func (c *feedCore) Renew(context.Context, *connect.Request[wire.RenewRequest]) (*connect.Response[wire.RenewResponse], error) {
-	c.renewals.Add(1)
 	<-time.After(c.delay)
 	if c.down {
 		return nil, errors.New("down")
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -158,9 +158,7 @@
 		case step := <-f.inbox:
 			step()
 		case <-renew.C():
-			if initialRenewals == nil {
-				f.renewAll()
-			}
+			f.renewAll()
 		case <-initialRenewals:
 			if !f.renewUnconfirmed() {
 				initialRenew.Stop()
--- a/internal/node/follower/renewal.go
+++ b/internal/node/follower/renewal.go
@@ -10,11 +10,17 @@
 	"stepwick/internal/wire"
 )
 
+const (
+	// initialRenewInterval is the time between renewals of a process that no majority
+	// has confirmed yet: after a start it has no authority until then.
+	initialRenewInterval = 50 * time.Millisecond
+	// initialRenewPeriod is how long after a start renewals go at that pace.
+	initialRenewPeriod = 5 * time.Second
+)
+
 // renewals is the state of the renewals at each core.
 type renewals struct {
 	cores map[string]*coreRenewal
-	// answered is set once any core has answered a renewal.
-	answered bool
 	// directUntil is until when renewals go to every core instead of through a
 	// relay.
 	directUntil time.Time
@@ -26,7 +32,6 @@
 	renewAgain bool // to be renewed once more when the call in flight ends
 	failing    bool // the last call failed
 	answered   bool // the core answered a renewal, directly or through a relay
-	retry      retryPause
 	// recorded is this process's own record as the core last acknowledged it, nil
 	// where the core may not have it.
 	recorded *wire.Process
@@ -107,6 +112,16 @@
 	return nil
 }
 
+// renewUnconfirmed renews the lease of a process that no majority has confirmed
+// since its start. It reports whether the process is still to renew at this pace.
+func (f *Follower) renewUnconfirmed() bool {
+	if !f.holder.Unconfirmed() || f.clock.Now().Sub(f.startedAt) >= initialRenewPeriod {
+		return false
+	}
+	f.renewAll()
+	return true
+}
+
 // renew renews the lease at one core. While a call to it is in flight, the next one
 // waits for its end.
 func (f *Follower) renew(core *wire.Process) {
@@ -171,7 +186,6 @@
 		}
 		f.post(func() {
 			f.renewals.complete(call)
-			f.renewals.scheduleRetry(call, f.config.RenewInterval)
 			complete()
 		})
 	}()
--- a/internal/node/follower/renewal_relay.go
+++ b/internal/node/follower/renewal_relay.go
@@ -36,24 +36,16 @@
 	f.updateAuthority()
 }
 
-// renewDirectly renews at each core that directCores returns.
+// renewDirectly renews at each core. In a large fleet standby cores are left out,
+// as their grants don't count.
 func (f *Follower) renewDirectly() {
-	for _, core := range f.directCores() {
-		f.renew(core)
-	}
-}
-
-// directCores returns the cores at which the front renews itself. In a large fleet
-// standby cores are left out, as their grants don't count.
-func (f *Follower) directCores() []*wire.Process {
 	voters := f.voters()
-	cores := f.peers.Cores()
-	if len(voters) == 0 || !f.isLarge() {
-		return cores
+	for _, core := range f.peers.Cores() {
+		if len(voters) > 0 && f.isLarge() && !slices.Contains(voters, core.Name) {
+			continue
+		}
+		f.renew(core)
 	}
-	return slices.DeleteFunc(slices.Clone(cores), func(core *wire.Process) bool {
-		return !slices.Contains(voters, core.Name)
-	})
 }
 
 // relay returns the core through which this front renews. There is none while the
