--- a/internal/adapter/internalrpc/directory.go
+++ b/internal/adapter/internalrpc/directory.go
@@ -39,16 +39,12 @@
 	liveChanged chan struct{}
 	received    chan []*wire.Process // records by gossip
 	newSeeds    chan []string
-	helloEnded  chan string // address of a process whose hello is over
 
 	// The fields from here on belong to the goroutine of Serve.
 	seeds      []string
 	counter    uint64 // of the process's own record
 	random     *rand.Rand
 	lastChange time.Time // when gossip last brought a process or an incarnation that was new
-	// helloInFlight holds the addresses whose last hello is not over.
-	helloInFlight map[string]bool
-	aloneInterval time.Duration // the next interval while no other process is known
 }
 
 // liveProcesses are the processes that the feed of a core reports as live.
@@ -62,18 +58,15 @@
 func NewDirectory(pool *Pool, clock clock.Clock, log events.Log, seeds []string, self func() *wire.Process) *Directory {
 	seed := xxhash.Sum64String(self().Name)
 	directory := &Directory{
-		clock:         clock,
-		pool:          pool,
-		log:           log,
-		seeds:         seeds,
-		self:          self,
-		random:        rand.New(rand.NewPCG(seed, 1)),
-		received:      make(chan []*wire.Process, inboxCapacity),
-		liveChanged:   make(chan struct{}, 1),
-		newSeeds:      make(chan []string),
-		helloEnded:    make(chan string, inboxCapacity),
-		helloInFlight: map[string]bool{},
-		aloneInterval: gossipIntervalAlone,
+		clock:       clock,
+		pool:        pool,
+		log:         log,
+		seeds:       seeds,
+		self:        self,
+		random:      rand.New(rand.NewPCG(seed, 1)),
+		received:    make(chan []*wire.Process, inboxCapacity),
+		liveChanged: make(chan struct{}, 1),
+		newSeeds:    make(chan []string),
 	}
 	directory.table.Store(newProcessTable(nil))
 	directory.live.Store(&liveProcesses{})
@@ -127,11 +120,10 @@
 
 // Serve keeps the directory until the context ends, and returns its error.
 func (d *Directory) Serve(ctx context.Context) error {
-	clear(d.helloInFlight)
 	d.lastChange = d.clock.Now()
 	d.merge([]*wire.Process{d.selfRecord()}, fromGossip)
 	for {
-		interval := d.nextGossipInterval()
+		interval := d.gossipInterval()
 		d.gossip(ctx)
 		if err := d.serveUntil(ctx, interval); err != nil {
 			return err
@@ -151,8 +143,6 @@
 			return ctx.Err()
 		case records := <-d.received:
 			d.merge(records, fromGossip)
-		case address := <-d.helloEnded:
-			delete(d.helloInFlight, address)
 		case seeds := <-d.newSeeds:
 			d.seeds = seeds
 		case <-d.liveChanged:
--- a/internal/adapter/internalrpc/gossip.go
+++ b/internal/adapter/internalrpc/gossip.go
@@ -17,8 +17,7 @@
 // random one that it knows, often while something is new and seldom after. A hello
 // carries the sender's own record, every core and a sample of the other processes.
 const (
-	// gossipIntervalAlone is the first interval while no other process is known. Each
-	// next one is twice as long, up to gossipIntervalChanging.
+	// gossipIntervalAlone is the interval while no other process is known.
 	gossipIntervalAlone = 50 * time.Millisecond
 	// gossipIntervalChanging is the interval until nothing was new for convergedAfter.
 	gossipIntervalChanging  = 250 * time.Millisecond
@@ -66,25 +65,21 @@
 	return sampled
 }
 
-// nextGossipInterval returns how long after a hello the next one follows.
-func (d *Directory) nextGossipInterval() time.Duration {
+// isAlone reports whether no other process is known.
+func (d *Directory) isAlone() bool { return len(d.table.Load().known) < 2 }
+
+func (d *Directory) gossipInterval() time.Duration {
 	switch {
 	case d.isAlone():
-		interval := d.aloneInterval
-		d.aloneInterval = min(2*interval, gossipIntervalChanging)
-		return interval
+		return gossipIntervalAlone
 	case d.clock.Now().Sub(d.lastChange) < convergedAfter:
 		return gossipIntervalChanging
 	}
 	return gossipIntervalConverged
 }
 
-// isAlone reports whether no other process is known.
-func (d *Directory) isAlone() bool { return len(d.table.Load().known) < 2 }
-
 // gossip exchanges hellos with a random seed or known process, or with every seed
-// while no other process is known. One that has not answered the last hello yet gets
-// no other: while a restarted seed is busy, those of the whole fleet would pile up.
+// while no other process is known.
 func (d *Directory) gossip(ctx context.Context) {
 	self, _ := d.Process(d.self().Name)
 	targets := slices.Clone(d.seeds)
@@ -101,10 +96,6 @@
 	}
 	known := d.sample()
 	for _, address := range targets {
-		if d.helloInFlight[address] {
-			continue
-		}
-		d.helloInFlight[address] = true
 		go d.exchangeHellos(ctx, address, &wire.HelloRequest{Self: self, Known: known})
 	}
 }
@@ -113,7 +104,6 @@
 func (d *Directory) exchangeHellos(ctx context.Context, address string, hello *wire.HelloRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	defer d.endHello(ctx, address)
 	resp, err := d.pool.Client(address).Hello(callCtx, connect.NewRequest(hello))
 	if err != nil {
 		d.logHelloFailure(address, err)
@@ -125,14 +115,6 @@
 	}
 }
 
-// endHello tells the owner that a hello was answered or has failed.
-func (d *Directory) endHello(ctx context.Context, address string) {
-	select {
-	case d.helloEnded <- address:
-	case <-ctx.Done():
-	}
-}
-
 // logHelloFailure logs a hello that was rejected for its secret and, while no other
 // process is known, any that failed.
 func (d *Directory) logHelloFailure(address string, err error) {
