gateway: log answers that are cut, and what a drain closed over

A draining process logged nothing when it cut an answer, so that the record could not tell the hypotheses apart.

drain_closed (1016) says from when new requests are rejected and how many are in flight; grace_over has the number of requests that were cut, drain_finished how long the drain took; answer_cut (6017) names a request whose answer was begun and could not be completed, with the code, its age and the time since the drain began. No behaviour changes.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -41,8 +41,9 @@
 	EventsSuppressed    = declare(1008, "events_suppressed", Warn, "An event occurred more often than its rate limit allows, or the log's queue was full; count is the number of lines that were left out.", "See the event that of_name gives.")
 	SettingRenamed      = declare(1009, "setting_renamed", Warn, "The settings file uses the former name of a setting; the next release will not accept it.", "Use the name that the event's key name gives.")
 	SettingsChanged     = declare(1012, "settings_changed", Info, "The sheet's run-time settings were applied by this process.", "")
-	GracePeriodExceeded = declare(1013, "grace_over", Warn, "drain.grace ended before all requests had finished; the remaining ones were cancelled.", "Raise drain.grace if this happens on ordinary restarts.")
+	GracePeriodExceeded = declare(1013, "grace_over", Warn, "drain.grace ended before all requests had finished; the remaining ones, in_flight, were cancelled.", "Raise drain.grace if this happens on ordinary restarts.")
 	DrainFinished       = declare(1014, "drain_finished", Info, "All requests of a stopping process finished within drain.grace.", "")
+	DrainClosed         = declare(1016, "drain_closed", Info, "A stopping process rejects new requests from now on; in_flight is the number that it still serves.", "")
 	TestSettingUsed     = declare(1015, "proof_setting", Warn, "A setting meant for tests is in use (disk.quota, disk.sync_delay, clock.step).", "Remove it from the settings of a fleet in production.")
 )
 
@@ -164,6 +165,7 @@
 	DeadlineExceeded     = declare(6013, "deadline_ran_out", Debug, "The deadline of a request passed before its response began.", "")
 	StreamKeyRevoked     = declare(6014, "stream_key_revoked", Info, "A request in progress was ended because its key was revoked.", "")
 	OwnerPanicked        = declare(6015, "owner_broke", Error, "A goroutine that owns traffic state panicked; it is restarted.", "Report it with the log.")
+	ResponseAborted      = declare(6017, "answer_cut", Warn, "The connection of a client was closed within an answer that could not be completed; code says why, draining_ms is the time since the drain began.", "Check the server if code names it; otherwise report it with the log.")
 	RoutePanicked        = declare(6016, "route_broke", Error, "A panic ended one decision of the routing table; the request that it was made for, if any, was rejected.", "Report it with the log.")
 )
 
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -64,6 +64,7 @@
 		apiErr = apierror.Errorf(apierror.CallerDisconnected, "the client closed the connection")
 	}
 	if clientRelay.started {
+		q.logAborted(apiErr)
 		panic(http.ErrAbortHandler)
 	}
 	switch {
--- a/internal/node/gateway/drain.go
+++ b/internal/node/gateway/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"stepwick/internal/apierror"
+	"stepwick/internal/events"
 )
 
 const (
@@ -36,9 +37,20 @@
 	return elapsed >= d.Max || elapsed >= d.Min && idle >= d.IdleFor
 }
 
+// drainState describes a drain in progress. It is immutable.
+type drainState struct {
+	began time.Time
+}
+
+// draining reports whether Drain was called.
+func (g *Gateway) draining() bool { return g.drain.Load() != nil }
+
+// InFlight returns the number of requests that the gateway is serving.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
 // Ready returns nil if the node accepts requests for routes, and the reason otherwise.
 func (g *Gateway) Ready() *apierror.Error {
-	if g.draining.Load() {
+	if g.draining() {
 		return apierror.Errorf(apierror.FrontDraining, "the node is draining; send the request to another node").WithRetryAfter(drainingRetryAfter)
 	}
 	return g.checkAuthority()
@@ -48,14 +60,15 @@
 // delay, then rejects them and waits until the requests in flight have ended. It returns
 // the context's error if the context ends first.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
 	began := g.clock.Now()
+	g.drain.Store(&drainState{began: began})
 	for !g.drainDelayOver(began) {
 		if !g.awaitDrainPoll(ctx) {
 			return ctx.Err()
 		}
 	}
 	g.closed.Store(true)
+	g.log.Emit(events.DrainClosed, "in_flight", g.InFlight())
 	for g.inFlight.Load() > 0 {
 		if !g.awaitDrainPoll(ctx) {
 			return ctx.Err()
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -75,9 +75,9 @@
 	metrics    *metrics
 	bodyBudget *stage.ByteBudget
 
-	hadAuthority atomic.Bool // whether the node has had authority since its start
-	draining     atomic.Bool // whether Drain was called
-	closed       atomic.Bool // whether new requests are rejected
+	hadAuthority atomic.Bool                // whether the node has had authority since its start
+	drain        atomic.Pointer[drainState] // nil until Drain is called
+	closed       atomic.Bool                // whether new requests are rejected
 	inFlight     atomic.Int64
 	lastArrival  atomic.Int64 // arrival of the last request, in nanoseconds since started
 	started      time.Time
--- a/internal/node/gateway/relay.go
+++ b/internal/node/gateway/relay.go
@@ -129,7 +129,7 @@
 		header[name] = values
 	}
 	dropHopHeaders(header)
-	if r.request.gateway.draining.Load() {
+	if r.request.gateway.draining() {
 		header.Set("Connection", "close")
 	}
 	// A nil value prevents net/http from adding a header that the server did not send.
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -54,7 +54,7 @@
 		g.inFlight.Add(-1)
 	}()
 	defer q.recoverPanic()
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	apiErr := q.admit()
@@ -90,3 +90,18 @@
 		"code", uint32(apiErr.Code), "detail", apiErr.Detail)
 	q.gateway.dialect.WriteError(q.writer, q.call.ID, apiErr)
 }
+
+// logAborted logs that the client's connection is closed within the response, unless the
+// client closed it.
+func (q *request) logAborted(apiErr *apierror.Error) {
+	if apiErr.Code == apierror.CallerDisconnected {
+		return
+	}
+	now := q.gateway.clock.Now()
+	keyValues := []any{"request", q.call.ID, "service", q.service, "tenant", q.tenant, "code", uint32(apiErr.Code), "detail", apiErr.Detail,
+		"age_ms", now.Sub(q.arrived).Milliseconds()}
+	if drain := q.gateway.drain.Load(); drain != nil {
+		keyValues = append(keyValues, "draining_ms", now.Sub(drain.began).Milliseconds())
+	}
+	q.gateway.log.Emit(events.ResponseAborted, keyValues...)
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -186,11 +186,12 @@
 func (p *process) shutDown() {
 	grace := p.values.Duration("drain.grace")
 	p.log.Emit(events.ProcessStopping, "name", p.identity.Name, "grace", grace)
+	began := p.clock.Now()
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), grace)
 	if err := p.drain(drainCtx); err != nil {
-		p.log.Emit(events.GracePeriodExceeded, "error", err)
+		p.log.Emit(events.GracePeriodExceeded, "error", err, "in_flight", p.requestsInFlight())
 	} else {
-		p.log.Emit(events.DrainFinished)
+		p.log.Emit(events.DrainFinished, "took", p.clock.Now().Sub(began))
 	}
 	cancelDrain()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -42,3 +42,11 @@
 	}
 	return nil
 }
+
+// requestsInFlight returns the number of client requests that the process is serving.
+func (p *process) requestsInFlight() int {
+	if p.gateway == nil {
+		return p.front.InFlight()
+	}
+	return p.gateway.InFlight()
+}
