gateway: a draining node accepts no request that may outlast its grace period

Cause: for 3 to 5 s after SIGTERM a node served every new request, whatever time limit it had, and cut at drain.grace (6.8 s on the platform) what was still in flight. Nothing compared a request's deadline with what was left.

Change: every request is accepted for 2.5 s, at most half of the grace period; after that only one whose deadline lies within the grace period, checked at admission and again before the first server gets it. The others are refused with 503 and Retry-After, so that clients go elsewhere. Why it works: what is accepted later ends by its own deadline before the drain does.

--- a/internal/node/gateway/admission.go
+++ b/internal/node/gateway/admission.go
@@ -32,6 +32,9 @@
 		return apiErr
 	}
 	q.setDeadline()
+	if apiErr = q.checkDrain(); apiErr != nil {
+		return apiErr
+	}
 	if apiErr = q.readBody(); apiErr != nil {
 		return apiErr
 	}
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -105,6 +105,11 @@
 	if apiErr := q.checkAdmission(); apiErr != nil {
 		return apiErr, false
 	}
+	if q.possibleExecutions == 0 {
+		if apiErr := q.checkDrain(); apiErr != nil {
+			return apiErr, false
+		}
+	}
 	q.excludeServer(assigned.server)
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/node/gateway/drain.go
+++ b/internal/node/gateway/drain.go
@@ -11,16 +11,22 @@
 const (
 	drainPollInterval    = 50 * time.Millisecond
 	drainingRetryAfter   = time.Second
-	defaultDrainDelayMin = 3 * time.Second
+	defaultDrainDelayMin = 2500 * time.Millisecond
 	defaultDrainDelayMax = 5 * time.Second
 	defaultDrainIdleFor  = time.Second
+	// minDelayDivisor limits DrainDelay.Min to a part of the grace period, so that most
+	// requests accepted until then complete within the rest of it.
+	minDelayDivisor = 2
 )
 
 // DrainDelay configures how long a draining gateway continues to serve new requests,
 // since clients keep sending them until they have learned of other nodes. Fields that are
 // zero take the defaults stated.
 type DrainDelay struct {
-	Min     time.Duration // minimum delay; 3 s by default
+	// Min is the time in which every request is accepted; 2.5 s by default, and at most
+	// half of the grace period. After it, only requests are accepted whose deadline is
+	// within the grace period.
+	Min     time.Duration
 	Max     time.Duration // maximum delay; 5 s by default
 	IdleFor time.Duration // ends the delay after Min if no request arrived for this long; 1 s by default
 }
@@ -40,6 +46,26 @@
 // drainState describes a drain in progress. It is immutable.
 type drainState struct {
 	began time.Time
+	// acceptAllUntil is the end of DrainDelay.Min.
+	acceptAllUntil time.Time
+	// end is when the requests still in flight are cancelled; zero for never.
+	end time.Time
+}
+
+// newDrainState returns the state of a drain that begins now and ends with the context.
+func (d DrainDelay) newDrainState(ctx context.Context, now time.Time) *drainState {
+	drain := &drainState{began: now, acceptAllUntil: now.Add(d.Min)}
+	if end, limited := ctx.Deadline(); limited {
+		drain.end = end
+		drain.acceptAllUntil = now.Add(min(d.Min, end.Sub(now)/minDelayDivisor))
+	}
+	return drain
+}
+
+// accepts reports whether a request may be sent to a server now: always until
+// acceptAllUntil, and later only if it is certain to end within the grace period.
+func (d *drainState) accepts(now, deadline time.Time) bool {
+	return d == nil || d.end.IsZero() || !now.After(d.acceptAllUntil) || !deadline.After(d.end)
 }
 
 // draining reports whether Drain was called.
@@ -57,12 +83,13 @@
 }
 
 // Drain marks the node as not ready, continues to serve new requests for the configured
-// delay, then rejects them and waits until the requests in flight have ended. It returns
-// the context's error if the context ends first.
+// delay, as far as they can end before the context's deadline, then rejects them and waits
+// until the requests in flight have ended. It returns the context's error if the context
+// ends first.
 func (g *Gateway) Drain(ctx context.Context) error {
-	began := g.clock.Now()
-	g.drain.Store(&drainState{began: began})
-	for !g.drainDelayOver(began) {
+	drain := g.config.DrainDelay.newDrainState(ctx, g.clock.Now())
+	g.drain.Store(drain)
+	for !g.drainDelayOver(drain) {
 		if !g.awaitDrainPoll(ctx) {
 			return ctx.Err()
 		}
@@ -77,10 +104,20 @@
 	return nil
 }
 
-func (g *Gateway) drainDelayOver(began time.Time) bool {
+// checkDrain returns an error if the node is draining and the request, which no server has
+// received yet, may outlast the drain.
+func (q *request) checkDrain() *apierror.Error {
+	if q.gateway.drain.Load().accepts(q.gateway.clock.Now(), q.deadline) {
+		return nil
+	}
+	return apierror.Errorf(apierror.FrontDraining, "the node is draining and may end before the request does; send it to another node").
+		WithRetryAfter(noAuthorityRetryAfter)
+}
+
+func (g *Gateway) drainDelayOver(drain *drainState) bool {
 	now := g.clock.Now()
 	lastArrival := g.started.Add(time.Duration(g.lastArrival.Load()))
-	return g.config.DrainDelay.isOver(now.Sub(began), now.Sub(lastArrival))
+	return g.config.DrainDelay.isOver(now.Sub(drain.began), now.Sub(lastArrival))
 }
 
 // awaitDrainPoll waits for drainPollInterval. It returns false if the context ends first.
