gateway: write the responses in progress before the connections are closed

Cause: the number of requests in flight falls when the handler returns; net/http writes the rest of the response after that. The gateway's listener then closed all connections hard.

Evidence: TestServeEndsOnlyAfterAResponseIsWritten over a connection without buffers; with server.Close alone the client reads an unexpected EOF.

Change: listen.Serve shuts the server down and closes hard what is left after a bound: 300 ms in the gateway, whose requests have ended by then, 1 s in front, which did this before by itself. net/http counts a connection as active until its response is flushed.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -40,6 +40,7 @@
 
 	"stepwick/internal/adapter/backend"
 	"stepwick/internal/adapter/clientapi"
+	"stepwick/internal/adapter/listen"
 	"stepwick/internal/clock"
 	"stepwick/internal/decision/route"
 	"stepwick/internal/events"
@@ -224,19 +225,9 @@
 // 1 s for responses in progress, closes the remaining connections and returns the
 // context's error. Call Drain before ending the context.
 func (f *Front) Listen(ctx context.Context, listener net.Listener) error {
-	server := f.api.Server()
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(shutdownCtx)
-		_ = server.Close()
-	})
-	err := server.Serve(f.api.LimitConnections(listener))
-	if !stop() {
-		<-closed
-		return ctx.Err()
+	err := listen.Serve(ctx, f.api.Server(), f.api.LimitConnections(listener), shutdownTimeout)
+	if ctx.Err() != nil {
+		return err
 	}
 	return errors.Wrap(err, "serve callers")
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -40,6 +40,10 @@
 	"stepwick/internal/stage"
 )
 
+// shutdownTimeout is the longest time for which Listen waits for the responses that are
+// written when its context ends. Requests have ended by then: see Drain.
+const shutdownTimeout = 300 * time.Millisecond
+
 // Views provides the control state on which a gateway bases its decisions.
 type Views interface {
 	// View returns the newest view, which is immutable.
@@ -137,7 +141,9 @@
 // String returns the name used in log events.
 func (g *Gateway) String() string { return "gateway" }
 
-// Listen serves the connections of a listener until the context ends.
+// Listen serves the connections of a listener until the context ends. It then waits up to
+// shutdownTimeout for the responses in progress and closes the remaining connections. Call
+// Drain before ending the context.
 func (g *Gateway) Listen(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           g,
@@ -146,11 +152,5 @@
 		MaxHeaderBytes:    g.config.MaxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(listen.LimitConnections(listener, g.config.MaxConnections))
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return err
+	return listen.Serve(ctx, server, listen.LimitConnections(listener, g.config.MaxConnections), shutdownTimeout)
 }
