gateway: answer the requests that a drain ends, instead of closing their connections

Cause: the end of a drain was the end of its listener; the handlers took the closed connection for a client that had left, so that nothing was answered or logged.

Change: at the end of a drain the contexts of all requests end with a cause of their own.

--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -60,7 +60,7 @@
 // relayed, since only an aborted connection shows the client that the response is
 // incomplete.
 func (q *request) finalError(clientRelay *relay, apiErr, previous *apierror.Error) *apierror.Error {
-	if q.http.Context().Err() != nil {
+	if q.clientDisconnected() {
 		apiErr = apierror.Errorf(apierror.CallerDisconnected, "the client closed the connection")
 	}
 	if clientRelay.started {
@@ -190,12 +190,15 @@
 	return apierror.Errorf(apierror.NotExecuted, "%s", reason).WithRetryAfter(rejectedRetryAfter), true
 }
 
-// contextError returns CallerGone if the client has disconnected, DeadlinePassed if the
-// deadline has passed or apiErr is nil, and apiErr otherwise.
+// contextError returns CallerDisconnected if the client has disconnected, FrontDraining if
+// the time of a drain is over, DeadlineExceeded if the deadline has passed or apiErr is nil,
+// and apiErr otherwise.
 func (q *request) contextError(ctx context.Context, apiErr *apierror.Error) *apierror.Error {
 	switch {
-	case q.http.Context().Err() != nil:
+	case q.clientDisconnected():
 		return apierror.Errorf(apierror.CallerDisconnected, "the client closed the connection")
+	case q.endedByDrain():
+		return apierror.Errorf(apierror.FrontDraining, "the node is shutting down; send the request to another node").WithRetryAfter(noAuthorityRetryAfter)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || apiErr == nil:
 		return apierror.Errorf(apierror.DeadlineExceeded, "the deadline passed before the response was complete")
 	}
--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -99,7 +99,7 @@
 
 // bodyError returns the error for a body that could not be read.
 func (q *request) bodyError(err error) *apierror.Error {
-	if q.http.Context().Err() != nil {
+	if q.clientDisconnected() {
 		return apierror.Errorf(apierror.CallerDisconnected, "%v", err)
 	}
 	var timeout interface{ Timeout() bool }
--- a/internal/node/gateway/drain.go
+++ b/internal/node/gateway/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"stepwick/internal/apierror"
 	"stepwick/internal/events"
 )
@@ -17,8 +19,15 @@
 	// minDelayDivisor limits DrainDelay.Min to a part of the grace period, so that most
 	// requests accepted until then complete within the rest of it.
 	minDelayDivisor = 2
+	// cancelledRequestPolls is the number of polls for which a drain waits for the
+	// answers to the requests that it has cancelled.
+	cancelledRequestPolls = 4
 )
 
+// errDrainEnded is the cause with which the context of a request ends when the time of a
+// drain is over.
+var errDrainEnded = errors.New("the time of the drain is over")
+
 // DrainDelay configures how long a draining gateway continues to serve new requests,
 // since clients keep sending them until they have learned of other nodes. Fields that are
 // zero take the defaults stated.
@@ -84,26 +93,62 @@
 
 // Drain marks the node as not ready, continues to serve new requests for the configured
 // delay, as far as they can end before the context's deadline, then rejects them and waits
-// until the requests in flight have ended. It returns the context's error if the context
-// ends first.
+// until the requests in flight have ended. If the context ends first, it cancels them, so
+// that those whose response has not begun are answered, and returns the context's error.
 func (g *Gateway) Drain(ctx context.Context) error {
 	drain := g.config.DrainDelay.newDrainState(ctx, g.clock.Now())
 	g.drain.Store(drain)
 	for !g.drainDelayOver(drain) {
 		if !g.awaitDrainPoll(ctx) {
-			return ctx.Err()
+			return g.cancelRequests(ctx)
 		}
 	}
 	g.closed.Store(true)
 	g.log.Emit(events.DrainClosed, "in_flight", g.InFlight())
-	for g.inFlight.Load() > 0 {
+	for g.InFlight() > 0 {
 		if !g.awaitDrainPoll(ctx) {
-			return ctx.Err()
+			return g.cancelRequests(ctx)
 		}
 	}
 	return nil
 }
 
+// cancelRequests rejects new requests, cancels those in flight, waits for their handlers
+// and returns the error of the ended context.
+func (g *Gateway) cancelRequests(ended context.Context) error {
+	g.closed.Store(true)
+	remaining := g.InFlight()
+	g.endRequests()
+	for range cancelledRequestPolls {
+		if g.InFlight() == 0 {
+			break
+		}
+		g.awaitDrainPoll(context.Background())
+	}
+	return errors.Wrapf(ended.Err(), "%d requests were cancelled", remaining)
+}
+
+// untilRequestsEnd returns a context that ends with ctx, or with the cause errDrainEnded
+// when the time of a drain is over. The caller must call release.
+func (g *Gateway) untilRequestsEnd(ctx context.Context) (limited context.Context, release func()) {
+	limited, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.requests, func() { cancel(errDrainEnded) })
+	return limited, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// endedByDrain reports whether the request was cancelled at the end of a drain.
+func (q *request) endedByDrain() bool {
+	return errors.Is(context.Cause(q.http.Context()), errDrainEnded)
+}
+
+// clientDisconnected reports whether the client closed the connection.
+func (q *request) clientDisconnected() bool {
+	return q.http.Context().Err() != nil && !q.endedByDrain()
+}
+
 // checkDrain returns an error if the node is draining and the request, which no server has
 // received yet, may outlast the drain.
 func (q *request) checkDrain() *apierror.Error {
--- a/internal/node/gateway/fixture_test.go
+++ b/internal/node/gateway/fixture_test.go
@@ -82,10 +82,15 @@
 
 type testAdmitter struct {
 	refused     atomic.Bool
-	lastTimeout atomic.Int64 // timeout of the last request, in nanoseconds
+	lastTimeout atomic.Int64              // timeout of the last request, in nanoseconds
+	wait        func(ctx context.Context) // called before the decision if not nil
 }
 
-func (a *testAdmitter) Admit(_ context.Context, _ string, _ float64, _ quota.Allowance, timeout time.Duration) quota.Decision {
+func (a *testAdmitter) Admit(ctx context.Context, _ string, _ float64, _ quota.Allowance, timeout time.Duration) quota.Decision {
+	if a.wait != nil {
+		a.wait(ctx)
+		return quota.Decision{Code: apierror.NoMajority}
+	}
 	a.lastTimeout.Store(int64(timeout))
 	if a.refused.Load() {
 		return quota.Decision{Code: apierror.QuotaExceeded, RetryAfter: 700 * time.Millisecond}
@@ -102,6 +107,8 @@
 	address  string
 	servers  map[string]*wire.ServerStatus
 	clock    clock.Clock // the system clock if nil
+	// stopServing ends the gateway's services and its listener.
+	stopServing context.CancelFunc
 	// retrySlack is the fixed part of the gateway's retry budget.
 	retrySlack float64
 }
@@ -191,6 +198,7 @@
 	f.address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
+	f.stopServing = cancel
 	go func() { _ = f.gateway.Serve(ctx) }()
 	go func() { _ = f.gateway.Listen(ctx, listener) }()
 	return f
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -81,7 +81,9 @@
 
 	hadAuthority atomic.Bool                // whether the node has had authority since its start
 	drain        atomic.Pointer[drainState] // nil until Drain is called
-	closed       atomic.Bool                // whether new requests are rejected
+	requests     context.Context            // ends when the drain's time is over, for all requests
+	endRequests  context.CancelFunc
+	closed       atomic.Bool // whether new requests are rejected
 	inFlight     atomic.Int64
 	lastArrival  atomic.Int64 // arrival of the last request, in nanoseconds since started
 	started      time.Time
@@ -117,6 +119,7 @@
 		bodyBudget: stage.NewByteBudget(config.MaxBufferedBytes),
 		started:    clock.Now(),
 	}
+	gateway.requests, gateway.endRequests = context.WithCancel(context.Background())
 	gateway.client = upstream.New(config.Upstream)
 	gateway.health = newServerHealth(config.Observe, clock, gateway.client)
 	gateway.dispatcher = newDispatcher(balance.New(config.Balance), views, clock, gateway.client, gateway.health, config.Balance.Disabled)
--- a/internal/node/gateway/request.go
+++ b/internal/node/gateway/request.go
@@ -44,7 +44,9 @@
 
 // ServeHTTP serves one request for a route.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{gateway: g, writer: w, http: r, arrived: g.clock.Now(), service: noService}
+	ctx, release := g.untilRequestsEnd(r.Context())
+	defer release()
+	q := &request{gateway: g, writer: w, http: r.WithContext(ctx), arrived: g.clock.Now(), service: noService}
 	g.lastArrival.Store(int64(q.arrived.Sub(g.started)))
 	g.inFlight.Add(1)
 	g.metrics.inFlight.Inc()
