A second SIGTERM does not end a process that is draining

Cause: the first signal restored the default action of both, so that the second one ended the process at once: right for a command, wrong for a server that drains.

Change: node processes register for both signals as long as they live and log a repeated one (signal_repeated, 1017). SIGKILL ends a process at once, as before; commands of the command line still end at the second signal.

Looked at beside it and not at fault: a SIGHUP after the reader of the settings file has stopped.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"runtime/debug"
 
 	"github.com/go-kit/log"
@@ -9,6 +10,7 @@
 
 	"stepwick/internal/events"
 	"stepwick/internal/settings"
+	"stepwick/internal/signals"
 )
 
 func (a *App) runCommand(role string) *cobra.Command {
@@ -25,7 +27,8 @@
 Settings are read from the file and from flags, which take precedence. Both use the
 names that "stepwick settings list" shows. Events are logged to standard error,
 one per line. On SIGTERM or SIGINT, the process reports that it is not ready, lets
-requests finish within drain.grace, and exits with code 0.`,
+requests finish within drain.grace, and exits with code 0. Further ones of these signals
+do not end it sooner; SIGKILL does.`,
 		Example:           "  stepwick " + role + " --config " + role + ".yaml\n  stepwick " + role + " --config " + role + ".yaml --log.level debug",
 		Args:              cobra.NoArgs,
 		ValidArgsFunction: completeNothing,
@@ -58,6 +61,9 @@
 	}
 	eventLog, closeLog := a.openLog(values)
 	defer closeLog()
+	served, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLogging()
+	go logRepeatedSignals(served, signals.Repeated(), eventLog)
 	for _, name := range faultInjectionSettings {
 		if row, _ := settings.Lookup(name); values.Source(name) != settings.SourceDefault && values.Text(name) != row.Default {
 			eventLog.Emit(events.TestSettingUsed, "setting", name, "value", values.Text(name))
@@ -66,6 +72,21 @@
 	return runNode(ctx, role, values, eventLog)
 }
 
+// logRepeatedSignals logs each signal after the first, which begins the shutdown, until the
+// context ends.
+func logRepeatedSignals(ctx context.Context, received <-chan os.Signal, eventLog events.Log) {
+	for isFirst := true; ; isFirst = false {
+		select {
+		case repeated := <-received:
+			if !isFirst {
+				eventLog.Emit(events.SignalRepeated, "signal", repeated.String())
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // openLog starts the log of the process. The returned function writes the queued
 // lines and stops the log. The log does not use the context of the process, since
 // the process still logs while it shuts down.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -44,6 +44,7 @@
 	GracePeriodExceeded = declare(1013, "grace_over", Warn, "drain.grace ended before all requests had finished; the remaining ones, in_flight, were cancelled.", "Raise drain.grace if this happens on ordinary restarts.")
 	DrainFinished       = declare(1014, "drain_finished", Info, "All requests of a stopping process finished within drain.grace.", "")
 	DrainClosed         = declare(1016, "drain_closed", Info, "A stopping process rejects new requests from now on; in_flight is the number that it still serves.", "")
+	SignalRepeated      = declare(1017, "signal_repeated", Warn, "A stopping process received a further SIGTERM or SIGINT; it continues to drain.", "None; send SIGKILL to end it at once.")
 	TestSettingUsed     = declare(1015, "proof_setting", Warn, "A setting meant for tests is in use (disk.quota, disk.sync_delay, clock.step).", "Remove it from the settings of a fleet in production.")
 )
 
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -9,7 +9,8 @@
 )
 
 // NotifyContext returns a context that is cancelled by the first SIGTERM or SIGINT. A
-// second one terminates the process immediately. SIGHUP is ignored; see Hangups.
+// second one terminates the process immediately, unless Repeated was called. SIGHUP is
+// ignored; see Hangups.
 func NotifyContext() (context.Context, context.CancelFunc) {
 	signal.Ignore(syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -19,6 +20,16 @@
 	return ctx, cancel
 }
 
+// Repeated keeps SIGTERM and SIGINT from terminating the process from now on, so that a
+// second signal does not cut short a shutdown that the first one began. It returns a
+// channel that delivers each signal; signals that arrive while one is pending on the
+// channel are merged with it.
+func Repeated() <-chan os.Signal {
+	repeated := make(chan os.Signal, 1)
+	signal.Notify(repeated, syscall.SIGTERM, syscall.SIGINT)
+	return repeated
+}
+
 // Hangups returns a channel that delivers a value for each SIGHUP until the context
 // ends. Signals that arrive while one is pending on the channel are merged with it.
 func Hangups(ctx context.Context) <-chan os.Signal {
