A stopping core answers the operator's calls that it has taken

Cause: a core's drain returned at once, and the adapter's listeners (control, readiness, directory) were closed hard.

Change: the forwarding of orders is drained after the traffic: new ones are refused with 503 (front_leaving), those in flight finish or, at the end of drain.grace, are cancelled, so that their callers get an answer.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -55,7 +55,7 @@
 		}
 	}
 	inspector := built.newInspector()
-	built.orders = &orderForwarder{self: built.identity.Name, peers: built.directory}
+	built.orders = &orderForwarder{self: built.identity.Name, peers: built.directory, drain: newOrderDrain(built.clock)}
 	built.peer = &peer{
 		directory:  built.directory,
 		follower:   built.follower,
--- a/internal/node/order_forwarder.go
+++ b/internal/node/order_forwarder.go
@@ -30,6 +30,7 @@
 type orderForwarder struct {
 	self  string
 	peers port.Peers
+	drain *orderDrain
 }
 
 // Order sends an order to one core after another and returns the first final answer.
@@ -38,7 +39,13 @@
 // returns the last answer. Without any, the error is apierror.CoreUnreachable if no
 // core received the order, and otherwise apierror.NoMajority for an order that only
 // reads and apierror.OutcomePending for any other.
+// While the process drains, the error is apierror.FrontDraining for a new order.
 func (f *orderForwarder) Order(ctx context.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
+	ctx, finish, apiErr := f.drain.begin(ctx)
+	if apiErr != nil {
+		return nil, apiErr
+	}
+	defer finish()
 	cores := f.coresByPreference()
 	if len(cores) == 0 {
 		return nil, apierror.Errorf(apierror.CoreUnreachable, "no core is known yet").WithRetryAfter(orderRetryAfter)
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -31,9 +31,17 @@
 	}
 }
 
-// drain waits until running requests have finished. It returns the context's error if
-// the context ends first.
+// drain waits until running requests and then the orders in flight have finished. It
+// returns the context's error if the context ends first.
 func (p *process) drain(ctx context.Context) error {
+	trafficErr := p.drainTraffic(ctx)
+	if ordersErr := p.orders.drain.wait(ctx); ordersErr != nil {
+		return ordersErr
+	}
+	return trafficErr
+}
+
+func (p *process) drainTraffic(ctx context.Context) error {
 	switch {
 	case p.gateway == nil:
 		return p.front.Drain(ctx)
