rig: soak the platform's gateway with real processes, signals and kept connections

platform/standin emulates the server list, servers with streams, clients that keep using their connections until the process is gone, readiness and directory checks, and the operator, and judges every request without a whole answer by the rule LOST: 8 s of grace, 200 ms of slack, work in the last sixth of the grace period on requests sent within 3 s. rig gateway-soak starts cores and fronts as real processes and sends overlapping series of SIGTERM, further SIGTERM, SIGINT, SIGHUP and SIGCONT during drains, changed settings files, configuration changes and servers that drain. A process must exit with 0 within 8 s.

--- a/cmd/rig/fleet/fleet.go
+++ b/cmd/rig/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"stepwick/cmd/rig/faultproxy"
 	"stepwick/cmd/rig/history"
 	"stepwick/cmd/rig/owner"
+	"stepwick/cmd/rig/spawn"
 )
 
 // Third octet of the addresses 127.N.group.i of the processes.
@@ -66,7 +67,7 @@
 	loopbackOctet int                          // second octet of all addresses
 	proxies       map[string]*faultproxy.Proxy // by node or server name
 	locations     map[string]Location          // by node or server name
-	spawnRequests chan spawnRequest
+	spawner       *spawn.Spawner
 	stopSpawner   context.CancelFunc
 }
 
@@ -93,10 +94,9 @@
 		loopbackOctet: loopback,
 		proxies:       map[string]*faultproxy.Proxy{},
 		locations:     map[string]Location{},
-		spawnRequests: make(chan spawnRequest),
+		spawner:       spawn.New(ctx),
 		stopSpawner:   stopSpawn,
 	}
-	go runSpawner(ctx, fleet.spawnRequests)
 	fleet.Platform = emulator.NewPlatform(fleet.loopbackIP(platformGroup, 1)+platformPort, recorder)
 	fleet.addNodes(binary)
 	fleet.addModelServers(seed)
--- a/cmd/rig/fleet/node.go
+++ b/cmd/rig/fleet/node.go
@@ -73,7 +73,7 @@
 	process := exec.Command(n.Binary, args...)
 	process.Stdout = log
 	process.Stderr = log
-	if err := startWithSpawner(n.fleet.spawnRequests, process); err != nil {
+	if err := n.fleet.spawner.Start(process); err != nil {
 		_ = log.Close()
 		return err
 	}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -26,6 +26,7 @@
 		demoCommand(),
 		proveCommand(),
 		soakCommand(),
+		gatewaySoakCommand(),
 		routeCommand(),
 		costCommand(),
 		scenarioCommand(),
