strictjson: an excerpt ends at the end of a character

Change: the cut is moved back to the start of a character. TestExcerptSplitsNoCharacter fails on the code before.

--- a/internal/decision/strictjson/decode.go
+++ b/internal/decision/strictjson/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"unicode/utf8"
 
 	"stepwick/internal/apierror"
 
@@ -11,12 +12,16 @@
 // maxExcerptBytes bounds how much of an operator's input an error repeats.
 const maxExcerptBytes = 64
 
-// Excerpt truncates external input for use in an error message.
+// Excerpt truncates external input for use in an error message, at the end of a character.
 func Excerpt(text string) string {
-	if len(text) > maxExcerptBytes {
-		return text[:maxExcerptBytes] + "…"
+	if len(text) <= maxExcerptBytes {
+		return text
 	}
-	return text
+	end := maxExcerptBytes
+	for end > 0 && !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return text[:end] + "…"
 }
 
 // Decode validates data against the schema and unmarshals it into the value that
--- a/internal/decision/strictjson/strictjson_test.go
+++ b/internal/decision/strictjson/strictjson_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"stepwick/internal/apierror"
 
@@ -68,3 +69,17 @@
 		So(target.Names, ShouldResemble, []string{"a"})
 	})
 }
+
+func TestExcerptSplitsNoCharacter(t *testing.T) {
+	Convey("An excerpt is valid UTF-8 wherever it ends, and at most as long as an excerpt of ASCII text", t, func() {
+		for offset := range 8 {
+			for _, character := range []string{"x", "é", "語", "😀"} {
+				got := Excerpt(strings.Repeat("x", offset) + strings.Repeat(character, maxExcerptBytes+1))
+				So(utf8.ValidString(got), ShouldBeTrue)
+				So(len(got), ShouldBeLessThanOrEqualTo, maxExcerptBytes+len("…"))
+				So(got, ShouldEndWith, "…")
+			}
+		}
+		So(Excerpt("short 語"), ShouldEqual, "short 語")
+	})
+}
