--- a/internal/adapter/disklog/corruption_test.go
+++ b/internal/adapter/disklog/corruption_test.go
@@ -122,3 +122,31 @@
 		So(apierror.From(err).Code, ShouldEqual, apierror.BadRecord)
 	})
 }
+
+// TestOlderSnapshotIsNotUsedWithoutSegments guards against a start from a state that lacks records of the newer one.
+func TestOlderSnapshotIsNotUsedWithoutSegments(t *testing.T) {
+	Convey("With a corrupt newer snapshot and no segment, the log does not open", t, func() {
+		cfg := Config{Folder: t.TempDir()}
+		l, _ := mustOpen(t, cfg)
+		appendSynced(t, l, 0, 10)
+		So(<-l.WriteSnapshot([]byte("ten")), ShouldBeNil)
+		older := filesWithSuffix(cfg.Folder, snapshotSuffix)[0]
+		olderData, err := os.ReadFile(older)
+		So(err, ShouldBeNil)
+		appendSynced(t, l, 10, 20)
+		So(<-l.WriteSnapshot([]byte("twenty")), ShouldBeNil)
+		closeLog(l)
+		newer := filesWithSuffix(cfg.Folder, snapshotSuffix)
+		newerPath := newer[len(newer)-1]
+		newerData, err := os.ReadFile(newerPath)
+		So(err, ShouldBeNil)
+		newerData[len(newerData)-1] ^= 1
+		So(os.WriteFile(newerPath, newerData, 0o600), ShouldBeNil)
+		So(os.WriteFile(older, olderData, 0o600), ShouldBeNil)
+		for _, segment := range filesWithSuffix(cfg.Folder, segmentSuffix) {
+			So(os.Remove(segment), ShouldBeNil)
+		}
+		_, _, err = Open(cfg)
+		So(apierror.From(err).Code, ShouldEqual, apierror.BadRecord)
+	})
+}
--- a/internal/adapter/disklog/recover.go
+++ b/internal/adapter/disklog/recover.go
@@ -70,8 +70,8 @@
 
 // readNewestSnapshot reads the newest complete snapshot and returns its index, or 0
 // if there is none. Corrupt newer snapshots are skipped. It returns a
-// *CorruptionError if the first segment begins after the next record, so that an
-// older snapshot is used only with the segments that follow it.
+// *CorruptionError if there is no segment, or the first one begins after the next record,
+// so that an older snapshot is used only with the segments that follow it.
 func (w *writer) readNewestSnapshot(listing folderFiles, replay *Replay) (snapshotIndex uint64, err error) {
 	var firstErr error
 	for _, lastIndex := range slices.Backward(listing.snapshots) {
@@ -91,7 +91,7 @@
 			replay.BadSnapshot = snapshotFileName(lastIndex)
 		}
 	}
-	if len(listing.segments) == 0 && len(listing.snapshots) > 0 && replay.Snapshot == nil {
+	if len(listing.segments) == 0 && firstErr != nil {
 		return 0, firstErr
 	}
 	if len(listing.segments) > 0 && listing.segments[0] > snapshotIndex+1 {
