gateway: no advice to send an unsafe request again that may have run

Change: for such a route a deadline that passes after the request was sent is deadline_unknown (3009, 504, check), an incomplete answer outcome_unknown (502, check); statuses are as before, and idempotent routes keep their codes. TestAdviceAfterAPossibleExecution fails on the code before for the unsafe route.

--- a/internal/apierror/codes.go
+++ b/internal/apierror/codes.go
@@ -49,6 +49,7 @@
 	KeyRevoked         Code = 3006
 	CallerDisconnected Code = 3007
 	StreamNotStarted   Code = 3008
+	DeadlineUnknown    Code = 3009
 
 	BaseConflict    Code = 4001
 	OutcomePending  Code = 4002
@@ -132,6 +133,7 @@
 	{KeyRevoked, "key_revoked", http.StatusForbidden, RetryNo, "The key was revoked while the request was in progress."},
 	{CallerDisconnected, "caller_gone", 499, RetryNo, "The caller closed the connection or stopped reading from it."},
 	{StreamNotStarted, "stream_not_begun", http.StatusServiceUnavailable, RetryLater, "No server started the stream; no event was forwarded."},
+	{DeadlineUnknown, "deadline_unknown", http.StatusGatewayTimeout, RetryCheck, "The deadline passed, and the call, which must not be repeated, may have been executed."},
 	{BaseConflict, "base_moved", http.StatusConflict, RetryNo, "The order's base is not the sheet's current epoch or revision; read the sheet again and rebuild the order."},
 	{OutcomePending, "outcome_pending", http.StatusAccepted, RetrySame, "The order is not known to be in force yet; send it again with the same id."},
 	{InvalidSheet, "invalid_sheet", http.StatusUnprocessableEntity, RetryNo, "The sheet violates a rule; nothing was changed."},
--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -74,7 +74,7 @@
 		if previous != nil && apiErr.Code != apierror.DeadlineExceeded {
 			apiErr = previous
 		}
-		return possiblyExecuted(apiErr)
+		return possiblyExecuted(apiErr, q.route.Idempotent())
 	case apiErr.Code == apierror.DeadlineExceeded:
 		return apierror.Errorf(apierror.NotExecuted, "%s", apiErr.Detail).WithRetryAfter(minRetryAfter)
 	}
@@ -82,12 +82,21 @@
 }
 
 // possiblyExecuted returns the error for a request that a server may have executed. Codes
-// that do not allow for that are replaced by OutcomeUnknown, so that the client is not
-// told that the request can be sent again.
-func possiblyExecuted(apiErr *apierror.Error) *apierror.Error {
+// whose advice is to send the request again are replaced, unless its route is idempotent
+// and the code allows for an execution.
+func possiblyExecuted(apiErr *apierror.Error, isIdempotent bool) *apierror.Error {
 	switch apiErr.Code {
-	case apierror.DeadlineExceeded, apierror.OutcomeUnknown, apierror.BadResponse:
+	case apierror.OutcomeUnknown:
 		return apiErr
+	case apierror.DeadlineExceeded:
+		if isIdempotent {
+			return apiErr
+		}
+		return apierror.Errorf(apierror.DeadlineUnknown, "%s", apiErr.Detail)
+	case apierror.BadResponse:
+		if isIdempotent {
+			return apiErr
+		}
 	}
 	return apierror.Errorf(apierror.OutcomeUnknown, "%s", apiErr.Detail)
 }
--- a/internal/node/gateway/attempt_test.go
+++ b/internal/node/gateway/attempt_test.go
@@ -68,6 +68,34 @@
 	})
 }
 
+// TestAdviceAfterAPossibleExecution guards against the advice to repeat a request that must run at most once.
+func TestAdviceAfterAPossibleExecution(t *testing.T) {
+	truncateResponse := func(r *http.Request, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\nshort", r.Header.Get("Id"))
+		_ = conn.Close()
+	}
+	neverRespond := func(*http.Request, net.Conn) {}
+	for _, c := range []struct {
+		path   string
+		script serverScript
+		status int
+		advice string
+	}{
+		{"/unsafe/", truncateResponse, http.StatusBadGateway, "check"},
+		{"/safe/", truncateResponse, http.StatusBadGateway, "later"},
+		{"/unsafe/", neverRespond, http.StatusGatewayTimeout, "check"},
+		{"/safe/", neverRespond, http.StatusGatewayTimeout, "later"},
+	} {
+		Convey(fmt.Sprintf("A request to %s that ends with status %d", c.path, c.status), t, func() {
+			fleet := newTestFleet(t)
+			fleet.addServer("s0", c.script)
+			got := fleet.startGateway().send(c.path, "", "Left", "300")
+			So(got.status, ShouldEqual, c.status)
+			So(got.body, ShouldContainSubstring, `"retry":"`+c.advice+`"`)
+		})
+	}
+}
+
 func TestClientDisconnects(t *testing.T) {
 	dial := func(fleet *testFleet, path string) net.Conn {
 		conn, err := net.Dial("tcp", fleet.address)
