gateway: a stalled attempt is given up only for a server that has responded

Cause: after the stall timeout the attempt was cancelled as soon as another server was assigned. If that server refused the request, closed the connection or did not respond, nothing was left to continue with. Between assignment and request the admission was checked a second time, so that a lapsed lease or a change could cut the stream as well.

Evidence: TestStalledStreamIsNotGivenUpForAServerThatRefusesIt; on the code before, all three cases end with a broken stream (refused, closed, silent).

Change: the watch sends the request to the other server, with the id of the last event relayed, and cancels the attempt once that server's response has begun. Data from the watched server in the meantime ends the search. If the watched server breaks off meanwhile, the request that is under way is adopted (TestBrokenStreamIsContinuedByTheServerBeingAsked: two requests, not three). A response that no longer continues what was relayed is dropped and requested anew. In a part of TestStallWatch an empty assignment stood for a found server; it is a requested one now.

--- a/internal/node/gateway/attempt.go
+++ b/internal/node/gateway/attempt.go
@@ -111,18 +111,16 @@
 	}
 	outcome := balance.OutcomeCancelled
 	defer func() { dispatcher.reportFinished(assigned.attempt, outcome) }()
-	if apiErr := q.checkAdmission(); apiErr != nil {
-		return apiErr, false
-	}
-	if q.possibleExecutions == 0 {
-		if apiErr := q.checkDrain(); apiErr != nil {
+	if assigned.opened == nil {
+		if apiErr := q.checkSend(); apiErr != nil {
 			return apiErr, false
 		}
 	}
+	defer assigned.opened.close()
 	q.excludeServer(assigned.server)
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, failure := q.send(ctx, sendCtx, cancel, assigned.server, clientRelay.lastEventID)
+	response, failure := q.openResponse(ctx, sendCtx, cancel, assigned, clientRelay)
 	if failure != nil {
 		q.gateway.metrics.attemptFailed(q.service, failure.Kind)
 		return q.handleSendFailure(ctx, failure, &outcome)
@@ -145,13 +143,39 @@
 	return apiErr, retry && q.prepareRetry()
 }
 
+// checkSend returns an error if the request must not be sent to a server now.
+func (q *request) checkSend() *apierror.Error {
+	if apiErr := q.checkAdmission(); apiErr != nil {
+		return apiErr
+	}
+	if q.possibleExecutions > 0 {
+		return nil
+	}
+	return q.checkDrain()
+}
+
+// openResponse returns the response of an assignment that was opened already, if it
+// continues what was relayed, and otherwise sends the request.
+func (q *request) openResponse(ctx, sendCtx context.Context, cancel func(), assigned assignment, clientRelay *relay) (*upstream.Response, *upstream.Failure) {
+	if assigned.opened == nil {
+		return q.send(ctx, sendCtx, cancel, assigned.server, clientRelay)
+	}
+	if assigned.opened.lastEventID == clientRelay.lastEventID {
+		return assigned.opened.response, nil
+	}
+	assigned.opened.close()
+	return q.send(ctx, sendCtx, cancel, assigned.server, clientRelay)
+}
+
 // send sends the request to a server. cancel cancels sendCtx, a child of ctx, when the
-// server has stalled and another one is assigned in its place.
-func (q *request) send(ctx, sendCtx context.Context, cancel func(), server upstream.Server, lastEventID string) (*upstream.Response, *upstream.Failure) {
-	watch := q.watchStall(ctx, q.possibleExecutions+1, cancel)
+// server has stalled and another one has responded in its place.
+func (q *request) send(ctx, sendCtx context.Context, cancel func(), server upstream.Server, clientRelay *relay) (*upstream.Response, *upstream.Failure) {
+	lastEventID := clientRelay.lastEventID
+	watch := q.watchStall(ctx, q.possibleExecutions+1, lastEventID, clientRelay.started, cancel)
 	response, failure := q.gateway.client.Send(sendCtx, server, q.upstreamRequest(server, lastEventID))
-	replaced := q.stopStallWatch(watch)
-	if !replaced || ctx.Err() != nil {
+	replaced := q.stopStallWatch(watch, failure != nil)
+	failedByItself := failure != nil && failure.Kind != upstream.Cancelled
+	if !replaced || ctx.Err() != nil || failedByItself {
 		return response, failure
 	}
 	if response != nil {
--- a/internal/node/gateway/queue.go
+++ b/internal/node/gateway/queue.go
@@ -35,6 +35,8 @@
 	server  upstream.Server
 	attempt *balance.Attempt
 	apiErr  *apierror.Error
+	// opened is the server's response if the request was sent to it already; see stallWatch.
+	opened *openedResponse
 }
 
 // assign submits a request to the dispatcher and waits for its assignment. It returns an
--- a/internal/node/gateway/stall_test.go
+++ b/internal/node/gateway/stall_test.go
@@ -127,6 +127,60 @@
 	})
 }
 
+// TestStalledStreamIsNotGivenUpForAServerThatRefusesIt guards against a cut stream whose server was only slow.
+func TestStalledStreamIsNotGivenUpForAServerThatRefusesIt(t *testing.T) {
+	refusals := map[string]serverScript{
+		"reports that it did not execute the request": respondStatus("503 Full", "Not-Run: 1\r\n"),
+		"closes the connection":                       closeConnection,
+		"does not respond":                            func(_ *http.Request, conn net.Conn) { staysConnected(conn); staysConnected(conn) },
+	}
+	for name, refusal := range refusals {
+		Convey("A stalled stream is whole if the other server "+name, t, func() {
+			fleet := newTestFleet(t)
+			script := firstThen(pauseInStream, refusal)
+			fleet.addServer("s0", script)
+			fleet.addServer("s1", script)
+			got := fleet.startGateway().send("/stream/", "")
+			So(got.broken, ShouldBeFalse)
+			So(got.body, ShouldEqual, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+		})
+	}
+}
+
+// TestBrokenStreamIsContinuedByTheServerBeingAsked guards against a third request, or none, when a server breaks during the search for its replacement.
+func TestBrokenStreamIsContinuedByTheServerBeingAsked(t *testing.T) {
+	Convey("A stalled server that breaks the stream off is replaced by the server that was asked before", t, func() {
+		fleet := newTestFleet(t)
+		asked := make(chan struct{})
+		broken := make(chan struct{})
+		var requests atomic.Int32
+		breakWhenOtherIsAsked := func(r *http.Request, conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			_, _ = io.WriteString(conn, "f\r\nid: 1\ndata: x\n\n\r\n")
+			<-asked
+			_ = conn.Close()
+			close(broken)
+		}
+		continueAfterBreak := func(r *http.Request, conn net.Conn) {
+			close(asked)
+			<-broken
+			respondStream(false, 2)(r, conn)
+		}
+		script := firstThen(breakWhenOtherIsAsked, continueAfterBreak)
+		counted := func(r *http.Request, conn net.Conn) {
+			requests.Add(1)
+			script(r, conn)
+		}
+		for _, name := range []string{"s0", "s1", "s2"} {
+			fleet.addServer(name, counted)
+		}
+		got := fleet.startGateway().send("/stream/", "")
+		So(got.broken, ShouldBeFalse)
+		So(got.body, ShouldEqual, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+		So(requests.Load(), ShouldEqual, 2)
+	})
+}
+
 func TestStallWatch(t *testing.T) {
 	Convey("Given a watched attempt on one of two servers", t, func() {
 		fleet := newTestFleet(t)
@@ -141,34 +195,32 @@
 		So(q.prepareSelection(), ShouldBeNil)
 		q.excludeServer(upstream.Server{Name: "s0"})
 		attemptCancelled := false
-		watch := q.watchStall(context.Background(), 1, func() { attemptCancelled = true })
+		watch := q.watchStall(context.Background(), 1, "", false, func() { attemptCancelled = true })
 		Convey("the stall timeout cancels it in favour of the other server", func() {
 			watch.findReplacement()
 			So(attemptCancelled, ShouldBeTrue)
-			replacement, replaced := watch.stop()
-			So(replaced, ShouldBeTrue)
-			So(replacement.server.Name, ShouldEqual, "s1")
+			So(q.stopStallWatch(watch, false), ShouldBeTrue)
+			So(q.replacement.server.Name, ShouldEqual, "s1")
+			q.releaseReplacement()
 		})
 		Convey("a timeout that expires just after the watch was stopped does not cancel it", func() {
-			_, replaced := watch.stop()
-			So(replaced, ShouldBeFalse)
+			So(q.stopStallWatch(watch, false), ShouldBeFalse)
 			watch.findReplacement()
 			So(attemptCancelled, ShouldBeFalse)
 		})
 		Convey("it is not cancelled if the server sends data while a replacement is being requested", func() {
 			watch.state.Store(stallSearching)
 			watch.recordProgress()
-			watch.finishSearch(assignment{})
+			watch.finishSearch(watch.requestReplacement(context.WithCancel(context.Background())))
 			So(attemptCancelled, ShouldBeFalse)
 			So(watch.state.Load(), ShouldEqual, stallWatching)
-			_, replaced := watch.stop()
-			So(replaced, ShouldBeFalse)
+			So(q.stopStallWatch(watch, false), ShouldBeFalse)
 		})
 	})
 	Convey("An attempt after which no other server may be tried is not watched", t, func() {
 		fleet := newTestFleet(t).startGateway()
 		route, _ := fleet.views.View().Index.Route("h", "/once/")
 		q := &request{gateway: fleet.gateway, admission: admission{route: route}}
-		So(q.watchStall(context.Background(), 1, nil), ShouldBeNil)
+		So(q.watchStall(context.Background(), 1, "", false, nil), ShouldBeNil)
 	})
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -15,8 +15,8 @@
 	var events eventSplitter
 	var chunk [readChunkSize]byte
 	controller := http.NewResponseController(r.writer())
-	watch := r.request.watchStall(r.ctx, r.request.possibleExecutions, response.Abort)
-	defer r.request.stopStallWatch(watch)
+	watch := r.request.watchStall(r.ctx, r.request.possibleExecutions, r.lastEventID, true, response.Abort)
+	defer func() { r.request.stopStallWatch(watch, retry) }()
 	for first := true; ; {
 		count, err := response.Read(chunk[:])
 		if count > 0 {
@@ -28,6 +28,7 @@
 			if apiErr := r.relayEvents(response, &events, chunk[:count], controller); apiErr != nil {
 				return apiErr, false
 			}
+			watch.recordRelayed(r.lastEventID)
 		}
 		if err != nil {
 			return r.finishStream(response, events.incomplete(), err)
