--- a/cmd/rig/gatewaysoak/soak.go
+++ b/cmd/rig/gatewaysoak/soak.go
@@ -68,7 +68,9 @@
 	Calls    int                     `json:"operator_calls"`
 	Versions uint64                  `json:"versions"` // acknowledged
 	Verdicts map[standin.Verdict]int `json:"without_answer"`
-	Problems []string                `json:"problems,omitempty"`
+	// SlowestExit is the longest time from SIGTERM to the exit of a process.
+	SlowestExit int64    `json:"slowest_exit_ms"`
+	Problems    []string `json:"problems,omitempty"`
 }
 
 // soak is a running soak.
@@ -79,6 +81,7 @@
 	operator *standin.Operator
 	problems chan string
 	versions atomic.Uint64
+	exits    chan time.Duration // from SIGTERM, of each restart
 	clients  sync.WaitGroup
 }
 
@@ -86,14 +89,14 @@
 // whole answer.
 const lossesFile = "losses.txt"
 
-// maxProblems is the number of problems that are kept.
+// maxProblems is the number of problems, and of exits, that are kept.
 const maxProblems = 1000
 
 // Run runs a soak and returns what it found. The error says why it could not be run.
 func Run(ctx context.Context, options Options) (Summary, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &soak{options: options, recorder: standin.NewRecorder(ctx), problems: make(chan string, maxProblems)}
+	s := &soak{options: options, recorder: standin.NewRecorder(ctx), problems: make(chan string, maxProblems), exits: make(chan time.Duration, maxProblems)}
 	var err error
 	if s.fleet, err = newTestFleet(ctx, options, s.recorder); err != nil {
 		return Summary{}, err
@@ -266,6 +269,7 @@
 	if target.hasExited() {
 		s.addProblem("%s had ended by itself", target.name)
 	}
+	stopped := s.fleet.clock.Now()
 	target.signal(syscall.SIGTERM)
 	stopSignals := make(chan struct{})
 	var signals sync.WaitGroup
@@ -273,6 +277,7 @@
 		signals.Go(func() { s.sendFurtherSignals(target, scheduled.Count, random, stopSignals) })
 	}
 	s.addError(target.awaitExit(ctx, grace))
+	s.addExit(s.fleet.clock.Now().Sub(stopped))
 	close(stopSignals)
 	signals.Wait()
 	s.wait(ctx, scheduled.Length)
@@ -322,6 +327,14 @@
 	}
 }
 
+// addExit records the time of an exit; those beyond maxProblems are dropped.
+func (s *soak) addExit(took time.Duration) {
+	select {
+	case s.exits <- took:
+	default:
+	}
+}
+
 func (s *soak) addError(err error) {
 	if err != nil {
 		s.addProblem("%v", err)
@@ -363,6 +376,10 @@
 	if s.fleet.keep {
 		s.addError(os.WriteFile(filepath.Join(s.fleet.folder, lossesFile), []byte(losses.String()), fileMode))
 	}
+	close(s.exits)
+	for took := range s.exits {
+		summary.SlowestExit = max(summary.SlowestExit, took.Milliseconds())
+	}
 	close(s.problems)
 	for problem := range s.problems {
 		summary.Problems = append(summary.Problems, strings.TrimSpace(problem))
