--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -41,7 +41,7 @@
 	EventsSuppressed    = declare(1008, "events_suppressed", Warn, "An event occurred more often than its rate limit allows, or the log's queue was full; count is the number of lines that were left out.", "See the event that of_name gives.")
 	SettingRenamed      = declare(1009, "setting_renamed", Warn, "The settings file uses the former name of a setting; the next release will not accept it.", "Use the name that the event's key name gives.")
 	SettingsChanged     = declare(1012, "settings_changed", Info, "The sheet's run-time settings were applied by this process.", "")
-	GracePeriodExceeded = declare(1013, "grace_over", Warn, "drain.grace ended before all requests had finished; the remaining ones, in_flight, were cancelled.", "Raise drain.grace if this happens on ordinary restarts.")
+	GracePeriodExceeded = declare(1013, "grace_over", Warn, "drain.grace ended before all requests had finished; the remaining ones were cancelled; error gives their number behind the platform's gateway.", "Raise drain.grace if this happens on ordinary restarts.")
 	DrainFinished       = declare(1014, "drain_finished", Info, "All requests of a stopping process finished within drain.grace.", "")
 	DrainClosed         = declare(1016, "drain_closed", Info, "A stopping process rejects new requests from now on; in_flight is the number that it still serves.", "")
 	SignalRepeated      = declare(1017, "signal_repeated", Warn, "A stopping process received a further SIGTERM or SIGINT; it continues to drain.", "None; send SIGKILL to end it at once.")
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -248,9 +248,6 @@
 	return f.calls.drain(ctx)
 }
 
-// InFlight returns the number of requests that the front is serving.
-func (f *Front) InFlight() int { return int(f.calls.activeRequests.Load()) }
-
 // EarliestArrival returns the earliest time at which a request that is read now
 // may have reached this machine. During a pause of the process requests wait in
 // the sockets' buffers, so their deadlines count from the start of the pause.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -189,7 +189,7 @@
 	began := p.clock.Now()
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), grace)
 	if err := p.drain(drainCtx); err != nil {
-		p.log.Emit(events.GracePeriodExceeded, "error", err, "in_flight", p.requestsInFlight())
+		p.log.Emit(events.GracePeriodExceeded, "error", err)
 	} else {
 		p.log.Emit(events.DrainFinished, "took", p.clock.Now().Sub(began))
 	}
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -50,11 +50,3 @@
 	}
 	return nil
 }
-
-// requestsInFlight returns the number of client requests that the process is serving.
-func (p *process) requestsInFlight() int {
-	if p.gateway == nil {
-		return p.front.InFlight()
-	}
-	return p.gateway.InFlight()
-}
