--- a/internal/node/gateway/attempt_test.go
+++ b/internal/node/gateway/attempt_test.go
@@ -139,7 +139,12 @@
 		first := make(chan response, 1)
 		go func() { first <- fleet.send("/safe/", "") }()
 		for reached.Load() == 0 {
-			runtime.Gosched()
+			select {
+			case got := <-first:
+				t.Fatalf("the first request ended before it reached the server: status %d, broken %v, %s", got.status, got.broken, got.body)
+			default:
+				runtime.Gosched()
+			}
 		}
 		So(time.Duration(fleet.admitter.lastTimeout.Load()), ShouldEqual, 2*time.Second)
 		conn := dial(fleet, "/safe/")
