signals: wait for the removal of a channel by events instead of sleeping

TestHangupAfterItsReadersContextEnds slept 20 times 1 ms and hoped that the channel had been removed by then, so that it could pass without testing it.

--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"syscall"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-func sendSelf(t *testing.T, signal syscall.Signal) {
+func sendSelf(t *testing.T, sent syscall.Signal) {
 	t.Helper()
-	if err := syscall.Kill(os.Getpid(), signal); err != nil {
+	if err := syscall.Kill(os.Getpid(), sent); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -26,9 +26,9 @@
 		<-ctx.Done()
 		So(<-repeated, ShouldEqual, syscall.SIGTERM)
 		cancel() // the context's own handler is removed now, not at some later time
-		for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM} {
-			sendSelf(t, signal)
-			So(<-repeated, ShouldEqual, signal)
+		for _, further := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM} {
+			sendSelf(t, further)
+			So(<-repeated, ShouldEqual, further)
 		}
 	})
 }
@@ -43,9 +43,31 @@
 		sendSelf(t, syscall.SIGHUP)
 		So(<-hangups, ShouldEqual, syscall.SIGHUP)
 		stop()
-		for range 20 {
-			sendSelf(t, syscall.SIGHUP)
-			time.Sleep(time.Millisecond)
-		}
+		awaitRemoval(t, hangups)
+		sendSelf(t, syscall.SIGHUP)
 	})
 }
+
+// maxRemovalChecks bounds how often awaitRemoval looks for a channel that is still served.
+const maxRemovalChecks = 1000
+
+// awaitRemoval waits until SIGHUP is not delivered to hangups any more, and leaves no
+// channel registered for it.
+func awaitRemoval(t *testing.T, hangups <-chan os.Signal) {
+	t.Helper()
+	observer := make(chan os.Signal, 1)
+	defer signal.Stop(observer)
+	for range maxRemovalChecks {
+		signal.Notify(observer, syscall.SIGHUP)
+		sendSelf(t, syscall.SIGHUP)
+		<-observer
+		// Notify waits for the delivery in progress, which may not have reached hangups.
+		signal.Notify(observer, syscall.SIGHUP)
+		select {
+		case <-hangups:
+		default:
+			return
+		}
+	}
+	t.Fatal("SIGHUP is still delivered after the context has ended")
+}
