control: measure the rate of renewals from between them to between them

Cause: in virtual time most fronts renew at the same instants, multiples of 500 ms, and the window of 10 s began and ended on one. Whether the renewals of that instant are counted depended on which goroutine ran first. Not load, and not the product.

The bounds are as before.

--- a/internal/node/control/renewal_relay_test.go
+++ b/internal/node/control/renewal_relay_test.go
@@ -21,8 +21,14 @@
 	return true
 }
 
-// callRates lets a span pass and returns the calls per second during it.
+// betweenRenewals is half of the interval at which fronts renew. Most of them renew at the
+// same instants, so that a span that begins and ends halfway counts each of these whole.
+const betweenRenewals = 250 * time.Millisecond
+
+// callRates lets a span pass that begins and ends between renewals, and returns the calls
+// per second during it.
 func callRates(f *fleet, span time.Duration) (renewals, batches float64) {
+	f.advance(betweenRenewals)
 	renewals, batches = float64(f.renewals.Load()), float64(f.batches.Load())
 	f.advance(span)
 	return (float64(f.renewals.Load()) - renewals) / span.Seconds(), (float64(f.batches.Load()) - batches) / span.Seconds()
