gateway: a server whose request was dropped can still resume the stream

Found by reading again: a stream was cut although another server could have continued it.

Cause: when the watched server sent data during the search for its replacement, the request at the other server was dropped and that server excluded, as if it had failed. If the watched server broke off later and there was no third one, nothing was left to resume on.

Change: only a server that failed by itself is excluded; one that was dropped neither counts nor is excluded. Names and comments of the watch that a newcomer stumbled over are clearer.

--- a/internal/node/gateway/stall.go
+++ b/internal/node/gateway/stall.go
@@ -45,16 +45,17 @@
 type stallWatch struct {
 	ctx context.Context
 	// request is a copy made at the start of the watch. The timer's goroutine owns it until
-	// the watch is stopped, and counts in it the servers that it has tried.
-	request       request
-	initial       int  // possibleExecutions at the start of the watch
-	isResumption  bool // a part of the response was relayed already
-	timeout       time.Duration
-	cancelAttempt func()
-	timer         *time.Timer
-	state         atomic.Int32
-	lastEventID   atomic.Pointer[string]             // id of the last event that was relayed
-	cancelSearch  atomic.Pointer[context.CancelFunc] // of the search in progress
+	// the watch is stopped, and records in it the servers to which it has sent the request.
+	request request
+	// initialExecutions is possibleExecutions at the start of the watch.
+	initialExecutions int
+	isResumption      bool // a part of the response was relayed already
+	timeout           time.Duration
+	cancelAttempt     func()
+	timer             *time.Timer
+	state             atomic.Int32
+	lastEventID       atomic.Pointer[string]             // id of the last event that was relayed
+	cancelSearch      atomic.Pointer[context.CancelFunc] // of the search in progress
 	// replacement receives the assignment that replaces the attempt. It is buffered, so
 	// that the timer's goroutine never blocks.
 	replacement chan assignment
@@ -86,13 +87,13 @@
 		return nil
 	}
 	w := &stallWatch{
-		ctx:           ctx,
-		request:       *q,
-		initial:       possibleExecutions,
-		isResumption:  isResumption,
-		timeout:       q.stallTimeout(),
-		cancelAttempt: cancelAttempt,
-		replacement:   make(chan assignment, 1),
+		ctx:               ctx,
+		request:           *q,
+		initialExecutions: possibleExecutions,
+		isResumption:      isResumption,
+		timeout:           q.stallTimeout(),
+		cancelAttempt:     cancelAttempt,
+		replacement:       make(chan assignment, 1),
 	}
 	w.request.possibleExecutions = possibleExecutions
 	w.request.selection.Retry = true
@@ -162,6 +163,7 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.cancelSearch.Store(&cancel)
+	// The handler may have ended the search before cancel was stored.
 	if state := w.state.Load(); state == stallProgressed || state == stallStopped {
 		cancel()
 	}
@@ -210,17 +212,24 @@
 	response, apiErr := w.open(ctx, assigned.server, lastEventID, &outcome)
 	if apiErr != nil {
 		w.request.gateway.dispatcher.reportFinished(assigned.attempt, outcome)
-		w.request.excludeServer(assigned.server)
-		if ctx.Err() != nil {
-			// The search was ended, so that the server was cut off and does not count.
-			w.request.possibleExecutions = executions
-		}
+		w.recordFailure(ctx, assigned.server, executions)
 		return assignment{apiErr: apiErr}
 	}
 	assigned.opened = &openedResponse{response: response, lastEventID: lastEventID, cancel: cancel}
 	return assigned
 }
 
+// recordFailure excludes a server that did not take the place of the watched one. If the
+// search was ended by the gateway itself, the server remains eligible and does not count as
+// one that may have executed the request; executions is the number before it.
+func (w *stallWatch) recordFailure(ctx context.Context, server upstream.Server, executions int) {
+	if ctx.Err() != nil {
+		w.request.possibleExecutions = executions
+		return
+	}
+	w.request.excludeServer(server)
+}
+
 // open sends the request to a server and returns the response if it can take the place of
 // that of the watched server. Otherwise it sets the attempt's outcome.
 func (w *stallWatch) open(ctx context.Context, server upstream.Server, lastEventID string, outcome *balance.Outcome) (*upstream.Response, *apierror.Error) {
@@ -259,8 +268,8 @@
 	return assigned
 }
 
-// stopStallWatch stops a watch, keeps the replacement for the next attempt, if there is
-// one, and takes over what the watch has counted. It reports whether there is a
+// stopStallWatch stops a watch, stores the replacement for the next attempt, if there is
+// one, and takes over the executions and exclusions that the watch has recorded. It reports whether there is a
 // replacement.
 func (q *request) stopStallWatch(watch *stallWatch, attemptFailed bool) (replaced bool) {
 	if watch == nil {
@@ -268,7 +277,7 @@
 	}
 	replacement, ended := watch.stop(attemptFailed)
 	if ended {
-		q.possibleExecutions += watch.request.possibleExecutions - watch.initial
+		q.possibleExecutions += watch.request.possibleExecutions - watch.initialExecutions
 		q.selection.ExcludedServers = watch.request.selection.ExcludedServers
 	}
 	if replacement.apiErr != nil {
--- a/internal/node/gateway/stall_test.go
+++ b/internal/node/gateway/stall_test.go
@@ -181,6 +181,38 @@
 	})
 }
 
+// TestServerOfAnEndedSearchCanStillResumeTheStream guards against a cut stream when the watched server sends data during the search and breaks later.
+func TestServerOfAnEndedSearchCanStillResumeTheStream(t *testing.T) {
+	Convey("A server whose request was dropped because the stalled one went on can continue the stream after a break", t, func() {
+		asked := make(chan struct{})
+		dropped := make(chan struct{})
+		event := func(conn net.Conn, id int) {
+			text := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		}
+		goOnAndBreak := func(r *http.Request, conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			event(conn, 1)
+			<-asked
+			event(conn, 2)
+			<-dropped
+			_ = conn.Close()
+		}
+		awaitDrop := func(_ *http.Request, conn net.Conn) {
+			close(asked)
+			_, _ = conn.Read(make([]byte, 1))
+			close(dropped)
+		}
+		script := firstThen(goOnAndBreak, firstThen(awaitDrop, respondStream(false, 3)))
+		fleet := newTestFleet(t)
+		fleet.addServer("s0", script)
+		fleet.addServer("s1", script)
+		got := fleet.startGateway().send("/stream/", "")
+		So(got.broken, ShouldBeFalse)
+		So(got.body, ShouldEqual, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n")
+	})
+}
+
 func TestStallWatch(t *testing.T) {
 	Convey("Given a watched attempt on one of two servers", t, func() {
 		fleet := newTestFleet(t)
