--- a/cmd/rig/gatewaysoak/process.go
+++ b/cmd/rig/gatewaysoak/process.go
@@ -159,6 +159,22 @@
 	return problem
 }
 
+// awaitExitDuringStart is like awaitExit, but also accepts that SIGTERM ended the process
+// before it had logged its start.
+func (p *process) awaitExitDuringStart(ctx context.Context, timeout time.Duration) error {
+	var command *exec.Cmd
+	p.state.Do(func(s *processState) { command = s.command })
+	err := p.awaitExit(ctx, timeout)
+	if command == nil || err == nil {
+		return err
+	}
+	status, ok := command.ProcessState.Sys().(syscall.WaitStatus)
+	if ok && status.Signaled() && status.Signal() == syscall.SIGTERM && !p.handlesSignals() {
+		return nil
+	}
+	return err
+}
+
 // hasExited reports whether a started process has ended.
 func (p *process) hasExited() bool {
 	var exited chan struct{}
--- a/cmd/rig/gatewaysoak/schedule.go
+++ b/cmd/rig/gatewaysoak/schedule.go
@@ -13,7 +13,7 @@
 // The actions. All are planned work: no process is killed, frozen or cut off.
 const (
 	restart        action = "restart"         // SIGTERM, and a start after the exit
-	restartSignals action = "restart_signals" // as restart, with further signals during the drain
+	restartSignals action = "restart_signals" // as restart, with further signals during the drain and SIGTERM during the start
 	hangups        action = "hangups"         // a burst of SIGHUP, also during a drain
 	changeSettings action = "change_settings" // another settings file and SIGHUP
 	changeConfig   action = "change_config"   // changes of the configuration in quick succession
--- a/cmd/rig/gatewaysoak/soak.go
+++ b/cmd/rig/gatewaysoak/soak.go
@@ -40,6 +40,9 @@
 	hangupGap  = 2 * time.Millisecond
 	// maxSignalGap is the longest time between two signals during a drain.
 	maxSignalGap = 1500 * time.Millisecond
+	// maxStartSignalDelay is the longest time from the start of a process to a SIGTERM
+	// that may precede its first log line.
+	maxStartSignalDelay = 150 * time.Millisecond
 )
 
 // bounds are those of the platform's rule LOST, as its settings file has them.
@@ -69,8 +72,9 @@
 	Versions uint64                  `json:"versions"` // acknowledged
 	Verdicts map[standin.Verdict]int `json:"without_answer"`
 	// SlowestExit is the longest time from SIGTERM to the exit of a process.
-	SlowestExit int64    `json:"slowest_exit_ms"`
-	Problems    []string `json:"problems,omitempty"`
+	SlowestExit   int64    `json:"slowest_exit_ms"`
+	StartsStopped int64    `json:"starts_stopped"` // by SIGTERM just after the start
+	Problems      []string `json:"problems,omitempty"`
 }
 
 // soak is a running soak.
@@ -81,15 +85,17 @@
 	operator *standin.Operator
 	problems chan string
 	versions atomic.Uint64
-	exits    chan time.Duration // from SIGTERM, of each restart
-	clients  sync.WaitGroup
+	// startsStopped counts the processes that got SIGTERM just after their start.
+	startsStopped atomic.Int64
+	exits         chan time.Duration // from SIGTERM, of each restart
+	clients       sync.WaitGroup
 }
 
 // lossesFile is the name of the file, in Options.KeepDir, with the requests that have no
-// whole answer.
+// complete response.
 const lossesFile = "losses.txt"
 
-// maxProblems is the number of problems, and of exits, that are kept.
+// maxProblems is the number of problems, and of exits, that are recorded.
 const maxProblems = 1000
 
 // Run runs a soak and returns what it found. The error says why it could not be run.
@@ -282,6 +288,18 @@
 	signals.Wait()
 	s.wait(ctx, scheduled.Length)
 	s.addError(target.start())
+	if random != nil {
+		s.stopDuringStart(ctx, target, random)
+	}
+}
+
+// stopDuringStart sends SIGTERM to a process that was just started, and starts it again.
+func (s *soak) stopDuringStart(ctx context.Context, target *process, random *rand.Rand) {
+	s.wait(ctx, time.Duration(random.Int64N(int64(maxStartSignalDelay))))
+	target.signal(syscall.SIGTERM)
+	s.addError(target.awaitExitDuringStart(ctx, grace))
+	s.startsStopped.Add(1)
+	s.addError(target.start())
 }
 
 // sendFurtherSignals sends signals that must not shorten a drain.
@@ -376,6 +394,7 @@
 	if s.fleet.keep {
 		s.addError(os.WriteFile(filepath.Join(s.fleet.folder, lossesFile), []byte(losses.String()), fileMode))
 	}
+	summary.StartsStopped = s.startsStopped.Load()
 	close(s.exits)
 	for took := range s.exits {
 		summary.SlowestExit = max(summary.SlowestExit, took.Milliseconds())
--- a/internal/node/control/renewal_relay_test.go
+++ b/internal/node/control/renewal_relay_test.go
@@ -22,7 +22,7 @@
 }
 
 // betweenRenewals is half of the interval at which fronts renew. Most of them renew at the
-// same instants, so that a span that begins and ends halfway counts each of these whole.
+// same instants, so that a span that begins and ends halfway counts each of these completely.
 const betweenRenewals = 250 * time.Millisecond
 
 // callRates lets a span pass that begins and ends between renewals, and returns the calls
