--- a/review/_standin/clients.go
+++ b/review/_standin/clients.go
@@ -68,10 +68,10 @@
 	return c.addresses[rand.IntN(len(c.addresses))]
 }
 
-// resolve asks the directory, the node in the client's own zone first.
+// resolve asks the directory, a node in the client's own zone first.
 func (c *client) resolve() {
 	for attempt := range directoryAttempts {
-		asked := c.deployment.machines[(c.zone+attempt)%len(c.deployment.machines)]
+		asked := c.deployment.withCores()[(c.zone+attempt)%len(zones)]
 		if addresses, ttl, ok := c.askDirectory(asked); ok {
 			c.addresses = addresses
 			c.expires = time.Now().Add(ttl)
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -34,21 +34,21 @@
 	serverHostByte   = 110
 )
 
-// zones are the zones of the deployment with their regions; the machine with index i
-// stands in the zone with index i.
+// zones are the zones of the deployment with their regions. The first machine of each
+// zone has a disk and a core.
 var zones = []struct{ name, region string }{
 	{"ikeja-hall", "lagos"},
 	{"kuto-hall", "abeokuta"},
 	{"lekki-hall", "lagos"},
 }
 
-// machine is one machine with a core and a front.
+// machine is one machine with a front and, if it has a disk, a core.
 type machine struct {
 	name   string
 	ip     string
 	zone   string
 	region string
-	core   *exec.Cmd
+	core   *exec.Cmd // nil without a disk
 	front  *exec.Cmd
 }
 
@@ -68,13 +68,15 @@
 type deployment struct {
 	folder   string
 	network  string // the first three bytes of all addresses
+	perZone  int    // machines of each zone
 	machines []*machine
 	httpd    []*http.Server
+	silent   []net.Listener // of machines that were removed
 	record   *record
 }
 
-// startDeployment starts everything and waits until every front is listening.
-func startDeployment(program string, record *record) (*deployment, error) {
+// startDeployment starts the stand-ins and the processes of perZone machines in each zone.
+func startDeployment(program string, perZone int, record *record) (*deployment, error) {
 	program, err := filepath.Abs(program)
 	if err != nil {
 		return nil, err
@@ -83,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{folder: folder, record: record}
+	d := &deployment{folder: folder, perZone: perZone, record: record}
 	if err := d.start(program); err != nil {
 		d.stop()
 		return nil, err
@@ -99,21 +101,77 @@
 		return err
 	}
 	for i, zone := range zones {
-		d.machines = append(d.machines, &machine{
-			name:   "edge-" + zone.name + "-1",
-			ip:     fmt.Sprintf("%s.%d", d.network, i+1),
-			zone:   zone.name,
-			region: zone.region,
-		})
+		for number := 1; number <= d.perZone; number++ {
+			started := &machine{
+				name:   fmt.Sprintf("edge-%s-%d", zone.name, number),
+				ip:     d.machineIP(i*d.perZone + number - 1),
+				zone:   zone.name,
+				region: zone.region,
+			}
+			d.machines = append(d.machines, started)
+			if err := d.startMachine(program, started, number == 1); err != nil {
+				return err
+			}
+		}
 	}
-	for _, started := range d.machines {
-		var err error
+	return nil
+}
+
+// startMachine starts the processes of a machine.
+func (d *deployment) startMachine(program string, started *machine, hasCore bool) (err error) {
+	if hasCore {
 		if started.core, err = d.startProcess(program, started, "core"); err != nil {
 			return err
 		}
-		if started.front, err = d.startProcess(program, started, "front"); err != nil {
+	}
+	started.front, err = d.startProcess(program, started, "front")
+	return err
+}
+
+func (d *deployment) machineIP(index int) string { return fmt.Sprintf("%s.%d", d.network, index+1) }
+
+// withCores returns the machines that have a core, one of each zone.
+func (d *deployment) withCores() []*machine {
+	var found []*machine
+	for i, candidate := range d.machines {
+		if i%d.perZone == 0 {
+			found = append(found, candidate)
+		}
+	}
+	return found
+}
+
+// withoutCores returns the other machines.
+func (d *deployment) withoutCores() []*machine {
+	var found []*machine
+	for i, candidate := range d.machines {
+		if i%d.perZone != 0 {
+			found = append(found, candidate)
+		}
+	}
+	return found
+}
+
+// remove stops the front of a machine without a core by SIGTERM, as in planned work, and
+// then lets the machine's addresses accept connections and say nothing, since a machine
+// that was removed refuses nothing.
+func (d *deployment) remove(removed *machine) error {
+	d.record.add("SIGTERM   %s", removed.name)
+	if err := removed.front.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	err := removed.front.Wait()
+	d.record.add("ended     %s: %v", removed.name, removed.front.ProcessState)
+	if err != nil {
+		return err
+	}
+	removed.front = nil
+	for _, port := range []int{frontendPort, directoryPort, readinessPort, internalPort, internalPort + 1} {
+		listener, err := net.Listen("tcp", removed.address(port))
+		if err != nil {
 			return err
 		}
+		d.silent = append(d.silent, listener)
 	}
 	return nil
 }
@@ -122,7 +180,7 @@
 func (d *deployment) chooseNetwork() error {
 	for range addressAttempts {
 		network := fmt.Sprintf("127.%d.%d", 10+rand.IntN(240), 1+rand.IntN(250))
-		if networkIsFree(network) {
+		if networkIsFree(network, d.perZone*len(zones)) {
 			d.network = network
 			return nil
 		}
@@ -130,8 +188,8 @@
 	return fmt.Errorf("no loopback network with free ports was found")
 }
 
-func networkIsFree(network string) bool {
-	for host := 1; host <= len(zones); host++ {
+func networkIsFree(network string, machines int) bool {
+	for host := 1; host <= machines; host++ {
 		for _, port := range []int{frontendPort, directoryPort, readinessPort, controlPort, internalPort, internalPort + 1} {
 			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, host, port))
 			if err != nil {
@@ -179,7 +237,7 @@
 	}
 	var seeds []string
 	for i := range zones {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s.%d:%d", d.network, i+1, controlPort)))
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", d.machineIP(i*d.perZone), controlPort)))
 	}
 	var zoneLines []string
 	for _, zone := range zones {
@@ -195,7 +253,7 @@
 internalPorts = [7500,7515]
 seedNodes = [%s]
 bootstrap = true
-lossCounts = true
+lossCounts = %v
 dataDir = %q
 discovery = "cloud_api"
 entry = "directory"
@@ -251,7 +309,7 @@
 ratePerS = 40.0
 duties = []
 maxLagMs = 800
-`, on.name, role, serves, on.ip, on.zone, on.region, strings.Join(seeds, ","), dataDir, strings.Join(zoneLines, "\n"),
+`, on.name, role, serves, on.ip, on.zone, on.region, strings.Join(seeds, ","), role == "core" || on.core != nil, dataDir, strings.Join(zoneLines, "\n"),
 		on.address(frontendPort), on.address(readinessPort), on.address(controlPort), on.address(directoryPort), d.platformAddress())
 }
 
@@ -297,6 +355,9 @@
 	for _, server := range d.httpd {
 		_ = server.Close()
 	}
+	for _, listener := range d.silent {
+		_ = listener.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.folder)
 	}
--- a/review/_standin/evacuation.go
+++ b/review/_standin/evacuation.go
@@ -14,8 +14,10 @@
 	evacuatedZone = 2 // lekki-hall
 )
 
+// trafficBefore is how long the clients send before anything else is done.
+const trafficBefore = 2 * time.Second
+
 const (
-	trafficBefore   = 2 * time.Second
 	firstEvacuation = 3 * time.Second
 	frozenFor       = 5 * time.Second
 	freezeLead      = 300 * time.Millisecond
@@ -30,30 +32,25 @@
 // while it was to get none.
 func staleEvacuationOrder(d *deployment, trouble bool, record *record) (broken bool, err error) {
 	operator := newOperator(d)
-	if _, err := operator.order("/-/Configuration.Replace", firstConfiguration, otherMachine, startTimeLimit); err != nil {
-		return false, err
-	}
-	if err := d.awaitReady(); err != nil {
-		return false, err
-	}
 	ctx, stopClients := context.WithCancel(context.Background())
 	defer stopClients()
-	d.startClients(ctx)
-	time.Sleep(trafficBefore)
+	if err := d.beginTraffic(ctx, operator); err != nil {
+		return false, err
+	}
 
 	zone := zones[evacuatedZone].name
-	if _, err := operator.order("/-/Evacuation.Begin/"+zone, "", otherMachine, ackTimeLimit); err != nil {
+	if _, err := operator.order("/-/Evacuation.Begin/"+zone, "", 0, otherMachine, ackTimeLimit); err != nil {
 		return false, err
 	}
 	time.Sleep(firstEvacuation)
 
 	thawed := freeze(d.machines[frozenMachine], trouble, record)
 	time.Sleep(freezeLead)
-	if _, err := operator.order("/-/Evacuation.Finish/"+zone, "", frozenMachine, ackTimeLimit); err != nil {
+	if _, err := operator.order("/-/Evacuation.Finish/"+zone, "", 0, frozenMachine, ackTimeLimit); err != nil {
 		return false, err
 	}
 	time.Sleep(secondPause)
-	acknowledged, err := operator.order("/-/Evacuation.Begin/"+zone, "", otherMachine, ackTimeLimit)
+	acknowledged, err := operator.order("/-/Evacuation.Begin/"+zone, "", 0, otherMachine, ackTimeLimit)
 	if err != nil {
 		return false, err
 	}
@@ -70,6 +67,19 @@
 	return judge(record, zone, from, to)
 }
 
+// beginTraffic sends the first configuration and starts the clients.
+func (d *deployment) beginTraffic(ctx context.Context, operator *operator) error {
+	if _, err := operator.order("/-/Configuration.Replace", firstConfiguration, 0, otherMachine, startTimeLimit); err != nil {
+		return err
+	}
+	if err := d.awaitReady(); err != nil {
+		return err
+	}
+	d.startClients(ctx)
+	time.Sleep(trafficBefore)
+	return nil
+}
+
 // freeze stops the processes of a machine and lets them continue after frozenFor. The
 // channel delivers the time at which they continued; without trouble, that is now.
 func freeze(frozen *machine, trouble bool, record *record) <-chan time.Time {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -1,4 +1,4 @@
-// Command review-standin runs the script case of the review: a small deployment of the
+// Command review-standin runs the script cases of the review: a small deployment of the
 // project's own processes on loopback addresses, with stand-ins for the platform's list,
 // the servers, the clients and the operator.
 //
@@ -30,7 +30,8 @@
 func main() {
 	program := flag.String("program", "target/stepwick", "the program under test")
 	recordPath := flag.String("record", "record.txt", "the file for what was sent, answered and run")
-	trouble := flag.Bool("trouble", true, "freeze a machine")
+	name := flag.String("case", "evacuation", "evacuation or removal")
+	trouble := flag.Bool("trouble", true, "with the disruption")
 	flag.Parse()
 	// The processes under test end with the thread that started them.
 	runtime.LockOSThread()
@@ -39,20 +40,36 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	code := runCase(*program, *trouble, record)
+	code := runCase(*name, *program, *trouble, record)
 	record.close()
 	os.Exit(code)
 }
 
-// runCase runs the case and returns the exit code.
-func runCase(program string, trouble bool, record *record) int {
-	deployment, err := startDeployment(program, record)
+// reviewCase is a case that was written as a script.
+type reviewCase struct {
+	perZone int // machines of each zone
+	run     func(d *deployment, trouble bool, record *record) (broken bool, err error)
+}
+
+var cases = map[string]reviewCase{
+	"evacuation": {perZone: 1, run: staleEvacuationOrder},
+	"removal":    {perZone: 3, run: ordersAfterRemoval},
+}
+
+// runCase runs a case and returns the exit code.
+func runCase(name, program string, trouble bool, record *record) int {
+	chosen, known := cases[name]
+	if !known {
+		record.add("not run: no case %q", name)
+		return exitNotRun
+	}
+	deployment, err := startDeployment(program, chosen.perZone, record)
 	if err != nil {
 		record.add("not run: %v", err)
 		return exitNotRun
 	}
 	defer deployment.stop()
-	broken, err := staleEvacuationOrder(deployment, trouble, record)
+	broken, err := chosen.run(deployment, trouble, record)
 	switch {
 	case err != nil:
 		record.add("not run: %v", err)
--- a/review/_standin/operator.go
+++ b/review/_standin/operator.go
@@ -12,6 +12,7 @@
 const (
 	callTimeLimit = time.Second
 	firstPause    = 100 * time.Millisecond
+	longestPause  = time.Second
 )
 
 const firstConfiguration = `{"version":1,"routes":[
@@ -20,6 +21,10 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"press","apiKeys":["key-of-press"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":0,"burst":0,"homeRegions":[]}]}`
 
+// idleChange adds a route that no client uses.
+const idleChange = `{"version":2,"upsert":{"routes":[
+{"name":"r-idle","host":"press.example","pathPrefix":"/idle/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":200,"priority":2,"service":"civic-web","maxAttempts":1,"public":false,"affinity":false,"resumable":false,"targetGapMs":0,"homeRegions":[]}]},"remove":{}}`
+
 // operator sends orders to the nodes that serve control.
 type operator struct {
 	deployment *deployment
@@ -31,15 +36,15 @@
 	return &operator{deployment: d, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
-// order sends an order to the node with index first. After a failure, a 5xx or a second
+// order sends an order to the core with index first. After a failure, a 5xx or a second
 // without a response it sends the same order to the next node, until it is acknowledged.
 // It returns the time of the acknowledgement.
-func (o *operator) order(path, body string, first int, limit time.Duration) (time.Time, error) {
+func (o *operator) order(path, body string, base, first int, limit time.Duration) (time.Time, error) {
 	deadline := time.Now().Add(limit)
 	pause := firstPause
 	for node := first; time.Now().Before(deadline); node++ {
-		asked := o.deployment.machines[node%len(o.deployment.machines)]
-		status := o.call(asked, path, body)
+		asked := o.deployment.withCores()[node%len(zones)]
+		status := o.call(asked, path, body, base)
 		if status == http.StatusOK {
 			return time.Now(), nil
 		}
@@ -47,13 +52,13 @@
 			return time.Time{}, fmt.Errorf("%s was refused with %d", path, status)
 		}
 		time.Sleep(pause)
-		pause *= 2
+		pause = min(2*pause, longestPause)
 	}
 	return time.Time{}, fmt.Errorf("%s was not acknowledged within %v", path, limit)
 }
 
 // call sends one call and returns the status, or 0 without an answer.
-func (o *operator) call(asked *machine, path, body string) int {
+func (o *operator) call(asked *machine, path, body string, base int) int {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeLimit)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+asked.address(controlPort)+path, strings.NewReader(body))
@@ -61,7 +66,7 @@
 		return 0
 	}
 	if body != "" {
-		request.Header.Set("Base-Version", "0")
+		request.Header.Set("Base-Version", fmt.Sprint(base))
 		request.Header.Set("Content-Type", "application/json")
 	}
 	o.deployment.record.add("order     %s to %s", path, asked.name)
